--- /dev/null
+++ b/pkg/vwid/id.go
@@ -0,0 +1,74 @@
+// Package vwid holds the named types of identifiers that all parts of vanillawind share.
+package vwid
+
+import (
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+)
+
+type (
+	// Cluster names one installation. Processes of different clusters refuse each other.
+	Cluster string
+	// Process names a process in its settings; it stays the same across restarts.
+	Process string
+	// Incarnation is one run of a process. A restart makes a new one.
+	Incarnation string
+	// DataCentre names a data centre.
+	DataCentre string
+	// Rack names a rack within a data centre.
+	Rack string
+	// Service names what a backend server offers.
+	Service string
+	// Team names a group of callers with a share of the capacity.
+	Team string
+	// SubmissionID identifies a submission across resubmissions. It is a UUIDv7.
+	SubmissionID string
+	// TaskID identifies a task within its submission.
+	TaskID string
+	// ChangeID identifies an operator's change across resends.
+	ChangeID string
+	// Member identifies a replica of the control log; it lasts as long as the replica's data folder.
+	Member string
+)
+
+type (
+	// Epoch counts the ownerships of a submission. It rises by one with each takeover.
+	Epoch uint64
+	// ConfigVersion counts accepted changes of the rules. It never falls.
+	ConfigVersion uint64
+)
+
+// MakeIncarnation returns a new random incarnation.
+func MakeIncarnation() Incarnation {
+	return Incarnation(uuid.NewString())
+}
+
+// MakeMember returns a new random member id.
+func MakeMember() Member {
+	return Member(uuid.NewString())
+}
+
+// MakeSubmissionID returns a new id that carries the current time.
+func MakeSubmissionID() SubmissionID {
+	return SubmissionID(uuid.Must(uuid.NewV7()).String())
+}
+
+// MakeChangeID returns a new random change id.
+func MakeChangeID() ChangeID {
+	return ChangeID(uuid.NewString())
+}
+
+// SubmissionTime returns the time inside id, and an error when id is not a UUIDv7.
+func SubmissionTime(id SubmissionID) (time.Time, error) {
+	parsed, err := uuid.Parse(string(id))
+	if err != nil {
+		return time.Time{}, trace.BadParameter("submission id %q is not a UUID", id)
+	}
+	if parsed.Version() != 7 {
+		return time.Time{}, trace.BadParameter("submission id %q is a UUID of version %d; want version 7", id, parsed.Version())
+	}
+	seconds, nanoseconds := parsed.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds).UTC(), nil
+}
