Add the dispatch decisions of entry and agent

Entry and agent processes need the decision logic to be written against. Granter divides the slots of a worker as credits among the entries, spreads idle slots as standing credits and recalls them for waiting tasks.

Credit conservation is checked as a rapid property.

--- /dev/null
+++ b/internal/process/vwdispatch/granter_test.go
@@ -0,0 +1,145 @@
+package vwdispatch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+func demandOf(waiting int) vwmessage.Demand {
+	return vwmessage.Demand{Service: service, Teams: []vwmessage.TeamDemand{{Team: "t", Waiting: waiting}}}
+}
+
+// Guards against an idle slot that no entry can use at once, and against one that stays with an
+// idle entry while another has tasks.
+func TestStandingCredits(t *testing.T) {
+	g := vwdispatch.MakeGranter(vwdispatch.GranterSettings{Slots: 8, DataCentre: "a"})
+	g.AddEntry("x", "a")
+	g.AddEntry("y", "b")
+	require.Equal(t, []vwdispatch.Action{{Entry: "x", Grant: 4}, {Entry: "y", Grant: 4}}, g.Decide(start))
+	g.Started("x", 4)
+	g.SetDemand("x", demandOf(3))
+	require.Equal(t, []vwdispatch.Action{{Entry: "y", Recall: 3}}, g.Decide(start))
+	require.Empty(t, g.Decide(start))
+	g.Returned("y", 3)
+	require.Equal(t, []vwdispatch.Action{{Entry: "x", Grant: 3}}, g.Decide(start))
+	g.Stop()
+	require.Equal(t, []vwdispatch.Action{{Entry: "x", Recall: 3}, {Entry: "y", Recall: 1}}, g.Decide(start))
+}
+
+// Guards against a team that gets a larger share because its callers use more entries.
+func TestGrantsFollowTeams(t *testing.T) {
+	g := vwdispatch.MakeGranter(vwdispatch.GranterSettings{Weights: map[vwid.Team]float64{"t": 3}})
+	g.AddEntry("x", "a")
+	g.AddEntry("y", "a")
+	g.SetDemand("x", vwmessage.Demand{Teams: []vwmessage.TeamDemand{{Team: "t", Waiting: 500}, {Team: "u", Waiting: 500}}})
+	g.SetDemand("y", vwmessage.Demand{Teams: []vwmessage.TeamDemand{{Team: "u", Waiting: 500}}})
+	g.SetSlots(80)
+	// Team t has 3/4 of the weight and waits at x; half of the rest waits there too.
+	require.Equal(t, []vwdispatch.Action{{Entry: "x", Grant: 70}, {Entry: "y", Grant: 10}}, g.Decide(start))
+}
+
+// creditModel connects one Granter to three entries through queues of messages.
+type creditModel struct {
+	granter                      *vwdispatch.Granter
+	entries                      []vwid.Incarnation
+	slots                        int
+	granting, held, back, recall []int
+	starting                     []int
+	running                      int
+}
+
+func (m *creditModel) decide(t *rapid.T, overCommit int) {
+	before := m.granter.Running() + m.granter.Outstanding()
+	for _, action := range m.granter.Decide(start) {
+		for i, entry := range m.entries {
+			if entry == action.Entry {
+				m.granting[i] += action.Grant
+				m.recall[i] += action.Recall
+			}
+		}
+	}
+	after := m.granter.Running() + m.granter.Outstanding()
+	require.LessOrEqual(t, after, max(before, m.slots+overCommit))
+}
+
+func (m *creditModel) step(t *rapid.T, i int) {
+	switch rapid.IntRange(0, 6).Draw(t, "step") {
+	case 0:
+		m.held[i] += m.granting[i]
+		m.granting[i] = 0
+	case 1:
+		n := rapid.IntRange(0, m.held[i]).Draw(t, "use")
+		m.held[i] -= n
+		m.starting[i] += n
+	case 2:
+		m.granter.Started(m.entries[i], m.starting[i])
+		m.running += m.starting[i]
+		m.starting[i] = 0
+	case 3:
+		if n := min(m.recall[i], m.held[i]); m.recall[i] > 0 {
+			m.held[i] -= n
+			m.recall[i] = 0
+			m.granter.Returned(m.entries[i], n)
+		}
+	case 4:
+		n := rapid.IntRange(0, m.running).Draw(t, "freed")
+		m.running -= n
+		m.granter.Freed(n)
+	case 5:
+		m.granter.SetDemand(m.entries[i], demandOf(rapid.IntRange(0, 20).Draw(t, "waiting")))
+	case 6:
+		m.slots = rapid.IntRange(0, 12).Draw(t, "slots")
+		m.granter.SetSlots(m.slots)
+	}
+}
+
+// Guards against credits that are created or lost on any order of messages, and against more
+// running tasks and credits than the slots and the over-commit allow.
+func TestCreditConservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		overCommit := rapid.IntRange(0, 3).Draw(t, "over-commit")
+		m := &creditModel{
+			granter: vwdispatch.MakeGranter(vwdispatch.GranterSettings{Slots: 8, OverCommit: overCommit}), slots: 8,
+			granting: make([]int, 3), held: make([]int, 3), back: make([]int, 3), recall: make([]int, 3), starting: make([]int, 3),
+		}
+		for i := range 3 {
+			m.entries = append(m.entries, vwid.Incarnation(fmt.Sprint(i)))
+			m.granter.AddEntry(m.entries[i], "a")
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			m.step(t, rapid.IntRange(0, 2).Draw(t, "entry"))
+			m.decide(t, overCommit)
+			sum := 0
+			for i := range 3 {
+				sum += m.granting[i] + m.held[i] + m.starting[i]
+			}
+			require.Equal(t, sum, m.granter.Outstanding())
+			require.Equal(t, m.running, m.granter.Running())
+		}
+	})
+}
+
+// BenchmarkDecide shows that a decision at the agent allocates nothing.
+func BenchmarkDecide(b *testing.B) {
+	g := vwdispatch.MakeGranter(vwdispatch.GranterSettings{Slots: 8, OverCommit: 1})
+	for i := range 8 {
+		g.AddEntry(vwid.Incarnation(fmt.Sprint(i)), "a")
+	}
+	demand := demandOf(1000)
+	b.ReportAllocs()
+	for range b.N {
+		g.SetDemand("3", demand)
+		for _, action := range g.Decide(time.Time{}) {
+			g.Started(action.Entry, action.Grant)
+			g.Freed(action.Grant)
+		}
+	}
+}
