--- /dev/null
+++ b/internal/process/vwkeys/command.go
@@ -0,0 +1,147 @@
+package vwkeys
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// Command holds the operations of the command keys on one folder. Each writes what it did to Out.
+type Command struct {
+	Folder Folder
+	Out    io.Writer
+}
+
+// MakeAuthority makes the authority of cluster.
+func (c Command) MakeAuthority(cluster vwid.Cluster) error {
+	authority, err := MakeAuthority(cluster)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := c.Folder.SaveAuthority(authority); err != nil {
+		return trace.Wrap(err)
+	}
+	return c.printf("authority of cluster %s, valid until %s\nkeep secret: %s\ncopy to every process: %s\n",
+		cluster, formatTime(authority.certificate.NotAfter), c.Folder.path(AuthorityKeyFile), c.Folder.AuthorityFile())
+}
+
+// Issue makes the certificates of processes. It refuses to replace an existing one; Renew does that.
+func (c Command) Issue(processes ...vwid.Process) error {
+	authority, err := c.Folder.LoadAuthority()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	existing, err := c.Folder.Processes()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, process := range processes {
+		for _, other := range existing {
+			if other == process {
+				return trace.AlreadyExists("process %q has a certificate; renew it instead", process)
+			}
+		}
+		if err := c.issue(authority, process); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Renew replaces the certificates that have less than RenewBefore left, or all of them.
+func (c Command) Renew(all bool) error {
+	authority, err := c.Folder.LoadAuthority()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	processes, err := c.Folder.Processes()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, process := range processes {
+		content, err := readBundle(c.Folder.ProcessFile(process))
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if !all && time.Until(content.certificates[0].NotAfter) > RenewBefore {
+			continue
+		}
+		if err := c.issue(authority, process); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// Show lists the certificates of the folder and says of each whether peers accept it.
+func (c Command) Show() error {
+	trusted, err := readBundle(c.Folder.AuthorityFile())
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	processes, err := c.Folder.Processes()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	table := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	var failures []error
+	add := func(format string, args ...any) {
+		_, err := fmt.Fprintf(table, format, args...)
+		failures = append(failures, err)
+	}
+	add("NAME\tCLUSTER\tVALID UNTIL\tSTATE\n")
+	for _, authority := range trusted.certificates {
+		add("authority\t%s\t%s\t%s\n", clusterOf(authority), formatTime(authority.NotAfter), stateOf(authority.NotAfter))
+	}
+	for _, process := range processes {
+		content, err := readBundle(c.Folder.ProcessFile(process))
+		if err != nil {
+			add("%s\t\t\t%v\n", process, trace.Unwrap(err))
+			continue
+		}
+		leaf := content.certificates[0]
+		state := stateOf(leaf.NotAfter)
+		if err := verify(leaf, trusted.certificates, clusterOf(leaf)); err != nil {
+			state = trace.UserMessage(err)
+		}
+		add("%s\t%s\t%s\t%s\n", process, clusterOf(leaf), formatTime(leaf.NotAfter), state)
+	}
+	return trace.NewAggregate(append(failures, table.Flush())...)
+}
+
+func (c Command) issue(authority *Authority, process vwid.Process) error {
+	certificate, err := authority.Issue(process)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := c.Folder.SaveProcess(certificate); err != nil {
+		return trace.Wrap(err)
+	}
+	return c.printf("%s: certificate of process %s, valid until %s\n",
+		c.Folder.ProcessFile(process), process, formatTime(certificate.Leaf.NotAfter))
+}
+
+func (c Command) printf(format string, args ...any) error {
+	_, err := fmt.Fprintf(c.Out, format, args...)
+	return trace.Wrap(err)
+}
+
+func stateOf(notAfter time.Time) string {
+	switch left := time.Until(notAfter); {
+	case left <= 0:
+		return "expired"
+	case left <= RenewBefore:
+		return "due for renewal"
+	default:
+		return "valid"
+	}
+}
+
+func formatTime(t time.Time) string {
+	return t.UTC().Format(time.RFC3339)
+}
