--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -198,6 +198,8 @@
 	Epoch        vwid.Epoch
 	TaskID       vwid.TaskID
 	Verdict      vwverdict.Verdict
+	// Fenced tells, with NotRun, that another entry owns the submission at a later epoch.
+	Fenced bool
 	// Failed tells that the task did not succeed; Message says why.
 	Failed  bool
 	Message string
--- a/internal/connection/vwmessage/message_gen.go
+++ b/internal/connection/vwmessage/message_gen.go
@@ -1833,9 +1833,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Result) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "SubmissionID"
-	o = append(o, 0x88, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
+	o = append(o, 0x89, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
 	o = msgp.AppendString(o, string(z.SubmissionID))
 	// string "Epoch"
 	o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
@@ -1846,6 +1846,9 @@
 	// string "Verdict"
 	o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x64, 0x69, 0x63, 0x74)
 	o = msgp.AppendUint8(o, uint8(z.Verdict))
+	// string "Fenced"
+	o = append(o, 0xa6, 0x46, 0x65, 0x6e, 0x63, 0x65, 0x64)
+	o = msgp.AppendBool(o, z.Fenced)
 	// string "Failed"
 	o = append(o, 0xa6, 0x46, 0x61, 0x69, 0x6c, 0x65, 0x64)
 	o = msgp.AppendBool(o, z.Failed)
@@ -1919,6 +1922,12 @@
 				}
 				z.Verdict = vwverdict.Verdict(zb0005)
 			}
+		case "Fenced":
+			z.Fenced, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Fenced")
+				return
+			}
 		case "Failed":
 			z.Failed, bts, err = msgp.ReadBoolBytes(bts)
 			if err != nil {
@@ -1957,7 +1966,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Result) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(string(z.TaskID)) + 8 + msgp.Uint8Size + 7 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Message) + 8 + msgp.BytesPrefixSize + len(z.Payload) + 16 + msgp.Int64Size
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 7 + msgp.StringPrefixSize + len(string(z.TaskID)) + 8 + msgp.Uint8Size + 7 + msgp.BoolSize + 7 + msgp.BoolSize + 8 + msgp.StringPrefixSize + len(z.Message) + 8 + msgp.BytesPrefixSize + len(z.Payload) + 16 + msgp.Int64Size
 	return
 }
 
--- /dev/null
+++ b/internal/process/vwentry/answer.go
@@ -0,0 +1,150 @@
+package vwentry
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"vanillawind.example/vanillawind/pkg/vwapi"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// reply is where the answer to a submission comes from: a job of this entry, or the answer that its
+// owner at another entry has written.
+type reply struct {
+	job    *job
+	status int
+	body   []byte
+}
+
+// titles are the titles of problem documents by code.
+var titles = map[string]string{
+	vwapi.CodeMalformed:    "The body is malformed",
+	vwapi.CodeTooLarge:     "The body is too large",
+	vwapi.CodeInvalid:      "The request is invalid",
+	vwapi.CodeNeverRuns:    "No worker can ever run this",
+	vwapi.CodeConflict:     "The submission id belongs to another body",
+	vwapi.CodeTooOld:       "The submission id is too old",
+	vwapi.CodeTooNew:       "The submission id is from the future",
+	vwapi.CodeUnknownJob:   "There is no record of the job",
+	vwapi.CodeQueueFull:    "The queue is full",
+	vwapi.CodeRateLimited:  "The team's rate is exceeded",
+	vwapi.CodeDeadline:     "The deadline cannot be met",
+	vwapi.CodeTaskFailed:   "A task failed",
+	vwapi.CodeWorkerLost:   "A worker was lost",
+	vwapi.CodeOwnerLost:    "The entry that owned the job was lost",
+	vwapi.CodeAnswerGone:   "The answer is no longer kept",
+	vwapi.CodeCancelled:    "The job was cancelled",
+	vwapi.CodeUnavailable:  "The entry cannot serve this now",
+	vwapi.CodeStopping:     "The entry is stopping",
+	vwapi.CodeStillRunning: "The job is still running",
+}
+
+// statuses are the HTTP statuses of problem documents by code.
+var statuses = map[string]int{
+	vwapi.CodeMalformed:    http.StatusBadRequest,
+	vwapi.CodeTooLarge:     http.StatusRequestEntityTooLarge,
+	vwapi.CodeInvalid:      http.StatusUnprocessableEntity,
+	vwapi.CodeNeverRuns:    http.StatusUnprocessableEntity,
+	vwapi.CodeConflict:     http.StatusConflict,
+	vwapi.CodeTooOld:       http.StatusGone,
+	vwapi.CodeTooNew:       http.StatusUnprocessableEntity,
+	vwapi.CodeUnknownJob:   http.StatusNotFound,
+	vwapi.CodeQueueFull:    http.StatusTooManyRequests,
+	vwapi.CodeRateLimited:  http.StatusTooManyRequests,
+	vwapi.CodeDeadline:     http.StatusGatewayTimeout,
+	vwapi.CodeTaskFailed:   http.StatusBadGateway,
+	vwapi.CodeWorkerLost:   http.StatusBadGateway,
+	vwapi.CodeOwnerLost:    http.StatusBadGateway,
+	vwapi.CodeAnswerGone:   http.StatusGone,
+	vwapi.CodeCancelled:    http.StatusConflict,
+	vwapi.CodeUnavailable:  http.StatusServiceUnavailable,
+	vwapi.CodeStopping:     http.StatusServiceUnavailable,
+	vwapi.CodeStillRunning: http.StatusAccepted,
+}
+
+// retryAfterMillis is suggested with refusals under load. It is about the time in which a full queue
+// of short tasks drains.
+const retryAfterMillis = 500
+
+// problemOf returns the problem document for an error. One that carries no document is unexpected and
+// gets the verdict that the error carries.
+func problemOf(err error, id vwid.SubmissionID) *vwapi.Problem {
+	var known *vwapi.Problem
+	problem := vwapi.Problem{Code: vwapi.CodeUnavailable, Detail: err.Error(), Verdict: vwverdict.Of(err)}
+	if errors.As(err, &known) {
+		problem = *known
+	}
+	return completeProblem(&problem, id)
+}
+
+func completeProblem(problem *vwapi.Problem, id vwid.SubmissionID) *vwapi.Problem {
+	problem.Type = "about:blank"
+	problem.Title = titles[problem.Code]
+	problem.Status = statuses[problem.Code]
+	problem.ID = id
+	switch problem.Status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		problem.RetryAfterMillis = retryAfterMillis
+	}
+	return problem
+}
+
+func problemOfJob(j *job) *vwapi.Problem {
+	failure := j.Failure()
+	problem := &vwapi.Problem{Code: failure.Code, Detail: failure.Message, Verdict: failure.Verdict}
+	for _, task := range failure.Tasks {
+		problem.FailedTasks = append(problem.FailedTasks, vwapi.TaskFailure{ID: task.TaskID, Verdict: task.Verdict, Message: task.Message})
+	}
+	return completeProblem(problem, j.SubmissionID)
+}
+
+// statusOf returns the HTTP status of an ended job.
+func statusOf(j *job) int {
+	if j.Failure() == nil {
+		return http.StatusOK
+	}
+	return problemOfJob(j).Status
+}
+
+// writeAnswer writes the whole answer of an ended job, or its problem document, as a stream.
+func writeAnswer(writer io.Writer, j *job) (int, error) {
+	encoder := json.NewEncoder(writer)
+	if j.Failure() != nil {
+		problem := problemOfJob(j)
+		return problem.Status, encoder.Encode(problem)
+	}
+	id, err := json.Marshal(j.SubmissionID)
+	if err != nil {
+		return http.StatusOK, err
+	}
+	if _, err := io.WriteString(writer, `{"ID":`+string(id)+`,"State":"`+string(vwapi.StateComplete)+`","Results":[`); err != nil {
+		return http.StatusOK, err
+	}
+	for index := range j.Tasks {
+		if index > 0 {
+			if _, err := io.WriteString(writer, ","); err != nil {
+				return http.StatusOK, err
+			}
+		}
+		if err := encoder.Encode(vwapi.Result{ID: j.Tasks[index].ID, Result: resultJSON(j.Result(index))}); err != nil {
+			return http.StatusOK, err
+		}
+	}
+	_, err = io.WriteString(writer, "]}\n")
+	return http.StatusOK, err
+}
+
+// resultJSON returns a backend server's result as JSON; one that is not JSON becomes a string.
+func resultJSON(result []byte) json.RawMessage {
+	if json.Valid(result) {
+		return result
+	}
+	text, err := json.Marshal(string(result))
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return text
+}
--- /dev/null
+++ b/internal/process/vwentry/counter.go
@@ -0,0 +1,39 @@
+package vwentry
+
+import (
+	"sync/atomic"
+
+	"vanillawind.example/vanillawind/internal/request/vwjob"
+)
+
+// Counters count what an entry did. Any goroutine may read them.
+type Counters struct {
+	// Starts are tasks sent to agents.
+	Starts atomic.Int64
+	// Refused are tasks that an agent sent back as not run.
+	Refused atomic.Int64
+	// Stray are late, crossed or repeated messages that were dropped.
+	Stray atomic.Int64
+	// Demands are demand messages.
+	Demands atomic.Int64
+	// Complete and Failed are ended jobs.
+	Complete atomic.Int64
+	Failed   atomic.Int64
+	// Takeovers are jobs taken over from another entry.
+	Takeovers atomic.Int64
+	// Retries are repeated attempts of idempotent requests.
+	Retries atomic.Int64
+}
+
+// Counters returns the entry's counters.
+func (e *Entry) Counters() *Counters {
+	return &e.counters
+}
+
+func (c *Counters) countEnd(failure *vwjob.Failure) {
+	if failure != nil {
+		c.Failed.Add(1)
+		return
+	}
+	c.Complete.Add(1)
+}
--- /dev/null
+++ b/internal/process/vwentry/entry.go
@@ -0,0 +1,253 @@
+// Package vwentry is the entry process: it accepts submissions and requests, queues their tasks, sends
+// them to agents under credits, and assembles whole answers. One goroutine, the loop, owns all state
+// below Entry; everything else reaches it through post and ask.
+package vwentry
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/version/vwlease"
+	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwunit"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// Control is the replicated control state as an entry uses it. The verdict of an error tells whether
+// a command may be, or may get, into the log.
+type Control interface {
+	Propose(ctx context.Context, command vwstate.Command) (vwstate.Outcome, error)
+	Renew(ctx context.Context, request *vwmessage.LeaseRequest) (*vwmessage.LeaseReply, error)
+	Read(ctx context.Context, query vwstate.Query) (vwstate.View, error)
+}
+
+// Settings holds what an entry must know at its start.
+type Settings struct {
+	Process    vwid.Process
+	DataCentre vwid.DataCentre
+	Rack       vwid.Rack
+	// LinkAddress is where other entries reach this one.
+	LinkAddress string
+	// MaxBody bounds one HTTP body.
+	MaxBody vwunit.Bytes
+	// MaxPayload bounds the payload of one task.
+	MaxPayload vwunit.Bytes
+	// MaxTasks bounds the tasks of one submission.
+	MaxTasks int
+	// AnswerBytes bounds the answers that are kept for resubmissions.
+	AnswerBytes vwunit.Bytes
+}
+
+// DefaultSettings returns settings with all bounds set.
+func DefaultSettings() Settings {
+	return Settings{
+		MaxBody:     64 * vwunit.MiB,
+		MaxPayload:  vwunit.MiB,
+		MaxTasks:    100_000,
+		AnswerBytes: 256 * vwunit.MiB,
+	}
+}
+
+const (
+	// mailboxSize is how many events may wait for the loop before senders wait.
+	mailboxSize = 4096
+	// drainLimit bounds the events handled between two rounds of dispatching.
+	drainLimit   = 256
+	tickInterval = 10 * time.Millisecond
+)
+
+// Entry is one entry process.
+type Entry struct {
+	settings    Settings
+	incarnation vwid.Incarnation
+	control     Control
+	peers       *vwlink.Pool
+	log         *slog.Logger
+	group       *vwgroup.Group
+	mailbox     chan func()
+	counters    Counters
+
+	// The fields below belong to the loop.
+	holder     vwlease.Holder
+	rules      *vwrule.Rules
+	applied    vwid.ConfigVersion
+	entries    []vwmessage.EntryAddress
+	expired    map[vwid.Incarnation]bool
+	queue      *vwdispatch.Queue
+	jobs       map[vwid.SubmissionID]*job
+	// accepting counts the calls that ask control to accept a submission.
+	accepting  map[vwid.SubmissionID]int
+	workers    map[vwid.Incarnation]*worker
+	ended      endedJobs
+	budgets    map[vwid.Team]*retryBudget
+	active     int
+	settling   int
+	registered bool
+	stopping   bool
+	idle       chan struct{}
+}
+
+// Make returns an entry that is not running. The dialer reaches other entries.
+func Make(settings Settings, incarnation vwid.Incarnation, control Control, dialer vwlink.Dialer, log *slog.Logger) *Entry {
+	e := &Entry{
+		settings:    settings,
+		incarnation: incarnation,
+		control:     control,
+		log:         log,
+		mailbox:     make(chan func(), mailboxSize),
+		rules:       vwrule.Empty(),
+		expired:     map[vwid.Incarnation]bool{},
+		queue:       vwdispatch.MakeQueue(vwdispatch.QueueSettings{DataCentre: settings.DataCentre}),
+		jobs:        map[vwid.SubmissionID]*job{},
+		accepting:   map[vwid.SubmissionID]int{},
+		workers:     map[vwid.Incarnation]*worker{},
+		budgets:     map[vwid.Team]*retryBudget{},
+	}
+	e.group = vwgroup.Make(context.Background())
+	e.peers = vwlink.MakePool(e.group.Context(), dialer, e)
+	return e
+}
+
+// Incarnation returns the incarnation of this run.
+func (e *Entry) Incarnation() vwid.Incarnation {
+	return e.incarnation
+}
+
+// Start begins the work of the entry. It registers with control in the background; Ready tells when
+// the entry can accept submissions.
+func (e *Entry) Start() {
+	e.group.Run(e.loop)
+	e.group.Run(e.keepLease)
+	e.group.Run(e.refreshRegistrations)
+}
+
+// Stop is the graceful shutdown: it refuses new submissions, waits for the running ones to end, or for
+// ctx, ends the registration and stops.
+func (e *Entry) Stop(ctx context.Context) error {
+	idle, err := ask(ctx, e, func() chan struct{} {
+		e.stopping = true
+		e.idle = make(chan struct{})
+		e.signalIdle()
+		return e.idle
+	})
+	if err == nil {
+		select {
+		case <-idle:
+		case <-ctx.Done():
+			err = ctx.Err()
+		}
+	}
+	expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{e.incarnation}}}
+	if _, proposeErr := e.control.Propose(ctx, expire); proposeErr != nil {
+		e.log.Warn("registration not ended; it expires with its lease", "error", proposeErr)
+	}
+	e.Kill()
+	return trace.Wrap(err)
+}
+
+// Kill stops at once, as a crash would.
+func (e *Entry) Kill() {
+	_ = e.group.Stop()
+	_ = e.peers.Close()
+}
+
+func (e *Entry) signalIdle() {
+	if e.stopping && e.active == 0 && e.idle != nil {
+		close(e.idle)
+		e.idle = nil
+	}
+}
+
+func (e *Entry) loop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-e.mailbox:
+			event()
+			e.drain()
+		case <-ticker.C:
+			e.tick()
+		}
+		e.dispatch()
+	}
+}
+
+func (e *Entry) drain() {
+	for range drainLimit {
+		select {
+		case event := <-e.mailbox:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+func (e *Entry) tick() {
+	now := time.Now()
+	for _, expired := range e.queue.TakeExpired(now) {
+		if j := e.jobs[expired.SubmissionID]; j != nil {
+			e.failJob(j, codeDeadline, "the deadline passed before the tasks could start")
+		}
+	}
+	e.forgetAnswers(now)
+	e.reportDemand(now)
+}
+
+// post hands an event to the loop. It reports false after the entry stopped.
+func (e *Entry) post(event func()) bool {
+	select {
+	case e.mailbox <- event:
+		return true
+	case <-e.group.Context().Done():
+		return false
+	}
+}
+
+// ask runs f on the loop and returns its value.
+func ask[T any](ctx context.Context, e *Entry, f func() T) (T, error) {
+	answer := make(chan T, 1)
+	var none T
+	if !e.post(func() { answer <- f() }) {
+		return none, vwverdict.Errorf(vwverdict.NotRun, "the entry has stopped")
+	}
+	select {
+	case value := <-answer:
+		return value, nil
+	case <-ctx.Done():
+		return none, trace.Wrap(ctx.Err())
+	case <-e.group.Context().Done():
+		return none, vwverdict.Errorf(vwverdict.MayHaveRun, "the entry has stopped")
+	}
+}
+
+// Ready reports whether the entry can accept submissions, and otherwise why not.
+func (e *Entry) Ready(ctx context.Context) error {
+	reason, err := ask(ctx, e, func() error {
+		switch {
+		case e.stopping:
+			return trace.ConnectionProblem(nil, "stopping")
+		case !e.registered:
+			return trace.ConnectionProblem(nil, "not registered with control")
+		case !e.holder.Fresh(time.Now()):
+			return trace.ConnectionProblem(nil, "no configuration lease")
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return reason
+}
--- /dev/null
+++ b/internal/process/vwentry/http.go
@@ -0,0 +1,303 @@
+package vwentry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gin-gonic/gin"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwapi"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// maxWait bounds how long one GET may wait; a caller asks again.
+const maxWait = time.Minute
+
+// CallersHandler returns the HTTP interface for callers.
+func (e *Entry) CallersHandler() http.Handler {
+	router := gin.New()
+	router.HandleMethodNotAllowed = true
+	router.POST("/Jobs", e.postJob)
+	router.GET("/Jobs/:ID", e.getJob)
+	router.DELETE("/Jobs/:ID", e.deleteJob)
+	router.POST("/Requests", e.postRequest)
+	return router
+}
+
+func (e *Entry) limits() limits {
+	return limits{payload: int(e.settings.MaxPayload), tasks: e.settings.MaxTasks}
+}
+
+func isBodyLimit(err error) bool {
+	var limit *http.MaxBytesError
+	return errors.As(err, &limit)
+}
+
+func (e *Entry) postJob(c *gin.Context) {
+	body := http.MaxBytesReader(c.Writer, c.Request.Body, int64(e.settings.MaxBody))
+	s, err := decodeSubmission(body, e.limits(), time.Now())
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	e.serveJob(c, s, c.Query("Wait") != "false")
+}
+
+func (e *Entry) serveJob(c *gin.Context, s submission, wait bool) {
+	if s.spec.SubmissionID == "" {
+		s.spec.SubmissionID = vwid.MakeSubmissionID()
+	}
+	found, err := e.submit(c.Request.Context(), s)
+	if err != nil {
+		writeProblem(c, err, s.spec.SubmissionID)
+		return
+	}
+	ctx := c.Request.Context()
+	if !wait {
+		limited, cancel := context.WithTimeout(ctx, 0)
+		defer cancel()
+		ctx = limited
+	}
+	e.writeReply(ctx, c, s.spec.SubmissionID, found)
+}
+
+// writeReply waits for the answer as long as ctx allows and writes it, or the state of a job that
+// still runs.
+func (e *Entry) writeReply(ctx context.Context, c *gin.Context, id vwid.SubmissionID, found *reply) {
+	if found.job == nil {
+		contentType := gin.MIMEJSON
+		if found.status >= http.StatusBadRequest {
+			contentType = vwapi.ProblemType
+		}
+		c.Data(found.status, contentType, found.body)
+		return
+	}
+	if !waitFor(ctx, found.job) {
+		c.JSON(http.StatusAccepted, vwapi.Answer{ID: id, State: vwapi.StateRunning})
+		return
+	}
+	if found.job.Failure() != nil {
+		c.Header("Content-Type", vwapi.ProblemType)
+	} else {
+		c.Header("Content-Type", gin.MIMEJSON)
+	}
+	c.Status(statusOf(found.job))
+	if _, err := writeAnswer(c.Writer, found.job); err != nil {
+		// The status is out already. Cutting the connection tells the caller that the answer is not whole.
+		e.log.Warn("answer not written", "submission", string(id), "error", err)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// waitFor reports whether j has ended, after waiting as long as ctx allows.
+func waitFor(ctx context.Context, j *job) bool {
+	select {
+	case <-j.done:
+		return true
+	default:
+	}
+	select {
+	case <-j.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (e *Entry) postRequest(c *gin.Context) {
+	body := http.MaxBytesReader(c.Writer, c.Request.Body, int64(e.settings.MaxBody))
+	s, idempotent, err := decodeRequest(body, e.limits(), time.Now())
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	id := s.spec.SubmissionID
+	var found *reply
+	if id != "" && !idempotent {
+		found, err = e.submit(c.Request.Context(), s)
+	} else {
+		found = &reply{}
+		found.job, err = e.perform(c.Request.Context(), s, idempotent)
+	}
+	if err != nil {
+		writeProblem(c, err, id)
+		return
+	}
+	e.writeRequestReply(c, id, found)
+}
+
+func (e *Entry) writeRequestReply(c *gin.Context, id vwid.SubmissionID, found *reply) {
+	if found.job == nil {
+		e.writeRemoteRequestReply(c, id, found)
+		return
+	}
+	j := found.job
+	if !waitFor(c.Request.Context(), j) {
+		return
+	}
+	if j.Failure() != nil {
+		writeDocument(c, problemOfJob(j))
+		return
+	}
+	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: j.SubmissionID, Result: resultJSON(j.Result(0))})
+}
+
+// writeRemoteRequestReply turns the owner's answer for a job of one task into that for a request.
+func (e *Entry) writeRemoteRequestReply(c *gin.Context, id vwid.SubmissionID, found *reply) {
+	if found.status != http.StatusOK {
+		c.Data(found.status, vwapi.ProblemType, found.body)
+		return
+	}
+	var answer vwapi.Answer
+	if err := json.Unmarshal(found.body, &answer); err != nil || len(answer.Results) != 1 {
+		writeProblem(c, refuse(vwapi.CodeUnavailable, vwverdict.Ran, "the owner's answer cannot be read"), id)
+		return
+	}
+	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: answer.ID, Result: answer.Results[0].Result})
+}
+
+func (e *Entry) getJob(c *gin.Context) {
+	id, err := parseID(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	wait, err := parseWait(c)
+	if err != nil {
+		writeProblem(c, err, id)
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.Request.Context(), wait)
+	defer cancel()
+	found, err := e.find(c.Request.Context(), ctx, id)
+	if err != nil {
+		writeProblem(c, err, id)
+		return
+	}
+	e.writeReply(ctx, c, id, found)
+}
+
+func parseID(c *gin.Context) (vwid.SubmissionID, error) {
+	id := vwid.SubmissionID(c.Param("ID"))
+	if _, err := vwid.SubmissionTime(id); err != nil {
+		return "", invalid("the job id must be a UUID of version 7: " + err.Error())
+	}
+	return id, nil
+}
+
+func parseWait(c *gin.Context) (time.Duration, error) {
+	text := c.Query("WaitSeconds")
+	if text == "" {
+		return 0, nil
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || seconds < 0 || seconds > maxWait.Seconds() {
+		return 0, invalid("WaitSeconds must be a number from 0 to " + strconv.Itoa(int(maxWait.Seconds())))
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
+// find returns where the answer of a job comes from. It waits for another owner as long as waiting
+// allows.
+func (e *Entry) find(ctx, waiting context.Context, id vwid.SubmissionID) (*reply, error) {
+	j, err := ask(ctx, e, func() *job { return e.jobs[id] })
+	if err != nil {
+		return nil, err
+	}
+	if j != nil {
+		return &reply{job: j}, nil
+	}
+	owner, record, err := e.findOwner(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	found, err := e.awaitOwner(waiting, owner, record)
+	if err != nil {
+		return nil, err
+	}
+	if found == nil {
+		return nil, refuse(vwapi.CodeStillRunning, vwverdict.MayHaveRun, "the job's owner has not answered yet; ask again")
+	}
+	return found, nil
+}
+
+func (e *Entry) findOwner(ctx context.Context, id vwid.SubmissionID) (*vwstate.Registration, *vwstate.Submission, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	view, err := e.control.Read(ctx, vwstate.Query{SubmissionID: id, Registrations: true})
+	if err != nil {
+		return nil, nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "control cannot be read: "+err.Error())
+	}
+	if view.Submission == nil {
+		// A submission with this id may be under way, so the verdict cannot be that it never runs.
+		return nil, nil, refuse(vwapi.CodeUnknownJob, vwverdict.MayHaveRun, "control has no record of the job; it is safe to submit it again with the same id")
+	}
+	owner := findLive(view.Registrations, view.Submission.Owner)
+	if owner == nil {
+		return nil, nil, refuse(vwapi.CodeOwnerLost, vwverdict.MayHaveRun, "submit the job again with the same id and body; no task starts twice")
+	}
+	return owner, view.Submission, nil
+}
+
+func (e *Entry) deleteJob(c *gin.Context) {
+	id, err := parseID(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	ctx := c.Request.Context()
+	known, err := ask(ctx, e, func() bool { return e.cancelJob(id) })
+	if err == nil && !known {
+		err = e.cancelAtOwner(ctx, id)
+	}
+	if err != nil {
+		writeProblem(c, err, id)
+		return
+	}
+	c.Status(http.StatusNoContent)
+}
+
+// cancelJob ends a job of this entry. It reports whether there is one.
+func (e *Entry) cancelJob(id vwid.SubmissionID) bool {
+	j := e.jobs[id]
+	if j == nil {
+		return false
+	}
+	e.failJob(j, codeCancelled, "the job was cancelled")
+	return true
+}
+
+func (e *Entry) cancelAtOwner(ctx context.Context, id vwid.SubmissionID) error {
+	owner, record, err := e.findOwner(ctx, id)
+	if err != nil {
+		return err
+	}
+	session, err := e.peers.Get(ctx, owner.Address)
+	if err == nil {
+		_, err = vwlink.Call[*vwmessage.Ping](ctx, session, &vwmessage.Cancel{SubmissionID: id, Epoch: record.Epoch})
+	}
+	if err != nil {
+		return refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the job's owner did not confirm the cancellation: "+err.Error())
+	}
+	return nil
+}
+
+func writeProblem(c *gin.Context, err error, id vwid.SubmissionID) {
+	writeDocument(c, problemOf(err, id))
+}
+
+func writeDocument(c *gin.Context, problem *vwapi.Problem) {
+	if problem.RetryAfterMillis > 0 {
+		c.Header("Retry-After", strconv.FormatInt((problem.RetryAfterMillis+999)/1000, 10))
+	}
+	c.Header("Content-Type", vwapi.ProblemType)
+	c.JSON(problem.Status, problem)
+}
--- /dev/null
+++ b/internal/process/vwentry/operator.go
@@ -0,0 +1,253 @@
+package vwentry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/pprof"
+	"strings"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwapi"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// maxRules bounds the text of the rules.
+const maxRules = 1 << 20
+
+// OperatorsHandler returns the HTTP interface for operators. It must not be reachable for callers.
+func (e *Entry) OperatorsHandler() http.Handler {
+	router := gin.New()
+	router.HandleMethodNotAllowed = true
+	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	router.GET("/readyz", e.getReady)
+	router.GET("/Rules", e.getRules)
+	router.PUT("/Rules", e.putRules)
+	router.GET("/Status", e.getStatus)
+	router.GET("/Workers", e.getWorkers)
+	router.GET("/DataCentres", e.getDataCentres)
+	router.POST("/DataCentres/:Name/:Action", e.postDataCentre)
+	router.GET("/debug/pprof/*Name", gin.WrapF(servePprof))
+	return router
+}
+
+func servePprof(writer http.ResponseWriter, request *http.Request) {
+	switch strings.TrimPrefix(request.URL.Path, "/debug/pprof/") {
+	case "profile":
+		pprof.Profile(writer, request)
+	case "trace":
+		pprof.Trace(writer, request)
+	case "cmdline":
+		pprof.Cmdline(writer, request)
+	case "symbol":
+		pprof.Symbol(writer, request)
+	default:
+		pprof.Index(writer, request)
+	}
+}
+
+func (e *Entry) getReady(c *gin.Context) {
+	if err := e.Ready(c.Request.Context()); err != nil {
+		c.String(http.StatusServiceUnavailable, "not ready: %v\n", err)
+		return
+	}
+	c.String(http.StatusOK, "ready\n")
+}
+
+func (e *Entry) readConfig(ctx context.Context) (vwstate.Config, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	view, err := e.control.Read(ctx, vwstate.Query{Config: true})
+	if err != nil {
+		return vwstate.Config{}, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+err.Error())
+	}
+	return *view.Config, nil
+}
+
+func (e *Entry) getRules(c *gin.Context) {
+	config, err := e.readConfig(c.Request.Context())
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	c.JSON(http.StatusOK, vwapi.Rules{
+		Version: config.Version, Text: string(config.Text), By: config.By, ChangedMillis: config.ChangedMillis,
+	})
+}
+
+func (e *Entry) putRules(c *gin.Context) {
+	var change vwapi.RulesChange
+	if err := decodeStrict(http.MaxBytesReader(c.Writer, c.Request.Body, 2*maxRules), &change); err != nil {
+		writeProblem(c, malformed(err), "")
+		return
+	}
+	if change.ChangeID == "" || change.By == "" {
+		writeProblem(c, invalid("ChangeID and By must be given"), "")
+		return
+	}
+	changed, err := e.changeRules(c.Request.Context(), change)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	c.JSON(http.StatusOK, changed)
+}
+
+// changeRules proposes a change. A resend with the same ChangeID gets the first outcome, even when the
+// rules have changed since.
+func (e *Entry) changeRules(ctx context.Context, change vwapi.RulesChange) (*vwapi.RulesChanged, error) {
+	if _, err := vwrule.Parse("rules", []byte(change.Text)); err != nil {
+		return nil, refuse(vwapi.CodeInvalid, vwverdict.NotRun, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	outcome, err := e.control.Propose(ctx, vwstate.Command{ChangeRules: &vwstate.ChangeRules{
+		ChangeID: change.ChangeID, Base: change.Base, Text: []byte(change.Text), By: change.By,
+	}})
+	if err != nil {
+		return nil, refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+err.Error())
+	}
+	if outcome.Refusal == vwstate.RefusalVersion {
+		return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "another change came first; read the rules again and apply the change to that version")
+	}
+	return &vwapi.RulesChanged{Version: outcome.Version}, nil
+}
+
+func (e *Entry) getStatus(c *gin.Context) {
+	status, err := ask(c.Request.Context(), e, func() vwapi.Status {
+		now := time.Now()
+		return vwapi.Status{
+			Process:     e.settings.Process,
+			Incarnation: e.incarnation,
+			DataCentre:  e.settings.DataCentre,
+			Version:     e.applied,
+			LeaseFresh:  e.holder.Fresh(now),
+			Stopping:    e.stopping,
+			Workers:     len(e.workers),
+			Entries:     len(e.entries),
+			Waiting:     e.queue.Waiting(),
+			Jobs:        e.active,
+		}
+	})
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	c.JSON(http.StatusOK, status)
+}
+
+func (e *Entry) getWorkers(c *gin.Context) {
+	view, err := e.readRegistrations(c.Request.Context())
+	if err != nil {
+		writeProblem(c, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+err.Error()), "")
+		return
+	}
+	workers := []vwapi.Worker{}
+	for i := range view.Registrations {
+		r := &view.Registrations[i]
+		if r.Role != vwstate.RoleAgent || r.Ended() {
+			continue
+		}
+		workers = append(workers, vwapi.Worker{
+			Process: r.Process, Incarnation: r.Incarnation, DataCentre: r.DataCentre, Rack: r.Rack,
+			Service: r.Service, Slots: r.Slots, SinceMillis: r.SinceMillis,
+		})
+	}
+	c.JSON(http.StatusOK, workers)
+}
+
+func (e *Entry) getDataCentres(c *gin.Context) {
+	list, err := e.listDataCentres(c.Request.Context())
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	c.JSON(http.StatusOK, list)
+}
+
+func (e *Entry) listDataCentres(ctx context.Context) ([]vwapi.DataCentre, error) {
+	config, err := e.readConfig(ctx)
+	if err != nil {
+		return nil, err
+	}
+	rules, err := vwrule.Parse("rules", config.Text)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	list := []vwapi.DataCentre{}
+	for _, name := range rules.DataCentres() {
+		list = append(list, vwapi.DataCentre{Name: name, Out: rules.IsOut(name)})
+	}
+	return list, nil
+}
+
+// maxEdits bounds how often an edit of one line is tried again after other operators came first.
+const maxEdits = 5
+
+func (e *Entry) postDataCentre(c *gin.Context) {
+	var order vwapi.DataCentreOrder
+	if err := decodeStrict(http.MaxBytesReader(c.Writer, c.Request.Body, maxRules), &order); err != nil {
+		writeProblem(c, malformed(err), "")
+		return
+	}
+	if order.By == "" || order.ChangeID == "" {
+		writeProblem(c, invalid("By and ChangeID must be given"), "")
+		return
+	}
+	name := vwid.DataCentre(c.Param("Name"))
+	edit, known := dataCentreEdits[c.Param("Action")]
+	if !known {
+		writeProblem(c, invalid("the action must be Out or In"), "")
+		return
+	}
+	changed, err := e.editRules(c.Request.Context(), order, func(text []byte) ([]byte, error) { return edit(text, name, order.By) })
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	c.JSON(http.StatusOK, changed)
+}
+
+var dataCentreEdits = map[string]func(text []byte, name vwid.DataCentre, by string) ([]byte, error){
+	"Out": vwrule.TakeOut,
+	"In": func(text []byte, name vwid.DataCentre, _ string) ([]byte, error) {
+		return vwrule.BringIn(text, name)
+	},
+}
+
+// editRules applies an edit to the current rules. When another change comes first the edit is applied
+// to that one. Each try has a change id of its own, derived from the operator's, so that a resent order
+// repeats the tries and gets their outcomes.
+func (e *Entry) editRules(ctx context.Context, order vwapi.DataCentreOrder, edit func([]byte) ([]byte, error)) (*vwapi.RulesChanged, error) {
+	for try := range maxEdits {
+		config, err := e.readConfig(ctx)
+		if err != nil {
+			return nil, err
+		}
+		text, err := edit(config.Text)
+		if err != nil {
+			return nil, invalid(err.Error())
+		}
+		if string(text) == string(config.Text) {
+			return &vwapi.RulesChanged{Version: config.Version}, nil
+		}
+		changed, err := e.changeRules(ctx, vwapi.RulesChange{
+			ChangeID: order.ChangeID + vwid.ChangeID("/"+string(rune('0'+try))), Base: config.Version, Text: string(text), By: order.By,
+		})
+		if err == nil || !isConflict(err) {
+			return changed, err
+		}
+	}
+	return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "other changes came first each time; try again")
+}
+
+func isConflict(err error) bool {
+	var problem *vwapi.Problem
+	return errors.As(err, &problem) && problem.Code == vwapi.CodeConflict
+}
--- /dev/null
+++ b/internal/process/vwentry/request.go
@@ -0,0 +1,99 @@
+package vwentry
+
+import (
+	"context"
+	"time"
+
+	"vanillawind.example/vanillawind/internal/request/vwjob"
+	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// requestTask is the id of the only task of a single request.
+const requestTask vwid.TaskID = "Request"
+
+// perform runs a single request that control has no record of. An idempotent one is tried again after
+// MayHaveRun, within the team's retry budget; any other is sent at most once.
+func (e *Entry) perform(ctx context.Context, s submission, idempotent bool) (*job, error) {
+	if err := askOnly(ctx, e, func() error { return e.check(s) }); err != nil {
+		return nil, err
+	}
+	for {
+		j, err := e.attempt(ctx, s)
+		if err != nil {
+			return nil, err
+		}
+		select {
+		case <-j.done:
+		case <-ctx.Done():
+			e.post(func() { e.failJob(j, codeCancelled, "the caller went away") })
+			return nil, ctx.Err()
+		}
+		if !idempotent || !isRetryable(j) {
+			return j, nil
+		}
+		permitted, err := ask(ctx, e, func() bool { return e.budget(s.spec.Service, s.spec.Team).withdraw(time.Now()) })
+		if err != nil || !permitted {
+			return j, err
+		}
+		e.counters.Retries.Add(1)
+	}
+}
+
+func isRetryable(j *job) bool {
+	return j.Failure() != nil && j.Failure().Code == vwjob.CodeWorkerLost && j.Failure().Verdict == vwverdict.MayHaveRun
+}
+
+// attempt runs the request once, under an id of its own, so that a late result of an earlier attempt
+// cannot answer it.
+func (e *Entry) attempt(ctx context.Context, s submission) (*job, error) {
+	s.spec.SubmissionID = vwid.MakeSubmissionID()
+	j, err := makeJob(s.spec, 1, s.digest, false)
+	if err != nil {
+		return nil, err
+	}
+	return askError(ctx, e, func() (*job, error) {
+		e.applyDefaultDeadline(j)
+		e.adopt(j)
+		e.budget(j.Service, j.Team).deposit()
+		if err := e.enqueue(time.Now(), j); err != nil {
+			e.failJob(j, limitCode(err), err.Error())
+		}
+		return j, nil
+	})
+}
+
+// retryBudget is a token bucket: each request adds a fraction of a retry, and time adds some more.
+type retryBudget struct {
+	policy vwrule.RetryBudget
+	tokens float64
+	filled time.Time
+}
+
+// maxRetryTokens bounds the retries that can come at once after a quiet time.
+const maxRetryTokens = 100
+
+func (e *Entry) budget(service vwid.Service, team vwid.Team) *retryBudget {
+	b, known := e.budgets[team]
+	if !known {
+		b = &retryBudget{filled: time.Now()}
+		e.budgets[team] = b
+	}
+	b.policy = e.rules.Team(service, team).RetryBudget
+	return b
+}
+
+func (b *retryBudget) deposit() {
+	b.tokens = min(maxRetryTokens, b.tokens+b.policy.Ratio)
+}
+
+func (b *retryBudget) withdraw(now time.Time) bool {
+	b.tokens = min(maxRetryTokens, b.tokens+b.policy.PerSecond*now.Sub(b.filled).Seconds())
+	b.filled = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/process/vwentry/worker.go
@@ -0,0 +1,306 @@
+package vwentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/request/vwjob"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// worker is an agent incarnation as the entry sees it. Session is nil while no link to it is open.
+type worker struct {
+	vwdispatch.Worker
+	session  *vwlink.Session
+	heard    bool
+	leaving  bool
+	jobs     map[vwid.SubmissionID]*job
+	demanded demandReport
+}
+
+// HandleMessage implements vwlink.Handler for links with agents and other entries.
+func (e *Entry) HandleMessage(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+	if !e.post(func() { e.handle(session, body, reply) }) {
+		reply(nil, vwverdict.Errorf(vwverdict.NotRun, "the entry has stopped"))
+	}
+}
+
+// HandleEnd implements vwlink.EndHandler.
+func (e *Entry) HandleEnd(session *vwlink.Session, cause error) {
+	e.post(func() { e.closeLink(session, cause) })
+}
+
+func (e *Entry) handle(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+	switch message := body.(type) {
+	case *vwmessage.Register:
+		e.registerAgent(session, message, reply)
+		return
+	case *vwmessage.AwaitAnswer:
+		e.awaitAnswer(message, reply)
+		return
+	case *vwmessage.LeaseRequest:
+		e.relayLease(message, reply)
+		return
+	case *vwmessage.Cancel:
+		e.cancelJob(message.SubmissionID)
+		reply(&vwmessage.Ping{}, nil)
+		return
+	}
+	w := e.workers[session.Peer().Incarnation]
+	if w == nil || w.session != session {
+		// A message of a link that was replaced; the records of the agent settle what it was about.
+		e.counters.Stray.Add(1)
+		return
+	}
+	switch message := body.(type) {
+	case *vwmessage.Credit:
+		e.queue.Grant(w.Incarnation, message.Count)
+	case *vwmessage.CreditRecall:
+		returned := e.queue.Recall(w.Incarnation, message.Count)
+		e.send(w, &vwmessage.CreditReturn{Count: returned})
+	case *vwmessage.Result:
+		e.takeResult(w, message)
+	case *vwmessage.Leaving:
+		w.leaving = true
+		e.queue.RemoveWorker(w.Incarnation)
+	default:
+		reply(nil, vwverdict.Wrap(vwverdict.NotRun, trace.BadParameter("message kind %d is not for an entry", body.MessageKind())))
+	}
+}
+
+func (e *Entry) send(w *worker, body vwmessage.Body) {
+	if w.session == nil {
+		return
+	}
+	if err := w.session.Send(e.group.Context(), body); err != nil {
+		// The end of the link follows and settles what is in flight.
+		_ = w.session.Close()
+	}
+}
+
+// registerAgent records an agent in control and then opens the link to it.
+func (e *Entry) registerAgent(session *vwlink.Session, message *vwmessage.Register, reply vwlink.Reply) {
+	registration := vwstate.Registration{
+		Incarnation: message.Incarnation,
+		Process:     message.Process,
+		Role:        vwstate.RoleAgent,
+		DataCentre:  message.DataCentre,
+		Rack:        message.Rack,
+		Service:     message.Service,
+		Slots:       message.Slots,
+	}
+	e.group.Run(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+		defer cancel()
+		outcome, err := e.control.Propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: registration}})
+		if err != nil {
+			reply(nil, err)
+			return
+		}
+		if outcome.Refusal == vwstate.RefusalNone {
+			e.post(func() { e.openLink(session, registration) })
+		}
+		data, err := outcome.MarshalMsg(nil)
+		reply(&vwmessage.Outcome{Outcome: data}, err)
+	})
+}
+
+// openLink starts to use a link to an agent. It replaces an older one to the same incarnation, and
+// settles what was in flight on that.
+func (e *Entry) openLink(session *vwlink.Session, registration vwstate.Registration) {
+	if session.Ended() {
+		return
+	}
+	w := e.workers[registration.Incarnation]
+	if w == nil {
+		w = &worker{jobs: map[vwid.SubmissionID]*job{}}
+		e.workers[registration.Incarnation] = w
+	}
+	w.Worker = vwdispatch.Worker{
+		Incarnation: registration.Incarnation,
+		Process:     registration.Process,
+		Service:     registration.Service,
+		DataCentre:  registration.DataCentre,
+		Rack:        registration.Rack,
+		Slots:       registration.Slots,
+	}
+	renewed := w.session == session
+	w.session, w.heard, w.leaving = session, true, false
+	if renewed {
+		e.queue.AddWorker(w.Worker)
+		return
+	}
+	e.log.Info("link to agent open", "worker", string(w.Process), "incarnation", string(w.Incarnation))
+	w.demanded = demandReport{}
+	// The credits of the older link ended with it.
+	e.queue.RemoveWorker(w.Incarnation)
+	e.queue.AddWorker(w.Worker)
+	for _, j := range w.jobs {
+		e.reconcile(j, w)
+	}
+	e.settleReachable(w)
+}
+
+func (e *Entry) closeLink(session *vwlink.Session, cause error) {
+	w := e.workers[session.Peer().Incarnation]
+	if w == nil || w.session != session {
+		return
+	}
+	e.log.Info("link to agent closed", "worker", string(w.Process), "incarnation", string(w.Incarnation), "cause", causeText(cause))
+	w.session = nil
+	e.queue.RemoveWorker(w.Incarnation)
+}
+
+func causeText(cause error) string {
+	if cause == nil {
+		return ""
+	}
+	return cause.Error()
+}
+
+// reconcile asks an agent, after a new link, which of the tasks that were sent to it have started.
+func (e *Entry) reconcile(j *job, w *worker) {
+	owed := j.Sent(w.Incarnation)
+	if len(owed) == 0 || j.Ended() {
+		return
+	}
+	e.fence(w, j, func(reply *vwmessage.FenceReply) { e.takeReconciliation(j, w, owed, reply) })
+}
+
+// fence asks for the start records of a job and delivers the reply to the loop. After a failure the
+// link ends, and its successor asks again.
+func (e *Entry) fence(w *worker, j *job, deliver func(*vwmessage.FenceReply)) {
+	session := w.session
+	request := &vwmessage.Fence{SubmissionID: j.SubmissionID, Epoch: j.Epoch()}
+	e.group.Run(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, vwlink.SilenceTimeout)
+		defer cancel()
+		reply, err := vwlink.Call[*vwmessage.FenceReply](ctx, session, request)
+		if err != nil {
+			_ = session.Close()
+			return
+		}
+		e.post(func() { deliver(reply) })
+	})
+}
+
+func (e *Entry) takeReconciliation(j *job, w *worker, owed []int, reply *vwmessage.FenceReply) {
+	if reply.Refused {
+		e.loseJob(j)
+		return
+	}
+	e.requeue(j, j.Reconcile(w.Incarnation, owed, reply))
+	e.checkEnd(j)
+}
+
+func (e *Entry) requeue(j *job, indexes []int) {
+	for _, index := range indexes {
+		e.queue.Requeue(time.Now(), j.queuedTask(index))
+	}
+}
+
+// loseWorker handles the end of an agent's registration: what was sent to it may have run.
+func (e *Entry) loseWorker(w *worker) {
+	e.log.Warn("worker lost", "worker", string(w.Process), "incarnation", string(w.Incarnation), "jobs", len(w.jobs))
+	delete(e.workers, w.Incarnation)
+	e.queue.RemoveWorker(w.Incarnation)
+	for _, j := range w.jobs {
+		for range j.Sent(w.Incarnation) {
+			e.queue.Finish(time.Now(), w.Incarnation, j.Team, vwdispatch.FinishInfo{Failed: true})
+		}
+		j.Lose(w.Incarnation)
+		e.checkEnd(j)
+	}
+}
+
+func (e *Entry) takeResult(w *worker, result *vwmessage.Result) {
+	j := e.jobs[result.SubmissionID]
+	if j == nil {
+		e.counters.Stray.Add(1)
+		return
+	}
+	if result.Fenced && result.Epoch == j.Epoch() {
+		e.loseJob(j)
+		return
+	}
+	index, match := j.Apply(w.Incarnation, result)
+	switch match {
+	case vwjob.MatchStray:
+		e.counters.Stray.Add(1)
+		return
+	case vwjob.MatchRequeue:
+		e.counters.Refused.Add(1)
+		e.requeue(j, []int{index})
+		return
+	case vwjob.MatchDone:
+		e.queue.Finish(time.Now(), w.Incarnation, j.Team, vwdispatch.FinishInfo{
+			Failed:  result.Failed,
+			RunTime: time.Duration(result.RunMilliseconds) * time.Millisecond,
+		})
+	}
+	e.checkEnd(j)
+}
+
+// dispatch sends tasks while there are credits, with those of one job for one worker in one message.
+func (e *Entry) dispatch() {
+	now := time.Now()
+	if !e.holder.Fresh(now) {
+		return
+	}
+	batches := e.collect(now)
+	for _, batch := range batches {
+		e.counters.Starts.Add(int64(len(batch.start.Tasks)))
+		e.send(batch.worker, batch.start)
+	}
+	if len(batches) > 0 {
+		e.reportDemand(now)
+	}
+}
+
+type batch struct {
+	worker *worker
+	start  *vwmessage.Start
+}
+
+type batchKey struct {
+	worker     vwid.Incarnation
+	submission vwid.SubmissionID
+}
+
+func (e *Entry) collect(now time.Time) []batch {
+	var batches []batch
+	var byKey map[batchKey]int
+	for {
+		assignment, ok := e.queue.Next(now)
+		if !ok {
+			return batches
+		}
+		j, w := e.jobs[assignment.Task.SubmissionID], e.workers[assignment.Worker]
+		if j == nil || w == nil || j.Ended() {
+			continue
+		}
+		if byKey == nil {
+			byKey = map[batchKey]int{}
+		}
+		key := batchKey{assignment.Worker, j.SubmissionID}
+		at, known := byKey[key]
+		if !known {
+			at = len(batches)
+			byKey[key] = at
+			batches = append(batches, batch{worker: w, start: &vwmessage.Start{
+				SubmissionID: j.SubmissionID, Epoch: j.Epoch(), Service: j.Service, Team: j.Team,
+			}})
+		}
+		start := batches[at].start
+		start.Tasks = append(start.Tasks, j.startTask(now, assignment.Task.Index))
+		j.Send(assignment.Task.Index, w.Incarnation)
+		w.jobs[j.SubmissionID] = j
+	}
+}
--- a/internal/process/vwkeys/tls_test.go
+++ b/internal/process/vwkeys/tls_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"vanillawind.example/vanillawind/internal/process/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 const testCluster = "limonada"
--- a/internal/version/vwstate/command.go
+++ b/internal/version/vwstate/command.go
@@ -26,6 +26,7 @@
 	Accept      *Accept      `msg:",omitempty"`
 	TakeOver    *TakeOver    `msg:",omitempty"`
 	Finish      *Finish      `msg:",omitempty"`
+	Release     *Release     `msg:",omitempty"`
 	Register    *Register    `msg:",omitempty"`
 	Expire      *Expire      `msg:",omitempty"`
 	ChangeRules *ChangeRules `msg:",omitempty"`
@@ -67,12 +68,21 @@
 	Owner        vwid.Incarnation
 }
 
-// Finish records the end of a submission.
+// Release makes the owner of a submission give it up, so that another entry can take it over.
+type Release struct {
+	SubmissionID vwid.SubmissionID
+	Epoch        vwid.Epoch
+	Owner        vwid.Incarnation
+}
+
+// Finish records the end of a submission. With Forget it removes the record, which only an owner that
+// has started nothing may ask for: the submission may then be accepted anew.
 type Finish struct {
 	SubmissionID vwid.SubmissionID
 	Epoch        vwid.Epoch
 	Owner        vwid.Incarnation
 	Failed       bool
+	Forget       bool `msg:",omitempty"`
 }
 
 // Register adds a process. It is idempotent for one incarnation; an ended one cannot return.
--- a/internal/version/vwstate/command_gen.go
+++ b/internal/version/vwstate/command_gen.go
@@ -271,8 +271,8 @@
 func (z *Command) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
 	if z.At == 0 {
 		zb0001Len--
@@ -290,18 +290,22 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
-	if z.Register == nil {
+	if z.Release == nil {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
-	if z.Expire == nil {
+	if z.Register == nil {
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
-	if z.ChangeRules == nil {
+	if z.Expire == nil {
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.ChangeRules == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -357,6 +361,24 @@
 			}
 		}
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Release"
+			o = append(o, 0xa7, 0x52, 0x65, 0x6c, 0x65, 0x61, 0x73, 0x65)
+			if z.Release == nil {
+				o = msgp.AppendNil(o)
+			} else {
+				// map header, size 3
+				// string "SubmissionID"
+				o = append(o, 0x83, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
+				o = msgp.AppendString(o, string(z.Release.SubmissionID))
+				// string "Epoch"
+				o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+				o = msgp.AppendUint64(o, uint64(z.Release.Epoch))
+				// string "Owner"
+				o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
+				o = msgp.AppendString(o, string(z.Release.Owner))
+			}
+		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "Register"
 			o = append(o, 0xa8, 0x52, 0x65, 0x67, 0x69, 0x73, 0x74, 0x65, 0x72)
 			if z.Register == nil {
@@ -372,7 +394,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "Expire"
 			o = append(o, 0xa6, 0x45, 0x78, 0x70, 0x69, 0x72, 0x65)
 			if z.Expire == nil {
@@ -387,7 +409,7 @@
 				}
 			}
 		}
-		if (zb0001Mask & 0x40) == 0 { // if not omitted
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
 			// string "ChangeRules"
 			o = append(o, 0xab, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x52, 0x75, 0x6c, 0x65, 0x73)
 			if z.ChangeRules == nil {
@@ -526,6 +548,70 @@
 					return
 				}
 			}
+		case "Release":
+			if msgp.IsNil(bts) {
+				bts, err = msgp.ReadNilBytes(bts)
+				if err != nil {
+					return
+				}
+				z.Release = nil
+			} else {
+				if z.Release == nil {
+					z.Release = new(Release)
+				}
+				var zb0006 uint32
+				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Release")
+					return
+				}
+				for zb0006 > 0 {
+					zb0006--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Release")
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "SubmissionID":
+						{
+							var zb0007 string
+							zb0007, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Release", "SubmissionID")
+								return
+							}
+							z.Release.SubmissionID = vwid.SubmissionID(zb0007)
+						}
+					case "Epoch":
+						{
+							var zb0008 uint64
+							zb0008, bts, err = msgp.ReadUint64Bytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Release", "Epoch")
+								return
+							}
+							z.Release.Epoch = vwid.Epoch(zb0008)
+						}
+					case "Owner":
+						{
+							var zb0009 string
+							zb0009, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Release", "Owner")
+								return
+							}
+							z.Release.Owner = vwid.Incarnation(zb0009)
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Release")
+							return
+						}
+					}
+				}
+			}
 		case "Register":
 			if msgp.IsNil(bts) {
 				bts, err = msgp.ReadNilBytes(bts)
@@ -537,14 +623,14 @@
 				if z.Register == nil {
 					z.Register = new(Register)
 				}
-				var zb0006 uint32
-				zb0006, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0010 uint32
+				zb0010, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Register")
 					return
 				}
-				for zb0006 > 0 {
-					zb0006--
+				for zb0010 > 0 {
+					zb0010--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Register")
@@ -577,14 +663,14 @@
 				if z.Expire == nil {
 					z.Expire = new(Expire)
 				}
-				var zb0007 uint32
-				zb0007, bts, err = msgp.ReadMapHeaderBytes(bts)
+				var zb0011 uint32
+				zb0011, bts, err = msgp.ReadMapHeaderBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Expire")
 					return
 				}
-				for zb0007 > 0 {
-					zb0007--
+				for zb0011 > 0 {
+					zb0011--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
 					if err != nil {
 						err = msgp.WrapError(err, "Expire")
@@ -592,26 +678,26 @@
 					}
 					switch msgp.UnsafeString(field) {
 					case "Incarnations":
-						var zb0008 uint32
-						zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+						var zb0012 uint32
+						zb0012, bts, err = msgp.ReadArrayHeaderBytes(bts)
 						if err != nil {
 							err = msgp.WrapError(err, "Expire", "Incarnations")
 							return
 						}
-						if cap(z.Expire.Incarnations) >= int(zb0008) {
-							z.Expire.Incarnations = (z.Expire.Incarnations)[:zb0008]
+						if cap(z.Expire.Incarnations) >= int(zb0012) {
+							z.Expire.Incarnations = (z.Expire.Incarnations)[:zb0012]
 						} else {
-							z.Expire.Incarnations = make([]vwid.Incarnation, zb0008)
+							z.Expire.Incarnations = make([]vwid.Incarnation, zb0012)
 						}
 						for za0001 := range z.Expire.Incarnations {
 							{
-								var zb0009 string
-								zb0009, bts, err = msgp.ReadStringBytes(bts)
+								var zb0013 string
+								zb0013, bts, err = msgp.ReadStringBytes(bts)
 								if err != nil {
 									err = msgp.WrapError(err, "Expire", "Incarnations", za0001)
 									return
 								}
-								z.Expire.Incarnations[za0001] = vwid.Incarnation(zb0009)
+								z.Expire.Incarnations[za0001] = vwid.Incarnation(zb0013)
 							}
 						}
 					default:
@@ -672,6 +758,12 @@
 	} else {
 		s += z.Finish.Msgsize()
 	}
+	s += 8
+	if z.Release == nil {
+		s += msgp.NilSize
+	} else {
+		s += 1 + 13 + msgp.StringPrefixSize + len(string(z.Release.SubmissionID)) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Release.Owner))
+	}
 	s += 9
 	if z.Register == nil {
 		s += msgp.NilSize
@@ -857,19 +949,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Finish) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "SubmissionID"
-	o = append(o, 0x84, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
-	o = msgp.AppendString(o, string(z.SubmissionID))
-	// string "Epoch"
-	o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
-	o = msgp.AppendUint64(o, uint64(z.Epoch))
-	// string "Owner"
-	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
-	o = msgp.AppendString(o, string(z.Owner))
-	// string "Failed"
-	o = append(o, 0xa6, 0x46, 0x61, 0x69, 0x6c, 0x65, 0x64)
-	o = msgp.AppendBool(o, z.Failed)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Forget == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "SubmissionID"
+		o = append(o, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
+		o = msgp.AppendString(o, string(z.SubmissionID))
+		// string "Epoch"
+		o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+		o = msgp.AppendUint64(o, uint64(z.Epoch))
+		// string "Owner"
+		o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
+		o = msgp.AppendString(o, string(z.Owner))
+		// string "Failed"
+		o = append(o, 0xa6, 0x46, 0x61, 0x69, 0x6c, 0x65, 0x64)
+		o = msgp.AppendBool(o, z.Failed)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Forget"
+			o = append(o, 0xa6, 0x46, 0x6f, 0x72, 0x67, 0x65, 0x74)
+			o = msgp.AppendBool(o, z.Forget)
+		}
+	}
 	return
 }
 
@@ -927,6 +1037,12 @@
 				err = msgp.WrapError(err, "Failed")
 				return
 			}
+		case "Forget":
+			z.Forget, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Forget")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -941,7 +1057,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Finish) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 7 + msgp.BoolSize
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 7 + msgp.BoolSize + 7 + msgp.BoolSize
 	return
 }
 
@@ -1502,6 +1618,88 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z Release) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 3
+	// string "SubmissionID"
+	o = append(o, 0x83, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
+	o = msgp.AppendString(o, string(z.SubmissionID))
+	// string "Epoch"
+	o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
+	o = msgp.AppendUint64(o, uint64(z.Epoch))
+	// string "Owner"
+	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
+	o = msgp.AppendString(o, string(z.Owner))
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *Release) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "SubmissionID":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "SubmissionID")
+					return
+				}
+				z.SubmissionID = vwid.SubmissionID(zb0002)
+			}
+		case "Epoch":
+			{
+				var zb0003 uint64
+				zb0003, bts, err = msgp.ReadUint64Bytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Epoch")
+					return
+				}
+				z.Epoch = vwid.Epoch(zb0003)
+			}
+		case "Owner":
+			{
+				var zb0004 string
+				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Owner")
+					return
+				}
+				z.Owner = vwid.Incarnation(zb0004)
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z Release) Msgsize() (s int) {
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Owner))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z Role) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/internal/version/vwstate/state.go
+++ b/internal/version/vwstate/state.go
@@ -73,6 +73,8 @@
 		return s.accept(*command.Accept)
 	case command.TakeOver != nil:
 		return s.takeOver(*command.TakeOver)
+	case command.Release != nil:
+		return s.release(*command.Release)
 	case command.Finish != nil:
 		return s.finish(*command.Finish)
 	case command.Register != nil:
@@ -135,7 +137,8 @@
 	if found.Epoch != command.FromEpoch {
 		return Outcome{Refusal: RefusalNotOwner, Submission: &copied}
 	}
-	if s.live(found.Owner) {
+	// An owner that has lost its job may take over from itself, to collect what was started.
+	if s.live(found.Owner) && found.Owner != command.Owner {
 		return Outcome{Refusal: RefusalOwnerLive, Submission: &copied}
 	}
 	if !s.live(command.Owner) {
@@ -162,6 +165,20 @@
 	return outcome
 }
 
+func (s *State) release(command Release) Outcome {
+	found, ok := s.submissions[command.SubmissionID]
+	if !ok {
+		return Outcome{Refusal: RefusalUnknown}
+	}
+	if found.Owner != command.Owner || found.Epoch != command.Epoch {
+		copied := *found
+		return Outcome{Refusal: RefusalNotOwner, Submission: &copied}
+	}
+	found.Owner = ""
+	copied := *found
+	return Outcome{Submission: &copied}
+}
+
 func (s *State) finish(command Finish) Outcome {
 	found, ok := s.submissions[command.SubmissionID]
 	if !ok {
@@ -171,6 +188,10 @@
 	if found.Owner != command.Owner || found.Epoch != command.Epoch {
 		return Outcome{Refusal: RefusalNotOwner, Submission: &copied}
 	}
+	if command.Forget && found.Epoch == 1 {
+		delete(s.submissions, command.SubmissionID)
+		return Outcome{Submission: &copied}
+	}
 	if found.Phase == PhaseRunning {
 		found.Phase = PhaseDone
 		if command.Failed {
