--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -13,7 +13,6 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
-	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
@@ -77,13 +76,13 @@
 	counters    Counters
 
 	// The fields below belong to the loop.
-	holder     vwlease.Holder
-	rules      *vwrule.Rules
-	applied    vwid.ConfigVersion
-	entries    []vwmessage.EntryAddress
-	expired    map[vwid.Incarnation]bool
-	queue      *vwdispatch.Queue
-	jobs       map[vwid.SubmissionID]*job
+	holder  holder
+	rules   *vwrule.Rules
+	applied vwid.ConfigVersion
+	entries []vwmessage.EntryAddress
+	expired map[vwid.Incarnation]bool
+	queue   *vwdispatch.Queue
+	jobs    map[vwid.SubmissionID]*job
 	// accepting counts the calls that ask control to accept a submission.
 	accepting  map[vwid.SubmissionID]int
 	workers    map[vwid.Incarnation]*worker
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -107,7 +107,7 @@
 	if e.expired[e.incarnation] {
 		e.loseOwnership()
 	}
-	if e.holder.Version() != e.applied {
+	if e.holder.version != e.applied {
 		e.applyRules()
 	}
 }
@@ -129,8 +129,8 @@
 }
 
 func (e *Entry) applyRules() {
-	e.applied = e.holder.Version()
-	e.rules = e.holder.Rules()
+	e.applied = e.holder.version
+	e.rules = e.holder.rules
 	e.queue.SetPolicy(e.makePolicy())
 	e.log.Info("configuration in force", "version", uint64(e.applied))
 	announce := &vwmessage.ConfigAnnounce{Version: e.applied}
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
@@ -125,7 +126,7 @@
 		return refuse(vwapi.CodeNeverRuns, vwverdict.NotRun, "no rule declares service "+quote(spec.Service))
 	case !e.rules.AllowsTeam(spec.Team):
 		return refuse(vwapi.CodeNeverRuns, vwverdict.NotRun, "no rule declares team "+quote(spec.Team))
-	case e.rules.IsEmpty() && !e.offers(spec.Service):
+	case len(e.rules.Services()) == 0 && !e.offers(spec.Service):
 		return refuse(vwapi.CodeNeverRuns, vwverdict.NotRun, "no worker offers service "+quote(spec.Service))
 	}
 	policy := e.rules.Team(spec.Service, spec.Team)
@@ -186,10 +187,11 @@
 }
 
 func limitCode(err error) string {
+	var limit vwdispatch.ErrLimit
 	switch {
 	case vwdispatch.IsDeadline(err):
 		return vwapi.CodeDeadline
-	case vwdispatch.IsRateLimit(err):
+	case errors.As(err, &limit) && limit.Limit == vwdispatch.LimitTeamRate:
 		return vwapi.CodeRateLimited
 	}
 	return vwapi.CodeQueueFull
