Add the policy benchmark and the report of demand

The policy needs figures before it is tuned. The benchmark runs the real Queue and Granter over simulated links with the users' delays, next to three baselines without credits. Queue.NextDemand decides when an agent must learn what waits: reports are refreshed by large changes only, and an agent that grants a credit for tasks that are gone is told so.

--- /dev/null
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -0,0 +1,408 @@
+package vwdispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+const simService = vwid.Service("muotoilu")
+
+// deployment is the shape of a user's installation.
+type deployment struct {
+	dataCentres    int
+	client         time.Duration
+	inside, across time.Duration
+}
+
+const (
+	simWorkers = 11
+	simSlots   = 8
+	simTotal   = simWorkers * simSlots
+)
+
+var deployments = map[string]deployment{
+	"muotoilu": {3, 3 * time.Millisecond, 250 * time.Microsecond, 1500 * time.Microsecond},
+	"pedidos":  {4, time.Millisecond, 250 * time.Microsecond, 1500 * time.Microsecond},
+}
+
+// simEvent is one step of the simulation.
+type simEvent struct {
+	at       time.Duration
+	sequence int
+	run      func()
+}
+
+// message is one counted message of the credit protocol. It is useful once a credit that it led to
+// is used; cause is the message that it answers.
+type message struct {
+	useful bool
+	cause  *message
+}
+
+// simTask is a task of a simulated job.
+type simTask struct {
+	job      *simJob
+	index    int
+	actual   time.Duration
+	declared time.Duration
+}
+
+// simJob is a job of a scenario and its outcome.
+type simJob struct {
+	id       vwid.SubmissionID
+	team     vwid.Team
+	arrive   time.Duration
+	deadline time.Duration // relative to arrive; zero means none
+	entry    int
+	tasks    []simTask
+	cancel   time.Duration // absolute; zero means never
+	retries  int
+
+	left    int
+	failed  bool
+	refused bool
+	end     time.Duration
+}
+
+// cluster runs entries and workers over links with delays on a simulated clock.
+type cluster struct {
+	deployment
+	scenario *scenario
+	policy   simPolicy
+	now      time.Duration
+	sequence int
+	events   heap[simEvent]
+	entries  []*simEntry
+	workers  []*simWorker
+	random   *rand.Rand
+
+	messages, useful int
+	starts           int
+	busy             []span
+}
+
+// span is the time that a team's task occupied a slot.
+type span struct {
+	team       vwid.Team
+	worker     int
+	begin, end time.Duration
+}
+
+// simEntry is an entry process: the real Queue and its loop.
+type simEntry struct {
+	c       *cluster
+	index   int
+	dc      vwid.DataCentre
+	queue   *Queue
+	jobs    map[vwid.SubmissionID]*simJob
+	credits [][]*message
+	loads   []int
+	choose  Baseline
+}
+
+// simWorker is an agent process with its backend server: the real Granter and its slots.
+type simWorker struct {
+	c       *cluster
+	index   int
+	dc      vwid.DataCentre
+	granter *Granter
+	running int
+	waiting []simStart
+	demand  []*message
+	out     bool
+	factor  float64
+	failing bool
+}
+
+// simStart is a task at a worker.
+type simStart struct {
+	task  simTask
+	entry int
+}
+
+func makeCluster(d deployment, s *scenario, policy simPolicy, seed uint64) *cluster {
+	c := &cluster{deployment: d, scenario: s, policy: policy, random: rand.New(rand.NewPCG(seed, 1))}
+	c.events.before = func(a, b simEvent) bool {
+		return a.at < b.at || (a.at == b.at && a.sequence < b.sequence)
+	}
+	for i := range d.dataCentres {
+		e := &simEntry{c: c, index: i, dc: simDataCentre(i), jobs: map[vwid.SubmissionID]*simJob{}, loads: make([]int, simWorkers), credits: make([][]*message, simWorkers)}
+		e.queue = MakeQueue(QueueSettings{DataCentre: e.dc, Policy: s.policy})
+		if policy.baseline != nil {
+			e.choose = policy.baseline(c.random)
+		}
+		c.entries = append(c.entries, e)
+	}
+	for i := range simWorkers {
+		c.addWorker(i)
+	}
+	return c
+}
+
+func (c *cluster) addWorker(i int) {
+	// Three workers to a rack; racks are spread over the data centres.
+	w := &simWorker{c: c, index: i, dc: simDataCentre(i / 3 % c.dataCentres), factor: 1, demand: make([]*message, len(c.entries))}
+	if c.dataCentres == 3 && i >= 9 {
+		w.dc = simDataCentre(i - 9) // the fourth rack holds two workers in two data centres
+	}
+	w.granter = MakeGranter(GranterSettings{Slots: simSlots, OverCommit: c.policy.overCommit, DataCentre: w.dc})
+	for _, e := range c.entries {
+		w.granter.AddEntry(vwid.Incarnation(fmt.Sprint(e.index)), e.dc)
+		e.queue.AddWorker(Worker{Incarnation: vwid.Incarnation(fmt.Sprint(i)), Service: simService, DataCentre: w.dc, Slots: simSlots})
+	}
+	c.workers = append(c.workers, w)
+}
+
+func simDataCentre(i int) vwid.DataCentre {
+	return vwid.DataCentre(fmt.Sprintf("dc%d", i))
+}
+
+func simTime(at time.Duration) time.Time {
+	return time.Unix(1_000_000, 0).Add(at)
+}
+
+func (c *cluster) after(delay time.Duration, run func()) {
+	c.sequence++
+	c.events.push(simEvent{at: c.now + delay, sequence: c.sequence, run: run})
+}
+
+func (c *cluster) link(a, b vwid.DataCentre) time.Duration {
+	if a == b {
+		return c.inside
+	}
+	return c.across
+}
+
+// send counts a message of the credit protocol and returns its record.
+func (c *cluster) send(cause *message) *message {
+	c.messages++
+	return &message{cause: cause}
+}
+
+func (c *cluster) use(m *message) {
+	for ; m != nil && !m.useful; m = m.cause {
+		m.useful = true
+		c.useful++
+	}
+}
+
+// run plays the scenario's jobs and events to the end.
+func (c *cluster) run(jobs []*simJob) {
+	for _, job := range jobs {
+		job.left = len(job.tasks)
+		c.after(job.arrive+c.client, func() { c.entries[job.entry].submit(job) })
+		if job.cancel > 0 {
+			c.after(job.cancel+c.client, func() { c.entries[job.entry].cancel(job) })
+		}
+	}
+	if c.policy.baseline == nil {
+		for _, w := range c.workers {
+			w.decide(nil)
+		}
+	}
+	for _, event := range c.scenario.events {
+		c.after(event.at, func() { event.run(c) })
+	}
+	for len(c.events.items) > 0 {
+		event := c.events.pop()
+		c.now = event.at
+		event.run()
+	}
+	for _, e := range c.entries {
+		for _, held := range e.credits {
+			for i, m := range held {
+				if i == 0 || held[i-1] != m { // a credit message that is still held is not wasted
+					c.use(m)
+				}
+			}
+		}
+	}
+}
+
+func (e *simEntry) submit(job *simJob) {
+	e.jobs[job.id] = job
+	if e.choose != nil {
+		for _, task := range job.tasks {
+			e.start(e.choose(e.loads), task, nil)
+		}
+		return
+	}
+	queued := Job{SubmissionID: job.id, Team: job.team, Service: simService}
+	if job.deadline > 0 {
+		queued.Deadline = simTime(job.arrive + job.deadline)
+	}
+	for i, task := range job.tasks {
+		queued.Tasks = append(queued.Tasks, JobTask{TaskID: vwid.TaskID(fmt.Sprint(i)), Index: i, RunTime: task.declared, Bytes: 100})
+	}
+	if err := e.queue.Enqueue(simTime(e.c.now), queued); err != nil {
+		e.refuse(job)
+		return
+	}
+	e.turn()
+}
+
+// refuse ends a job that was not accepted. The caller retries as often as the scenario says.
+func (e *simEntry) refuse(job *simJob) {
+	if job.retries > 0 {
+		job.retries--
+		e.c.after(100*time.Millisecond+2*e.c.client, func() { e.submit(job) })
+		return
+	}
+	job.refused, job.end = true, e.c.now+e.c.client
+}
+
+func (e *simEntry) cancel(job *simJob) {
+	job.left -= len(e.queue.Cancel(job.id))
+	job.failed = true
+}
+
+// turn is the loop of an entry: it sends what it can and reports what waits.
+func (e *simEntry) turn() {
+	now := simTime(e.c.now)
+	for sent, ok := e.queue.Next(now); ok; sent, ok = e.queue.Next(now) {
+		worker := e.worker(sent.Worker)
+		m := e.credits[worker][0]
+		e.credits[worker] = e.credits[worker][1:]
+		e.start(worker, e.jobs[sent.Task.SubmissionID].tasks[sent.Task.Index], m)
+	}
+	for worker, demand, ok := e.queue.NextDemand(now); ok; worker, demand, ok = e.queue.NextDemand(now) {
+		w, m := e.c.workers[e.worker(worker)], e.c.send(nil)
+		e.c.after(e.c.link(e.dc, w.dc), func() {
+			w.demand[e.index] = m
+			w.granter.SetDemand(vwid.Incarnation(fmt.Sprint(e.index)), demand)
+			w.decide(m)
+		})
+	}
+	for _, expired := range e.queue.TakeExpired(now) {
+		job := e.jobs[expired.SubmissionID]
+		job.left -= len(expired.Tasks)
+		job.failed, job.end = true, e.c.now+e.c.client
+	}
+}
+
+func (e *simEntry) worker(incarnation vwid.Incarnation) int {
+	var worker int
+	_, _ = fmt.Sscan(string(incarnation), &worker)
+	return worker
+}
+
+func (e *simEntry) start(worker int, task simTask, credit *message) {
+	e.c.use(credit)
+	e.c.starts++
+	e.loads[worker]++
+	w := e.c.workers[worker]
+	e.c.after(e.c.link(e.dc, w.dc), func() { w.receive(simStart{task: task, entry: e.index}) })
+}
+
+func (e *simEntry) granted(worker int, m *message, count int) {
+	for range count {
+		e.credits[worker] = append(e.credits[worker], m)
+	}
+	e.queue.Grant(vwid.Incarnation(fmt.Sprint(worker)), count)
+	e.turn()
+}
+
+func (e *simEntry) recalled(worker int, cause *message, count int) {
+	n := e.queue.Recall(vwid.Incarnation(fmt.Sprint(worker)), count)
+	e.credits[worker] = e.credits[worker][:len(e.credits[worker])-n]
+	w, m := e.c.workers[worker], e.c.send(cause)
+	e.c.after(e.c.link(e.dc, w.dc), func() {
+		w.granter.Returned(vwid.Incarnation(fmt.Sprint(e.index)), n)
+		w.decide(m)
+	})
+}
+
+// result records the end of a task. A task that an agent refused to start is queued again.
+func (e *simEntry) result(worker int, task simTask, failed, ran bool) {
+	job := task.job
+	e.loads[worker]--
+	if ran {
+		e.queue.Finish(simTime(e.c.now), vwid.Incarnation(fmt.Sprint(worker)), job.team, FinishInfo{Failed: failed, RunTime: task.actual})
+		e.done(job, failed)
+	} else if e.choose != nil {
+		e.start(e.choose(e.loads), task, nil)
+	} else {
+		e.queue.Requeue(simTime(e.c.now), Task{JobTask: JobTask{TaskID: vwid.TaskID(fmt.Sprint(task.index)), Index: task.index, RunTime: task.declared, Bytes: 100}, SubmissionID: job.id, Team: job.team, Service: simService})
+	}
+	if e.choose == nil {
+		e.turn()
+	}
+}
+
+func (e *simEntry) done(job *simJob, failed bool) {
+	job.left--
+	job.failed = job.failed || failed
+	if job.left == 0 {
+		job.end = e.c.now + e.c.client
+	}
+}
+
+func (w *simWorker) receive(start simStart) {
+	if w.c.policy.baseline == nil {
+		w.granter.Started(vwid.Incarnation(fmt.Sprint(start.entry)), 1)
+	}
+	if w.out {
+		w.c.messages++ // a start that is refused
+		w.free()
+		w.answer(start, false, false)
+		return
+	}
+	w.waiting = append(w.waiting, start)
+	w.fill()
+}
+
+func (w *simWorker) fill() {
+	for w.running < simSlots && len(w.waiting) > 0 {
+		start := w.waiting[0]
+		w.waiting = w.waiting[1:]
+		w.running++
+		runTime := time.Duration(float64(start.task.actual) * w.factor)
+		if w.failing {
+			runTime = time.Millisecond
+		}
+		begin, failed := w.c.now, w.failing
+		w.c.after(runTime, func() {
+			w.running--
+			w.c.busy = append(w.c.busy, span{start.task.job.team, w.index, begin, w.c.now})
+			start.task.actual = runTime
+			w.answer(start, failed, true)
+			w.fill()
+			w.free()
+		})
+	}
+}
+
+func (w *simWorker) answer(start simStart, failed, ran bool) {
+	e := w.c.entries[start.entry]
+	w.c.after(w.c.link(e.dc, w.dc), func() { e.result(w.index, start.task, failed, ran) })
+}
+
+func (w *simWorker) free() {
+	if w.c.policy.baseline == nil {
+		w.granter.Freed(1)
+		w.decide(nil)
+	}
+}
+
+// decide sends the Granter's decisions; cause is the message that led to them, if any.
+func (w *simWorker) decide(cause *message) {
+	for _, action := range w.granter.Decide(simTime(w.c.now)) {
+		var index int
+		_, _ = fmt.Sscan(string(action.Entry), &index)
+		e, because := w.c.entries[index], cause
+		if because == nil {
+			because = w.demand[index]
+		}
+		m := w.c.send(because)
+		w.c.after(w.c.link(e.dc, w.dc), func() {
+			if action.Recall > 0 {
+				e.recalled(w.index, m, action.Recall)
+			} else {
+				e.granted(w.index, m, action.Grant)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/vwdispatch/policy_test.go
@@ -0,0 +1,225 @@
+package vwdispatch
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// simPolicy is a way to dispatch that the benchmark compares.
+type simPolicy struct {
+	baseline   func(*rand.Rand) Baseline
+	overCommit int
+}
+
+var simPolicies = map[string]simPolicy{
+	"credits":     {},
+	"random":      {baseline: MakeRandom},
+	"round-robin": {baseline: func(*rand.Rand) Baseline { return MakeRoundRobin() }},
+	"two-choices": {baseline: MakeTwoChoices},
+}
+
+const simSeed = 20260101
+
+// drawJobs returns the jobs of a scenario; the same seed gives the same jobs for each policy.
+func drawJobs(s *scenario, d deployment, seed uint64) []*simJob {
+	jobs := s.jobs(rand.New(rand.NewPCG(seed, 2)), s.length)
+	for _, job := range jobs {
+		job.entry %= d.dataCentres
+	}
+	return jobs
+}
+
+// simulate plays a scenario and returns its metrics.
+func simulate(s *scenario, d deployment, policy simPolicy, seed uint64) map[string]float64 {
+	c := makeCluster(d, s, policy, seed)
+	jobs := drawJobs(s, d, seed)
+	c.run(jobs)
+	metrics := map[string]float64{"waste/task": float64(c.messages-c.useful) / float64(max(1, c.starts))}
+	measureRatios(metrics, "", jobs, idealEnds(d, jobs, false))
+	if s.goodput {
+		metrics["goodput"] = float64(inTime(jobs)) / float64(idealInTime(d, jobs))
+	}
+	if s.saturated {
+		metrics["unfair"] = unfairness(c.busy, s.length)
+	}
+	if s.out.end > 0 {
+		metrics["drain-work"] = drainWork(c, s)
+	}
+	if s.failing > 0 {
+		metrics["failing-starts"] = failingStarts(c.busy, s)
+	}
+	return metrics
+}
+
+// idealEnds returns when each job would end with one work-conserving queue over all slots in its
+// entry's data centre: the queue takes the tasks by the same rules, with no delay in decisions.
+func idealEnds(d deployment, jobs []*simJob, deadlines bool) []time.Duration {
+	c := &cluster{}
+	c.events.before = func(a, b simEvent) bool {
+		return a.at < b.at || (a.at == b.at && a.sequence < b.sequence)
+	}
+	queue := MakeQueue(QueueSettings{})
+	queue.AddWorker(Worker{Incarnation: "all", Service: simService, Slots: simTotal})
+	queue.Grant("all", simTotal)
+	ends, byID := make([]time.Duration, len(jobs)), map[vwid.SubmissionID]int{}
+	var turn func()
+	turn = func() {
+		for sent, ok := queue.Next(simTime(c.now)); ok; sent, ok = queue.Next(simTime(c.now)) {
+			i := byID[sent.Task.SubmissionID]
+			task := jobs[i].tasks[sent.Task.Index]
+			c.after(task.actual, func() {
+				ends[i] = max(ends[i], c.now+d.inside+d.client)
+				queue.Finish(simTime(c.now), "all", jobs[i].team, FinishInfo{RunTime: task.actual})
+				queue.Grant("all", 1)
+				turn()
+			})
+		}
+	}
+	for i, job := range jobs {
+		byID[job.id] = i
+		c.after(job.arrive+d.client+d.inside, func() {
+			queued := Job{SubmissionID: job.id, Team: job.team, Service: simService}
+			if deadlines {
+				queued.Deadline = simTime(job.arrive + job.deadline)
+			}
+			for index, task := range job.tasks {
+				queued.Tasks = append(queued.Tasks, JobTask{Index: index, RunTime: task.actual})
+			}
+			_ = queue.Enqueue(simTime(c.now), queued)
+			turn()
+		})
+		if job.cancel > 0 {
+			c.after(job.cancel+d.client, func() { queue.Cancel(job.id) })
+		}
+	}
+	for len(c.events.items) > 0 {
+		event := c.events.pop()
+		c.now = event.at
+		event.run()
+	}
+	return ends
+}
+
+func measureRatios(metrics map[string]float64, prefix string, jobs []*simJob, ideal []time.Duration) {
+	var ratios []float64
+	sum := 0.0
+	for i, job := range jobs {
+		if job.refused || job.failed || job.cancel > 0 || ideal[i] == 0 {
+			continue
+		}
+		ratio := float64(job.end-job.arrive) / float64(ideal[i]-job.arrive)
+		ratios = append(ratios, ratio)
+		sum += ratio
+	}
+	metrics[prefix+"answered"] = float64(len(ratios)) / float64(len(jobs))
+	if len(ratios) == 0 {
+		return
+	}
+	slices.Sort(ratios)
+	metrics[prefix+"mean"] = sum / float64(len(ratios))
+	for name, q := range map[string]float64{"p50": 0.5, "p99": 0.99, "p99.9": 0.999} {
+		metrics[prefix+name] = ratios[int(q*float64(len(ratios)-1))]
+	}
+}
+
+func inTime(jobs []*simJob) int {
+	count := 0
+	for _, job := range jobs {
+		if !job.refused && !job.failed && job.end-job.arrive <= job.deadline {
+			count++
+		}
+	}
+	return count
+}
+
+func idealInTime(d deployment, jobs []*simJob) int {
+	count := 0
+	for i, end := range idealEnds(d, jobs, true) {
+		if end > 0 && end-jobs[i].arrive <= jobs[i].deadline {
+			count++
+		}
+	}
+	return count
+}
+
+// overlap returns how much of s lies between begin and end.
+func (s span) overlap(begin, end time.Duration) time.Duration {
+	return max(0, min(s.end, end)-max(s.begin, begin))
+}
+
+// unfairness returns the largest deviation of a team from its equal share over any 2 s.
+func unfairness(busy []span, length time.Duration) float64 {
+	worst := 0.0
+	for begin := settle; begin+2*time.Second <= length; begin += 250 * time.Millisecond {
+		used, total := map[vwid.Team]float64{}, 0.0
+		for _, s := range busy {
+			seconds := s.overlap(begin, begin+2*time.Second).Seconds()
+			used[s.team] += seconds
+			total += seconds
+		}
+		for _, seconds := range used {
+			worst = max(worst, math.Abs(seconds*float64(len(used))/total-1))
+		}
+	}
+	return worst
+}
+
+// drainWork returns the work from the drain to one second after the return as a share of what the
+// slots of the workers in service could have done.
+func drainWork(c *cluster, s *scenario) float64 {
+	end := s.out.end + time.Second
+	done, possible := 0.0, 0.0
+	for _, w := range c.workers {
+		begin := s.out.begin
+		if w.dc == simDataCentre(0) {
+			begin = s.out.end
+		}
+		possible += (end - begin).Seconds() * simSlots
+		for _, b := range c.busy {
+			if b.worker == w.index {
+				done += b.overlap(begin, end).Seconds()
+			}
+		}
+	}
+	return done / possible
+}
+
+// failingStarts returns the share of starts at the failing worker after its first second.
+func failingStarts(busy []span, s *scenario) float64 {
+	failing, all := 0.0, 0.0
+	for _, b := range busy {
+		if b.begin > s.failing+time.Second && b.begin < s.length {
+			all++
+			if b.worker == 0 {
+				failing++
+			}
+		}
+	}
+	return failing / all
+}
+
+// BenchmarkPolicy reports the metrics of each scenario, deployment and policy. One iteration tells
+// all: go test -run '^$' -bench Policy -benchtime 1x ./internal/process/vwdispatch/...
+func BenchmarkPolicy(b *testing.B) {
+	for name, s := range scenarios {
+		for user, d := range deployments {
+			for title, policy := range simPolicies {
+				b.Run(name+"/"+user+"/"+title, func(b *testing.B) {
+					var metrics map[string]float64
+					for range b.N {
+						metrics = simulate(s, d, policy, simSeed)
+					}
+					b.ReportMetric(0, "ns/op")
+					for unit, value := range metrics {
+						b.ReportMetric(value, unit)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -1,6 +1,7 @@
 package vwdispatch
 
 import (
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
@@ -95,6 +96,8 @@
 	}
 	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre]}
 	w.service.slots += worker.Slots
+	w.service.workers = append(w.service.workers, w)
+	w.service.mark(w)
 	q.workers[worker.Incarnation] = w
 	q.place(w)
 }
@@ -109,6 +112,7 @@
 	w.credits = 0
 	q.place(w)
 	w.service.slots -= w.Slots
+	w.service.workers = slices.DeleteFunc(w.service.workers, func(other *workerState) bool { return other == w })
 	delete(q.workers, worker)
 }
 
@@ -116,6 +120,7 @@
 func (q *Queue) Grant(worker vwid.Incarnation, count int) {
 	if w := q.workers[worker]; w != nil && count > 0 {
 		w.credits += count
+		w.noteGrant(count)
 		q.place(w)
 	}
 }
@@ -175,11 +180,7 @@
 		return demand
 	}
 	for _, team := range s.order {
-		waiting := team.waiting
-		if quota := team.team.policy.Quota; quota > 0 {
-			waiting = min(waiting, max(0, quota-team.team.sent))
-		}
-		if waiting > 0 {
+		if waiting := team.sendable(); waiting > 0 {
 			demand.Teams = append(demand.Teams, vwmessage.TeamDemand{Team: team.team.name, Waiting: waiting, OldestMilliseconds: team.oldest(now).Milliseconds()})
 		}
 	}
@@ -195,6 +196,7 @@
 	}
 	for _, w := range q.workers {
 		w.out = policy.Out[w.DataCentre]
+		w.service.mark(w)
 		q.place(w)
 	}
 }
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -17,6 +17,11 @@
 	slots   int
 	near    workerRing
 	far     workerRing
+	// workers lists all workers, and stale those whose agents may need a new report of demand.
+	workers []*workerState
+	stale   []*workerState
+	// reviewed is the number of waiting tasks at the last report to all workers.
+	reviewed int
 }
 
 func (s *serviceQueue) team(state *teamState) *teamQueue {
--- a/internal/process/vwdispatch/teamqueue.go
+++ b/internal/process/vwdispatch/teamqueue.go
@@ -57,6 +57,14 @@
 	return nil
 }
 
+// sendable returns how many waiting tasks the quota of the team permits to send.
+func (t *teamQueue) sendable() int {
+	if quota := t.team.policy.Quota; quota > 0 {
+		return min(t.waiting, max(0, quota-t.team.sent))
+	}
+	return t.waiting
+}
+
 // charge accounts for a task that is sent and expected to run for cost.
 func (t *teamQueue) charge(cost time.Duration) {
 	t.service.virtual = max(t.service.virtual, t.virtual)
--- a/internal/process/vwdispatch/worker.go
+++ b/internal/process/vwdispatch/worker.go
@@ -19,8 +19,13 @@
 	credits int
 	out     bool
 	ring    *workerRing
-	next    *workerState
-	prev    *workerState
+	// told is how many waiting tasks the agent believes to need a credit, and reported the number
+	// in the last report to it.
+	told     int
+	reported int
+	stale    bool
+	next     *workerState
+	prev     *workerState
 }
 
 func (w *workerState) usable() bool {
