--- /dev/null
+++ b/internal/request/vwstart/error.go
@@ -0,0 +1,81 @@
+package vwstart
+
+import (
+	"errors"
+	"fmt"
+
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// ErrFenced refuses a start whose epoch is fenced or cancelled.
+type ErrFenced struct {
+	SubmissionID vwid.SubmissionID
+	Epoch, Known vwid.Epoch
+	Cancelled    bool
+}
+
+// Error implements error.
+func (e *ErrFenced) Error() string {
+	if e.Cancelled {
+		return fmt.Sprintf("submission %s is cancelled at epoch %d", e.SubmissionID, e.Known)
+	}
+	return fmt.Sprintf("epoch %d of submission %s is fenced by epoch %d", e.Epoch, e.SubmissionID, e.Known)
+}
+
+// IsFenced reports whether err refuses a fenced or cancelled epoch.
+func IsFenced(err error) bool {
+	var target *ErrFenced
+	return errors.As(err, &target)
+}
+
+// ErrAlreadyStarted refuses a second start of a task. Its verdict NotRun is about the second start
+// only: the task itself runs or has run, so it must not be reported to an entry as not run.
+type ErrAlreadyStarted struct {
+	SubmissionID vwid.SubmissionID
+	TaskID       vwid.TaskID
+}
+
+// Error implements error.
+func (e *ErrAlreadyStarted) Error() string {
+	return fmt.Sprintf("task %s of submission %s was already started", e.TaskID, e.SubmissionID)
+}
+
+// IsAlreadyStarted reports whether err refuses a second start.
+func IsAlreadyStarted(err error) bool {
+	var target *ErrAlreadyStarted
+	return errors.As(err, &target)
+}
+
+// ErrTooMany refuses a start because the records are full.
+type ErrTooMany struct{ Limit int }
+
+// Error implements error.
+func (e *ErrTooMany) Error() string {
+	return fmt.Sprintf("the agent already keeps %d start records", e.Limit)
+}
+
+// IsTooMany reports whether err refuses a start because the records are full.
+func IsTooMany(err error) bool {
+	var target *ErrTooMany
+	return errors.As(err, &target)
+}
+
+// ErrForgotten refuses a start whose records may have existed and are gone, by acknowledgement or by
+// age. Its verdict is MayHaveRun, because an earlier start of the task cannot be excluded.
+type ErrForgotten struct{ SubmissionID vwid.SubmissionID }
+
+// Error implements error.
+func (e *ErrForgotten) Error() string {
+	return fmt.Sprintf("the start records of submission %s are no longer kept", e.SubmissionID)
+}
+
+// IsForgotten reports whether err refuses a start because its records are gone.
+func IsForgotten(err error) bool {
+	var target *ErrForgotten
+	return errors.As(err, &target)
+}
+
+func refuse(err error) error {
+	return vwverdict.Wrap(vwverdict.NotRun, err)
+}
