Add the agent: announce, register, lease, credit, start, result

This is the first version that runs a task from announcement to result, so that it can be joined to the entry. Fences, cancellations, the planned stop and the expired registration are in place and not yet tested.

--- /dev/null
+++ b/internal/process/vwagent/agent.go
@@ -0,0 +1,228 @@
+// Package vwagent is the process beside each backend server. It takes the announcements of the
+// backend server, owns its slots and the start records, grants credits to entries, calls the backend
+// server, and delivers results.
+//
+// One goroutine, Agent.Run, owns the control state. Others dial and serve links, run the calls of the
+// backend server and serve HTTP; they hand events to it.
+package vwagent
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwbackend"
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+const (
+	// tick is how often the agent looks for timeouts that no event announces.
+	tick = 100 * time.Millisecond
+	// expireInterval is how often old start records are searched for.
+	expireInterval = 10 * time.Second
+	// eventQueue holds the events of one pass of the control goroutine. A full queue makes the
+	// receivers of links wait, which slows their senders down.
+	eventQueue = 256
+)
+
+// Backend calls the backend server. vwbackend.Client implements it.
+type Backend interface {
+	Run(ctx context.Context, task vwbackend.Task) ([]byte, error)
+}
+
+// Endpoint dials links under one incarnation.
+type Endpoint interface {
+	vwlink.Dialer
+	Close() error
+}
+
+// Options hold what an agent works with.
+type Options struct {
+	Settings Settings
+	Backend  Backend
+	// MakeEndpoint opens the agent's end of links. It is called again for each new incarnation.
+	MakeEndpoint func(hello vwmessage.Hello) (Endpoint, error)
+	// MakeLease returns an empty lease. It is called again for each new incarnation.
+	MakeLease func() Lease
+	Logger    *slog.Logger
+}
+
+// Agent is the agent process.
+type Agent struct {
+	settings Settings
+	options  Options
+	logger   *slog.Logger
+	counters Counters
+	group    *vwgroup.Group
+	events   chan event
+	done     chan struct{}
+	once     sync.Once
+
+	// The control goroutine owns the rest.
+	backend    announced
+	current    *registration
+	stopping   bool
+	stopBefore time.Time
+	stopped    bool
+	reopenAt   time.Time
+}
+
+// event changes the control state.
+type event interface {
+	apply(a *Agent, now time.Time)
+}
+
+// eventFunc is an event made of a function.
+type eventFunc func(now time.Time)
+
+func (f eventFunc) apply(_ *Agent, now time.Time) {
+	f(now)
+}
+
+// Make returns an agent that Run starts.
+func Make(options Options) (*Agent, error) {
+	settings, err := options.Settings.Check()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if options.Backend == nil || options.MakeEndpoint == nil || options.MakeLease == nil {
+		return nil, trace.BadParameter("an agent needs a backend, an endpoint and a lease")
+	}
+	if options.Logger == nil {
+		options.Logger = slog.New(slog.DiscardHandler)
+	}
+	return &Agent{
+		settings: settings,
+		options:  options,
+		logger:   options.Logger.With("Process", string(settings.Process)),
+		events:   make(chan event, eventQueue),
+		done:     make(chan struct{}),
+	}, nil
+}
+
+// Counters returns the counters of the agent.
+func (a *Agent) Counters() *Counters {
+	return &a.counters
+}
+
+// Run serves until Stop has finished or ctx ends. The end of ctx aborts running tasks.
+func (a *Agent) Run(ctx context.Context) error {
+	a.group = vwgroup.Make(ctx)
+	if err := a.open(); err != nil {
+		a.once.Do(func() { close(a.done) })
+		return err
+	}
+	a.loop(a.group.Context())
+	a.once.Do(func() { close(a.done) })
+	err := a.group.Stop()
+	if a.current != nil {
+		a.current.close()
+	}
+	return trace.Wrap(err)
+}
+
+func (a *Agent) loop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for !a.stopped {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-a.events:
+			e.apply(a, time.Now())
+			a.drain()
+		case now := <-ticker.C:
+			a.onTick(now)
+		}
+		a.settle(time.Now())
+	}
+}
+
+// drain applies the events that wait already, so that one decision about credits covers them all.
+func (a *Agent) drain() {
+	for range eventQueue {
+		select {
+		case e := <-a.events:
+			e.apply(a, time.Now())
+		default:
+			return
+		}
+	}
+}
+
+// post hands an event to the control goroutine. It reports false when that has ended.
+func (a *Agent) post(e event) bool {
+	select {
+	case a.events <- e:
+		return true
+	case <-a.done:
+		return false
+	}
+}
+
+// do runs f in the control goroutine and waits for its end. It reports false when f did not run.
+func (a *Agent) do(f func(now time.Time)) bool {
+	ran := make(chan struct{})
+	if !a.post(eventFunc(func(now time.Time) { f(now); close(ran) })) {
+		return false
+	}
+	select {
+	case <-ran:
+		return true
+	case <-a.done:
+		return false
+	}
+}
+
+func (a *Agent) onTick(now time.Time) {
+	a.checkAnnouncement(now)
+	r := a.current
+	if r == nil {
+		if !a.stopping && !now.Before(a.reopenAt) {
+			a.reopen(now)
+		}
+		return
+	}
+	r.dirty = true
+	if now.Sub(r.expired) >= expireInterval {
+		r.expired = now
+		r.records.Expire(now)
+	}
+	r.refreshTargets(now)
+}
+
+// settle acts on what the events have changed.
+func (a *Agent) settle(now time.Time) {
+	if r := a.current; r != nil {
+		r.pump(now)
+		r.decide(now)
+	}
+	a.checkEnd(now)
+}
+
+// open makes a new registration under a new incarnation.
+func (a *Agent) open() error {
+	incarnation := vwid.MakeIncarnation()
+	endpoint, err := a.options.MakeEndpoint(vwmessage.Hello{
+		Cluster:     a.settings.Cluster,
+		Process:     a.settings.Process,
+		Incarnation: incarnation,
+		Role:        string(vwstate.RoleAgent),
+		DataCentre:  a.settings.DataCentre,
+		Rack:        a.settings.Rack,
+	})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	a.current = makeRegistration(a, incarnation, endpoint)
+	a.current.refreshTargets(time.Now())
+	a.logger.Info("incarnation begins", "Incarnation", string(incarnation))
+	return nil
+}
--- /dev/null
+++ b/internal/process/vwagent/entry_test.go
@@ -0,0 +1,164 @@
+package vwagent_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwlinktest"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// fakeEntry accepts links of agents, grants leases and records what it gets.
+type fakeEntry struct {
+	address     string
+	incarnation vwid.Incarnation
+	endpoint    *vwlinktest.Endpoint
+
+	mu        sync.Mutex
+	sessions  []*vwlink.Session
+	lease     vwmessage.LeaseReply
+	leasing   bool
+	registers []vwmessage.Register
+	credits   int
+	recalled  int
+	leaving   int
+	requests  int
+	results   []vwmessage.Result
+}
+
+func (f *fixture) addEntry(address string) *fakeEntry {
+	e := &fakeEntry{address: address, incarnation: vwid.Incarnation(address + "-1"), leasing: true}
+	e.lease = vwmessage.LeaseReply{Version: 1, RemainingMilliseconds: 2000}
+	e.endpoint = f.network.MakeEndpoint(address, vwmessage.Hello{
+		Cluster: "c", Process: vwid.Process(address), Incarnation: e.incarnation, Role: string(vwstate.RoleEntry), DataCentre: "a",
+	})
+	f.entries.Run(e.accept)
+	return e
+}
+
+func (e *fakeEntry) accept(ctx context.Context) {
+	group := vwgroup.Make(ctx)
+	for {
+		conn, err := e.endpoint.Accept(ctx)
+		if err != nil {
+			_ = group.Stop()
+			return
+		}
+		session := vwlink.MakeSession(conn, e)
+		e.mu.Lock()
+		e.sessions = append(e.sessions, session)
+		e.credits = 0
+		e.mu.Unlock()
+		group.Run(func(ctx context.Context) { _ = session.Run(ctx) })
+	}
+}
+
+// HandleMessage implements vwlink.Handler.
+func (e *fakeEntry) HandleMessage(_ *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch body := body.(type) {
+	case *vwmessage.Register:
+		e.registers = append(e.registers, *body)
+		outcome := vwstate.Outcome{}
+		encoded, err := outcome.MarshalMsg(nil)
+		reply(&vwmessage.Outcome{Outcome: encoded}, err)
+	case *vwmessage.LeaseRequest:
+		e.requests++
+		if e.leasing {
+			copied := e.lease
+			reply(&copied, nil)
+		}
+	case *vwmessage.Credit:
+		e.credits += body.Count
+	case *vwmessage.CreditRecall:
+		e.recalled += body.Count
+	case *vwmessage.Leaving:
+		e.leaving++
+	case *vwmessage.Result:
+		e.results = append(e.results, *body)
+	}
+}
+
+// set changes what the entry does.
+func (e *fakeEntry) set(change func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change()
+}
+
+// held returns the credits that the entry holds.
+func (e *fakeEntry) held() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.credits
+}
+
+// session returns a link, counted from the first.
+func (e *fakeEntry) session(t *testing.T, index int) *vwlink.Session {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	require.Less(t, index, len(e.sessions))
+	return e.sessions[index]
+}
+
+func (e *fakeEntry) newest() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sessions) - 1
+}
+
+func (e *fakeEntry) send(t *testing.T, body vwmessage.Body) {
+	require.NoError(t, e.session(t, e.newest()).Send(t.Context(), body))
+}
+
+func (e *fakeEntry) fence(t *testing.T, submission vwid.SubmissionID, epoch vwid.Epoch) *vwmessage.FenceReply {
+	request := &vwmessage.Fence{SubmissionID: submission, Epoch: epoch}
+	reply, err := vwlink.Call[*vwmessage.FenceReply](t.Context(), e.session(t, e.newest()), request)
+	require.NoError(t, err)
+	return reply
+}
+
+// start sends a start of tasks with a run time of their own; it uses credits without looking.
+func (e *fakeEntry) start(t *testing.T, submission vwid.SubmissionID, epoch vwid.Epoch, tasks ...vwid.TaskID) {
+	message := &vwmessage.Start{SubmissionID: submission, Epoch: epoch, Service: "pedidos", Team: "t"}
+	for _, task := range tasks {
+		message.Tasks = append(message.Tasks, vwmessage.StartTask{TaskID: task, Payload: []byte("1")})
+	}
+	e.set(func() { e.credits -= len(tasks) })
+	e.send(t, message)
+}
+
+// result returns the only result of a task that the entry got, or nil.
+func (e *fakeEntry) result(t *testing.T, submission vwid.SubmissionID, task vwid.TaskID) *vwmessage.Result {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var found *vwmessage.Result
+	for i := range e.results {
+		if e.results[i].SubmissionID == submission && e.results[i].TaskID == task {
+			require.Nil(t, found, "task %s has two results", task)
+			found = &e.results[i]
+		}
+	}
+	return found
+}
+
+// setOut makes the entry announce rules with the agents' data centre out or in, at a higher version.
+func (e *fakeEntry) setOut(t *testing.T, out bool) {
+	e.mu.Lock()
+	e.lease.Version++
+	e.lease.Rules = nil
+	if out {
+		e.lease.Rules = []byte(rulesOut)
+	}
+	version := e.lease.Version
+	e.mu.Unlock()
+	e.send(t, &vwmessage.ConfigAnnounce{Version: version})
+}
--- /dev/null
+++ b/internal/process/vwagent/link.go
@@ -0,0 +1,208 @@
+package vwagent
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+const (
+	// renewInterval leaves three more tries within a lease of 2 s.
+	renewInterval = 500 * time.Millisecond
+	// callTimeout bounds one renewal. A later reply would carry little remaining time.
+	callTimeout = time.Second
+	// registerTimeout covers the election of a control leader and a synced write.
+	registerTimeout = 4 * time.Second
+)
+
+// link is one link to an entry.
+type link struct {
+	registration *registration
+	target       *target
+	session      *vwlink.Session
+	entry        vwid.Incarnation
+	// wake asks the renewing goroutine to act at once.
+	wake chan struct{}
+
+	// The control goroutine owns the rest.
+	retired bool
+	credits int
+	// offer is what this link is to register next; nil when nothing changed.
+	offer *vwmessage.Register
+}
+
+// serve runs a link until it ends.
+func (r *registration) serve(ctx context.Context, t *target, conn vwlink.Conn) error {
+	l := &link{registration: r, target: t, entry: conn.Peer().Incarnation, wake: make(chan struct{}, 1)}
+	l.session = vwlink.MakeSession(conn, l)
+	attached := false
+	if !r.agent.do(func(time.Time) { attached = r.attach(l); l.setOffer() }) || !attached {
+		return trace.Wrap(l.session.Close())
+	}
+	group := vwgroup.Make(ctx)
+	group.Go(l.session.Run)
+	group.Go(l.renew)
+	err := group.Wait()
+	r.agent.do(func(time.Time) { r.retire(l) })
+	return err
+}
+
+// send sends a one-way message. A failure means that the link ends, after which a fence settles
+// what was under way.
+func (l *link) send(body vwmessage.Body) bool {
+	err := l.session.Send(context.Background(), body)
+	if err != nil && !vwlink.IsClosed(err) {
+		l.registration.agent.logger.Warn("sending failed", "Entry", string(l.entry), "Error", err.Error())
+		_ = l.session.Close()
+	}
+	return err == nil
+}
+
+// setOffer prepares the registration of the announced backend server.
+func (l *link) setOffer() {
+	a := l.registration.agent
+	if a.backend.service == "" {
+		return
+	}
+	l.offer = &vwmessage.Register{
+		Process:     a.settings.Process,
+		Incarnation: l.registration.incarnation,
+		DataCentre:  a.settings.DataCentre,
+		Rack:        a.settings.Rack,
+		Service:     a.backend.service,
+		Slots:       l.registration.slots(),
+	}
+	l.wakeUp()
+}
+
+func (l *link) wakeUp() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// renew registers the agent over this link and then renews its leases until the link ends.
+func (l *link) renew(ctx context.Context) error {
+	ticker := time.NewTicker(renewInterval)
+	defer ticker.Stop()
+	registered := false
+	for {
+		var offer *vwmessage.Register
+		if !l.registration.agent.do(func(time.Time) { offer, l.offer = l.offer, nil }) {
+			return vwlink.ErrClosed
+		}
+		if offer != nil {
+			if !l.register(ctx, offer) {
+				l.registration.agent.do(func(time.Time) { l.retryOffer(offer) })
+			} else {
+				registered = true
+			}
+		}
+		if registered {
+			l.renewLease(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-l.session.Done():
+			return vwlink.ErrClosed
+		case <-l.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+// retryOffer keeps an offer that was not registered for the next try, unless a newer one exists.
+func (l *link) retryOffer(offer *vwmessage.Register) {
+	if l.offer == nil {
+		l.offer = offer
+	}
+}
+
+// register sends the offer and reports whether it is in the control log.
+func (l *link) register(ctx context.Context, offer *vwmessage.Register) bool {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	reply, err := vwlink.Call[*vwmessage.Outcome](ctx, l.session, offer)
+	if err != nil {
+		l.registration.agent.logger.Debug("registering failed", "Entry", string(l.entry), "Error", err.Error())
+		return false
+	}
+	var outcome vwstate.Outcome
+	if _, err := outcome.UnmarshalMsg(reply.Outcome); err != nil {
+		l.registration.agent.logger.Warn("the outcome of registering is malformed", "Entry", string(l.entry), "Error", err.Error())
+		return false
+	}
+	if outcome.Refusal == vwstate.RefusalNotRegistered {
+		l.registration.agent.do(func(now time.Time) { l.registration.end(now) })
+	}
+	return outcome.Refusal == vwstate.RefusalNone
+}
+
+// renewLease asks for one renewal. The lease counts from before the request was sent.
+func (l *link) renewLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r := l.registration
+	request := &vwmessage.LeaseRequest{Incarnation: r.incarnation}
+	if !r.agent.do(func(time.Time) { request.Held = r.lease.Held() }) {
+		return
+	}
+	sent := time.Now()
+	reply, err := vwlink.Call[*vwmessage.LeaseReply](ctx, l.session, request)
+	if err != nil {
+		return
+	}
+	r.agent.do(func(now time.Time) { r.takeLease(now, sent, l, reply) })
+}
+
+// HandleMessage implements vwlink.Handler.
+func (l *link) HandleMessage(_ *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+	l.registration.agent.post(&received{link: l, body: body, reply: reply})
+}
+
+// received is a message from an entry.
+type received struct {
+	link  *link
+	body  vwmessage.Body
+	reply vwlink.Reply
+}
+
+func (m *received) apply(a *Agent, now time.Time) {
+	r := m.link.registration
+	if m.link.retired || r != a.current {
+		a.counters.Crossed.Add(1)
+		return
+	}
+	r.dirty = true
+	switch body := m.body.(type) {
+	case *vwmessage.Start:
+		r.onStart(now, m.link, body)
+	case *vwmessage.Demand:
+		r.granter.SetDemand(m.link.entry, *body)
+	case *vwmessage.CreditReturn:
+		r.onCreditReturn(m.link, body.Count)
+	case *vwmessage.Fence:
+		m.reply(r.onFence(now, m.link, body), nil)
+	case *vwmessage.Acknowledge:
+		r.onAcknowledge(now, body)
+	case *vwmessage.Cancel:
+		r.onCancel(now, body)
+	case *vwmessage.ConfigAnnounce:
+		if body.Version > r.lease.Held() {
+			m.link.wakeUp()
+		}
+	default:
+		a.counters.Unexpected.Add(1)
+		m.reply(nil, vwverdict.Errorf(vwverdict.NotRun, "an agent does not serve message kind %d", body.MessageKind()))
+	}
+}
--- /dev/null
+++ b/internal/process/vwagent/registration.go
@@ -0,0 +1,174 @@
+package vwagent
+
+import (
+	"time"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/request/vwstart"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// registration is the state of an agent under one incarnation. The control goroutine owns it.
+type registration struct {
+	agent       *Agent
+	incarnation vwid.Incarnation
+	endpoint    Endpoint
+	// linkGroup runs the links and workGroup the calls of the backend server.
+	linkGroup *vwgroup.Group
+	workGroup *vwgroup.Group
+
+	lease   Lease
+	records *vwstart.Records
+	expired time.Time
+	granter *vwdispatch.Granter
+	// dirty asks for a new decision about credits.
+	dirty bool
+
+	targets map[string]*target
+	// named are the entries of the newest lease reply that names any.
+	named map[string]namedEntry
+	// links holds the newest link to each entry incarnation.
+	links map[vwid.Incarnation]*link
+
+	waiting []waitingTask
+	running map[taskKey]*runningTask
+
+	// ended is set once the registration has expired; nothing starts from then on.
+	ended     bool
+	endBefore time.Time
+}
+
+// taskKey identifies a task across submissions.
+type taskKey struct {
+	submission vwid.SubmissionID
+	task       vwid.TaskID
+}
+
+func makeRegistration(a *Agent, incarnation vwid.Incarnation, endpoint Endpoint) *registration {
+	return &registration{
+		agent:       a,
+		incarnation: incarnation,
+		endpoint:    endpoint,
+		linkGroup:   vwgroup.Make(a.group.Context()),
+		workGroup:   vwgroup.Make(a.group.Context()),
+		lease:       a.options.MakeLease(),
+		records:     vwstart.Make(vwstart.Limits{Records: a.settings.MaxRecords, Bytes: a.settings.ResultBytes}),
+		granter: vwdispatch.MakeGranter(vwdispatch.GranterSettings{
+			OverCommit: a.settings.OverCommit,
+			DataCentre: a.settings.DataCentre,
+		}),
+		targets: map[string]*target{},
+		named:   map[string]namedEntry{},
+		links:   map[vwid.Incarnation]*link{},
+		running: map[taskKey]*runningTask{},
+	}
+}
+
+// close ends the links and the running tasks and waits for their goroutines. It must not run in the
+// control goroutine while that serves events.
+func (r *registration) close() {
+	_ = r.workGroup.Stop()
+	_ = r.linkGroup.Stop()
+	if err := r.endpoint.Close(); err != nil {
+		r.agent.logger.Warn("closing the endpoint failed", "Error", err.Error())
+	}
+}
+
+// gate returns why no task may start now, or an empty text when tasks may start.
+func (r *registration) gate(now time.Time) string {
+	backend := &r.agent.backend
+	switch {
+	case r.ended:
+		return "the registration of the agent has ended"
+	case r.agent.stopping:
+		return "the agent is stopping"
+	case backend.leaving:
+		return "the backend server is leaving"
+	case !backend.present:
+		return "no backend server is announced"
+	}
+	rules, fresh := r.lease.Rules(now)
+	if !fresh {
+		return "the configuration lease of the agent is not fresh"
+	}
+	if rules.IsOut(r.agent.settings.DataCentre) {
+		return "data centre " + string(r.agent.settings.DataCentre) + " is out of service"
+	}
+	return ""
+}
+
+// slots returns how many tasks may run at a time.
+func (r *registration) slots() int {
+	return min(r.agent.backend.slots, r.agent.settings.Slots)
+}
+
+// decide grants and recalls credits.
+func (r *registration) decide(now time.Time) {
+	if !r.dirty {
+		return
+	}
+	r.dirty = false
+	if r.gate(now) == "" {
+		r.granter.SetSlots(r.slots())
+	} else {
+		// The over-commit counts on top of the slots; nothing at all is to be granted.
+		r.granter.SetSlots(-r.agent.settings.OverCommit)
+	}
+	for _, action := range r.granter.Decide(now) {
+		r.act(action)
+	}
+}
+
+func (r *registration) act(action vwdispatch.Action) {
+	l := r.links[action.Entry]
+	if l == nil {
+		return
+	}
+	if action.Grant > 0 {
+		l.credits += action.Grant
+		l.send(&vwmessage.Credit{Service: r.agent.backend.service, Count: action.Grant})
+	}
+	if action.Recall > 0 {
+		l.send(&vwmessage.CreditRecall{Count: action.Recall})
+	}
+}
+
+// attach makes l the newest link to its entry. It reports false when the link is of no use.
+func (r *registration) attach(l *link) bool {
+	if r != r.agent.current {
+		return false
+	}
+	if older := r.links[l.entry]; older != nil {
+		r.retire(older)
+	}
+	l.target.link = l
+	r.links[l.entry] = l
+	r.granter.AddEntry(l.entry, l.session.Peer().DataCentre)
+	r.dirty = true
+	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
+	if r.agent.stopping || r.agent.backend.leaving {
+		l.send(&vwmessage.Leaving{})
+	}
+	return true
+}
+
+// retire ends the processing of messages from a link. Starts that wait for a slot are dropped: the
+// entry learns by a fence on the next link that they have not started.
+func (r *registration) retire(l *link) {
+	if l == nil || l.retired {
+		return
+	}
+	l.retired = true
+	if l.target.link == l {
+		l.target.link = nil
+	}
+	if r.links[l.entry] == l {
+		delete(r.links, l.entry)
+		r.granter.RemoveEntry(l.entry)
+	}
+	r.dropWaiting(func(w *waitingTask) bool { return w.link == l })
+	r.dirty = true
+	_ = l.session.Close()
+}
--- /dev/null
+++ b/internal/process/vwagent/target.go
@@ -0,0 +1,177 @@
+package vwagent
+
+import (
+	"context"
+	"time"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+)
+
+const (
+	// dialTimeout bounds one dial. A dial to a silent host must not delay the next one for long.
+	dialTimeout = 2 * time.Second
+	// nameTimeout keeps an entry that lease replies stopped naming, because replies of different
+	// entries may differ for a moment.
+	nameTimeout = 5 * time.Second
+	// stableLink is how long a link must last for the next dial to follow without a longer wait.
+	stableLink = 2 * time.Second
+)
+
+// target is an entry's address to which the agent keeps one link.
+type target struct {
+	address string
+	stop    context.CancelFunc
+	// link is the newest link; the control goroutine owns it.
+	link *link
+}
+
+// namedEntry is an entry that a lease reply named.
+type namedEntry struct {
+	entry vwmessage.EntryAddress
+	at    time.Time
+}
+
+// refreshTargets starts and stops links so that they fit the known entries.
+func (r *registration) refreshTargets(now time.Time) {
+	wanted := r.wanted(now)
+	for address, t := range r.targets {
+		if !wanted[address] {
+			r.removeTarget(t)
+		}
+	}
+	for address := range wanted {
+		if r.targets[address] == nil {
+			r.addTarget(address)
+		}
+	}
+}
+
+// wanted returns the addresses to link to: the chosen ones of the entries that lease replies name,
+// and the addresses of the settings while there is room.
+func (r *registration) wanted(now time.Time) map[string]bool {
+	var entries []vwmessage.EntryAddress
+	for address, named := range r.named {
+		if now.Sub(named.at) > nameTimeout && !r.linked(address) {
+			delete(r.named, address)
+			continue
+		}
+		entries = append(entries, named.entry)
+	}
+	settings := &r.agent.settings
+	wanted := map[string]bool{}
+	for _, entry := range ChooseEntries(settings.Process, settings.DataCentre, entries, settings.MaxEntries) {
+		wanted[entry.Address] = true
+	}
+	for _, address := range settings.Entries {
+		if len(wanted) < settings.MaxEntries && !r.isAlias(address) {
+			wanted[address] = true
+		}
+	}
+	return wanted
+}
+
+func (r *registration) linked(address string) bool {
+	t := r.targets[address]
+	return t != nil && t.link != nil
+}
+
+// isAlias reports whether an address of the settings leads to an entry that has a link under the
+// address that lease replies name. Two links to one entry would replace each other in turns.
+func (r *registration) isAlias(address string) bool {
+	t := r.targets[address]
+	if t == nil || t.link == nil {
+		return false
+	}
+	for named, entry := range r.named {
+		if named != address && entry.entry.Incarnation == t.link.entry {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *registration) addTarget(address string) {
+	ctx, cancel := context.WithCancel(r.linkGroup.Context())
+	t := &target{address: address, stop: cancel}
+	r.targets[address] = t
+	if !r.linkGroup.Run(func(context.Context) { r.keep(ctx, t) }) {
+		cancel()
+	}
+}
+
+func (r *registration) removeTarget(t *target) {
+	delete(r.targets, t.address)
+	r.retire(t.link)
+	t.stop()
+}
+
+// keep holds a link to the target until ctx ends.
+func (r *registration) keep(ctx context.Context, t *target) {
+	var wait backoff
+	for ctx.Err() == nil {
+		begun := time.Now()
+		r.connect(ctx, t)
+		if time.Since(begun) >= stableLink {
+			wait.reset()
+		}
+		if !pause(ctx, wait.wait()) {
+			return
+		}
+	}
+}
+
+// connect dials the target and serves the link until it ends.
+func (r *registration) connect(ctx context.Context, t *target) {
+	// Nothing more is processed from an older link from the moment of the dial.
+	if !r.agent.do(func(time.Time) { r.retire(t.link) }) {
+		return
+	}
+	conn, err := r.dial(ctx, t.address)
+	if err != nil {
+		r.agent.logger.Debug("dialling failed", "Address", t.address, "Error", err.Error())
+		return
+	}
+	if err := r.serve(ctx, t, conn); err != nil && ctx.Err() == nil {
+		r.agent.logger.Info("link ended", "Address", t.address, "Error", err.Error())
+	}
+}
+
+func (r *registration) dial(ctx context.Context, address string) (vwlink.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	return r.endpoint.Dial(ctx, address)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// takeLease renews the configuration lease from the reply to a request sent at sent.
+func (r *registration) takeLease(now, sent time.Time, l *link, reply *vwmessage.LeaseReply) {
+	if l.retired || r != r.agent.current {
+		r.agent.counters.Crossed.Add(1)
+		return
+	}
+	for _, incarnation := range reply.Expired {
+		if incarnation == r.incarnation {
+			r.end(now)
+			return
+		}
+	}
+	if err := r.lease.Renew(sent, reply); err != nil {
+		r.agent.logger.Warn("lease reply is of no use", "Entry", string(l.entry), "Error", err.Error())
+	}
+	for _, entry := range reply.Entries {
+		r.named[entry.Address] = namedEntry{entry: entry, at: now}
+	}
+	r.dirty = true
+	r.refreshTargets(now)
+}
--- /dev/null
+++ b/internal/process/vwagent/work.go
@@ -0,0 +1,246 @@
+package vwagent
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"vanillawind.example/vanillawind/internal/connection/vwbackend"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/request/vwstart"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// waitingTask is a task that arrived under an over-committed credit and waits for a free slot. It
+// has no start record yet, so it has not started.
+type waitingTask struct {
+	link    *link
+	key     taskKey
+	epoch   vwid.Epoch
+	payload []byte
+	timeout time.Duration
+}
+
+// runningTask is a task at the backend server.
+type runningTask struct {
+	// entry and epoch tell who gets the result. A fence changes them.
+	entry  vwid.Incarnation
+	epoch  vwid.Epoch
+	begun  time.Time
+	cancel context.CancelFunc
+}
+
+// onStart queues the tasks that use a credit and refuses the others.
+func (r *registration) onStart(now time.Time, l *link, start *vwmessage.Start) {
+	credited := min(len(start.Tasks), l.credits)
+	l.credits -= credited
+	r.granter.Started(l.entry, credited)
+	for i := range start.Tasks {
+		task := &start.Tasks[i]
+		w := waitingTask{
+			link: l, key: taskKey{start.SubmissionID, task.TaskID}, epoch: start.Epoch,
+			payload: task.Payload, timeout: time.Duration(task.TimeoutMilliseconds) * time.Millisecond,
+		}
+		switch {
+		case i >= credited:
+			r.refuse(&w, "the start has no credit")
+		case start.Service != r.agent.backend.service:
+			r.refuse(&w, "the backend server does not offer service "+string(start.Service))
+			r.granter.Freed(1)
+		default:
+			r.waiting = append(r.waiting, w)
+		}
+	}
+	r.pump(now)
+}
+
+// pump starts waiting tasks on free slots. The conditions of a start are checked here, right before
+// it, and not when the task arrived.
+func (r *registration) pump(now time.Time) {
+	if len(r.waiting) == 0 {
+		return
+	}
+	reason := r.gate(now)
+	taken := 0
+	for ; taken < len(r.waiting); taken++ {
+		w := &r.waiting[taken]
+		if reason != "" {
+			r.refuse(w, reason)
+			r.granter.Freed(1)
+			continue
+		}
+		if len(r.running) >= r.slots() {
+			break
+		}
+		r.start(now, w)
+	}
+	r.waiting = slices.Delete(r.waiting, 0, taken)
+	r.dirty = r.dirty || taken > 0
+}
+
+// start writes the start record and calls the backend server.
+func (r *registration) start(now time.Time, w *waitingTask) {
+	if err := r.records.Start(now, w.key.submission, w.epoch, w.key.task); err != nil {
+		r.granter.Freed(1)
+		r.answerRefusedStart(w, err)
+		return
+	}
+	ctx, cancel := context.WithCancel(r.workGroup.Context())
+	running := &runningTask{entry: w.link.entry, epoch: w.epoch, begun: now, cancel: cancel}
+	r.running[w.key] = running
+	r.agent.counters.Started.Add(1)
+	task := r.makeTask(w)
+	r.workGroup.Run(func(context.Context) {
+		defer cancel()
+		r.call(ctx, running, task)
+	})
+}
+
+func (r *registration) makeTask(w *waitingTask) vwbackend.Task {
+	backend := &r.agent.backend
+	task := vwbackend.Task{
+		Address: backend.address, Service: backend.service,
+		SubmissionID: w.key.submission, TaskID: w.key.task, Epoch: w.epoch,
+		Payload: w.payload, Timeout: w.timeout,
+	}
+	if task.Timeout <= 0 || task.Timeout > r.agent.settings.MaxRun {
+		task.Timeout = r.agent.settings.MaxRun
+	}
+	return task
+}
+
+// finished is the end of a call of the backend server.
+type finished struct {
+	registration *registration
+	running      *runningTask
+	address      vwbackend.Address
+	result       vwmessage.Result
+	err          error
+}
+
+func (r *registration) call(ctx context.Context, running *runningTask, task vwbackend.Task) {
+	begun := time.Now()
+	payload, err := r.agent.options.Backend.Run(ctx, task)
+	f := &finished{registration: r, running: running, address: task.Address, err: err, result: vwmessage.Result{
+		SubmissionID: task.SubmissionID, TaskID: task.TaskID,
+		Verdict: vwverdict.Of(err), Payload: payload,
+		RunMilliseconds: time.Since(begun).Milliseconds(),
+	}}
+	if err != nil {
+		f.result.Failed, f.result.Message = true, err.Error()
+	}
+	r.agent.post(f)
+}
+
+func (f *finished) apply(a *Agent, now time.Time) {
+	r := f.registration
+	key := taskKey{f.result.SubmissionID, f.result.TaskID}
+	delete(r.running, key)
+	r.granter.Freed(1)
+	r.dirty = true
+	a.counters.Finished.Add(1)
+	if vwbackend.IsUnreachable(f.err) {
+		a.onUnreachable(f)
+	}
+	f.result.Epoch = f.running.epoch
+	if !r.records.Finish(now, &f.result) {
+		a.counters.Late.Add(1)
+		return
+	}
+	r.deliver(f.running.entry, &f.result)
+}
+
+// deliver sends a result to an entry. Without a link the records keep it for a fence.
+func (r *registration) deliver(entry vwid.Incarnation, result *vwmessage.Result) {
+	if l := r.links[entry]; l == nil || !l.send(result) {
+		r.agent.counters.Undelivered.Add(1)
+	}
+}
+
+// refuse answers a task that has not started and will not.
+func (r *registration) refuse(w *waitingTask, reason string) {
+	r.agent.counters.Refused.Add(1)
+	w.link.send(&vwmessage.Result{
+		SubmissionID: w.key.submission, Epoch: w.epoch, TaskID: w.key.task,
+		Verdict: vwverdict.NotRun, Failed: true, Message: reason,
+	})
+}
+
+// answerRefusedStart answers a start that the records refuse. A task that was started before is
+// never answered with NotRun: its entry gets the result, now or when the task ends.
+func (r *registration) answerRefusedStart(w *waitingTask, err error) {
+	if !vwstart.IsAlreadyStarted(err) {
+		r.agent.counters.Refused.Add(1)
+		w.link.send(&vwmessage.Result{
+			SubmissionID: w.key.submission, Epoch: w.epoch, TaskID: w.key.task,
+			Verdict: vwverdict.Of(err), Failed: true, Message: err.Error(),
+		})
+		return
+	}
+	r.agent.counters.Duplicate.Add(1)
+	if result := r.records.Report(w.key.submission, w.epoch, w.key.task); result != nil {
+		w.link.send(result)
+	} else if running := r.running[w.key]; running != nil && w.epoch >= running.epoch {
+		running.entry, running.epoch = w.link.entry, w.epoch
+	}
+}
+
+func (r *registration) onCreditReturn(l *link, count int) {
+	count = max(0, min(count, l.credits))
+	l.credits -= count
+	r.granter.Returned(l.entry, count)
+}
+
+// onFence fences lower epochs. From then on the asking entry gets the results of the submission.
+func (r *registration) onFence(now time.Time, l *link, fence *vwmessage.Fence) *vwmessage.FenceReply {
+	reply := r.records.Fence(now, fence.SubmissionID, fence.Epoch)
+	if reply.Refused {
+		r.agent.counters.Late.Add(1)
+		return reply
+	}
+	// The reply says that what it does not list will never run.
+	r.dropWaiting(func(w *waitingTask) bool {
+		return w.key.submission == fence.SubmissionID && w.epoch <= fence.Epoch
+	})
+	for key, running := range r.running {
+		if key.submission == fence.SubmissionID {
+			running.entry, running.epoch = l.entry, fence.Epoch
+		}
+	}
+	return reply
+}
+
+func (r *registration) onAcknowledge(now time.Time, acknowledge *vwmessage.Acknowledge) {
+	if !r.records.Acknowledge(now, acknowledge.SubmissionID, acknowledge.Epoch) {
+		r.agent.counters.Late.Add(1)
+	}
+}
+
+// onCancel aborts the running tasks of a submission and refuses those that wait for a slot.
+func (r *registration) onCancel(now time.Time, cancel *vwmessage.Cancel) {
+	tasks, known := r.records.Cancel(now, cancel.SubmissionID, cancel.Epoch)
+	if !known {
+		r.agent.counters.Late.Add(1)
+		return
+	}
+	for _, task := range tasks {
+		if running := r.running[taskKey{cancel.SubmissionID, task}]; running != nil {
+			running.cancel()
+		}
+	}
+	r.dropWaiting(func(w *waitingTask) bool {
+		if w.key.submission != cancel.SubmissionID || w.epoch > cancel.Epoch {
+			return false
+		}
+		r.refuse(w, "the submission is cancelled")
+		return true
+	})
+}
+
+// dropWaiting drops the waiting tasks for which drop is true.
+func (r *registration) dropWaiting(drop func(w *waitingTask) bool) {
+	before := len(r.waiting)
+	r.waiting = slices.DeleteFunc(r.waiting, func(w waitingTask) bool { return drop(&w) })
+	r.granter.Freed(before - len(r.waiting))
+}
