--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -92,7 +92,7 @@
 	settling   int
 	registered bool
 	stopping   bool
-	idle       chan struct{}
+	idle       []chan struct{}
 }
 
 // Make returns an entry that is not running. The dialer reaches other entries.
@@ -129,28 +129,35 @@
 	e.group.Run(e.refreshRegistrations)
 }
 
-// Stop is the graceful shutdown: it refuses new submissions, waits for the running ones to end, or for
-// ctx, ends the registration and stops.
-func (e *Entry) Stop(ctx context.Context) error {
+// Drain refuses new submissions and waits for the running ones to end, or for ctx.
+func (e *Entry) Drain(ctx context.Context) error {
 	idle, err := ask(ctx, e, func() chan struct{} {
 		e.stopping = true
-		e.idle = make(chan struct{})
+		idle := make(chan struct{})
+		e.idle = append(e.idle, idle)
 		e.signalIdle()
-		return e.idle
+		return idle
 	})
-	if err == nil {
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			err = ctx.Err()
-		}
+	if err != nil {
+		return err
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
 	}
+}
+
+// Stop ends the registration, so that other entries need not wait for its lease to run out, and stops.
+// Drain comes before it in a graceful shutdown.
+func (e *Entry) Stop(ctx context.Context) error {
 	expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{e.incarnation}}}
-	if _, proposeErr := e.control.Propose(ctx, expire); proposeErr != nil {
-		e.log.Warn("registration not ended; it expires with its lease", "error", proposeErr)
+	if _, err := e.control.Propose(ctx, expire); err != nil {
+		e.log.Warn("registration not ended; it expires with its lease", "error", err)
 	}
 	e.Kill()
-	return trace.Wrap(err)
+	return nil
 }
 
 // Kill stops at once, as a crash would.
@@ -160,10 +167,13 @@
 }
 
 func (e *Entry) signalIdle() {
-	if e.stopping && e.active == 0 && e.idle != nil {
-		close(e.idle)
-		e.idle = nil
+	if !e.stopping || e.active > 0 {
+		return
+	}
+	for _, idle := range e.idle {
+		close(idle)
 	}
+	e.idle = nil
 }
 
 func (e *Entry) loop(ctx context.Context) {
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -23,8 +23,7 @@
 
 // CallersHandler returns the HTTP interface for callers.
 func (e *Entry) CallersHandler() http.Handler {
-	router := gin.New()
-	router.HandleMethodNotAllowed = true
+	router := makeRouter()
 	router.POST("/Jobs", e.postJob)
 	router.GET("/Jobs/:ID", e.getJob)
 	router.DELETE("/Jobs/:ID", e.deleteJob)
@@ -32,6 +31,13 @@
 	return router
 }
 
+func makeRouter() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	router := gin.New()
+	router.HandleMethodNotAllowed = true
+	return router
+}
+
 func (e *Entry) limits() limits {
 	return limits{payload: int(e.settings.MaxPayload), tasks: e.settings.MaxTasks}
 }
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -132,6 +132,11 @@
 		j.Tasks[index].Payload = nil
 	}
 	e.counters.countEnd(j.Failure())
+	for _, w := range e.workers {
+		if w.leaving && w.jobs[j.SubmissionID] == j {
+			e.acknowledge(w, j)
+		}
+	}
 	e.finish(j)
 	close(j.done)
 	e.active--
@@ -225,10 +230,8 @@
 		delete(e.jobs, j.SubmissionID)
 	}
 	for _, w := range e.workers {
-		if w.jobs[j.SubmissionID] != j {
-			continue
+		if w.jobs[j.SubmissionID] == j {
+			e.acknowledge(w, j)
 		}
-		delete(w.jobs, j.SubmissionID)
-		e.send(w, &vwmessage.Acknowledge{SubmissionID: j.SubmissionID, Epoch: j.Epoch()})
 	}
 }
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -23,8 +23,7 @@
 
 // OperatorsHandler returns the HTTP interface for operators. It must not be reachable for callers.
 func (e *Entry) OperatorsHandler() http.Handler {
-	router := gin.New()
-	router.HandleMethodNotAllowed = true
+	router := makeRouter()
 	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	router.GET("/readyz", e.getReady)
 	router.GET("/Rules", e.getRules)
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -68,13 +68,29 @@
 	case *vwmessage.Result:
 		e.takeResult(w, message)
 	case *vwmessage.Leaving:
-		w.leaving = true
-		e.queue.RemoveWorker(w.Incarnation)
+		e.takeLeaving(w)
 	default:
 		reply(nil, vwverdict.Wrap(vwverdict.NotRun, trace.BadParameter("message kind %d is not for an entry", body.MessageKind())))
 	}
 }
 
+// takeLeaving stops the use of a worker. Its agent waits until nobody needs its records, so those of
+// ended jobs, whose answers are here, are acknowledged at once.
+func (e *Entry) takeLeaving(w *worker) {
+	w.leaving = true
+	e.queue.RemoveWorker(w.Incarnation)
+	for _, j := range w.jobs {
+		if j.Ended() {
+			e.acknowledge(w, j)
+		}
+	}
+}
+
+func (e *Entry) acknowledge(w *worker, j *job) {
+	delete(w.jobs, j.SubmissionID)
+	e.send(w, &vwmessage.Acknowledge{SubmissionID: j.SubmissionID, Epoch: j.Epoch()})
+}
+
 func (e *Entry) send(w *worker, body vwmessage.Body) {
 	if w.session == nil {
 		return
@@ -304,3 +320,20 @@
 		w.jobs[j.SubmissionID] = j
 	}
 }
+
+// WorkerCount returns the number of agents with an open link.
+func (e *Entry) WorkerCount(ctx context.Context) int {
+	count, err := ask(ctx, e, func() int {
+		open := 0
+		for _, w := range e.workers {
+			if w.session != nil {
+				open++
+			}
+		}
+		return open
+	})
+	if err != nil {
+		return 0
+	}
+	return count
+}
