--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -54,7 +54,9 @@
 		linkGroup:   vwgroup.Make(a.group.Context()),
 		workGroup:   vwgroup.Make(a.group.Context()),
 		lease:       a.options.MakeLease(),
-		records:     vwstart.Make(vwstart.Limits{Records: a.settings.MaxRecords, Bytes: a.settings.ResultBytes}),
+		records: vwstart.Make(vwstart.Limits{
+			Records: a.settings.MaxRecords, Bytes: a.settings.ResultBytes, Tombstones: a.settings.Tombstones,
+		}),
 		granter: vwdispatch.MakeGranter(vwdispatch.GranterSettings{
 			OverCommit: a.settings.OverCommit,
 			DataCentre: a.settings.DataCentre,
--- a/internal/process/vwagent/settings.go
+++ b/internal/process/vwagent/settings.go
@@ -12,12 +12,16 @@
 
 // Defaults of Settings.
 const (
-	DefaultMaxEntries  = 8
-	DefaultOverCommit  = 1
-	DefaultMaxRun      = 2 * time.Minute
-	DefaultAckTimeout  = 5 * time.Second
-	DefaultMaxRecords  = 1 << 16
-	DefaultResultBytes = 64 << 20
+	DefaultMaxEntries = 8
+	DefaultOverCommit = 1
+	DefaultMaxRun     = 2 * time.Minute
+	DefaultAckTimeout = 5 * time.Second
+	DefaultMaxRecords = 1 << 16
+	// DefaultTombstones covers 1,500 submissions a second for vwstart.Lifetime in about 40 MB; an agent
+	// at the target rate of 26 starts a second needs under 1 MB.
+	DefaultTombstones = 1 << 19
+	// DefaultResultBytes is below what a link queues for one peer, because a fence may ask for all results.
+	DefaultResultBytes = 32 << 20
 )
 
 // Settings configure an agent. Check fills in the defaults of zero values.
@@ -39,8 +43,9 @@
 	MaxRun time.Duration
 	// AckTimeout bounds how long a stop waits for the acknowledgement of results.
 	AckTimeout time.Duration
-	// MaxRecords and ResultBytes bound the start records.
+	// MaxRecords, Tombstones and ResultBytes bound the start records.
 	MaxRecords  int
+	Tombstones  int
 	ResultBytes int
 }
 
@@ -62,6 +67,8 @@
 		return s, trace.BadParameter("MaxRun must be below %s, after which control forgets a submission, not %s", vwstate.Retention, s.MaxRun)
 	case s.AckTimeout < 0:
 		return s, trace.BadParameter("AckTimeout must not be negative, but is %s", s.AckTimeout)
+	case s.Tombstones < 0:
+		return s, trace.BadParameter("Tombstones must not be negative, but is %d", s.Tombstones)
 	case s.MaxRecords < s.Slots || s.ResultBytes < vwbackend.DefaultMaxAnswer:
 		return s, trace.BadParameter("MaxRecords must hold %d starts and ResultBytes %d bytes", s.Slots, vwbackend.DefaultMaxAnswer)
 	}
@@ -75,6 +82,7 @@
 	setDefault(&s.MaxRun, DefaultMaxRun)
 	setDefault(&s.AckTimeout, DefaultAckTimeout)
 	setDefault(&s.MaxRecords, DefaultMaxRecords)
+	setDefault(&s.Tombstones, DefaultTombstones)
 	setDefault(&s.ResultBytes, DefaultResultBytes)
 	s.OverCommit = max(s.OverCommit, 0)
 	return s
--- a/internal/request/vwstart/record.go
+++ b/internal/request/vwstart/record.go
@@ -8,17 +8,14 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
-// record is what the agent knows of one submission. A tombstone is a record without tasks.
+// record is what the agent knows of one submission that is not acknowledged.
 type record struct {
 	epoch vwid.Epoch
 	// cancelled is the highest cancelled epoch; starts up to it are refused.
-	cancelled    vwid.Epoch
-	acknowledged bool
-	// hasStarted stays true after the tasks were dropped.
-	hasStarted bool
-	running    int
-	tasks      map[vwid.TaskID]*started
-	// touched is the time of the last change; the retention counts from it.
+	cancelled vwid.Epoch
+	running   int
+	tasks     map[vwid.TaskID]*started
+	// touched is the time of the last change; the lifetime counts from it.
 	touched time.Time
 }
 
@@ -40,9 +37,6 @@
 	if epoch <= r.cancelled {
 		return refuse(&ErrFenced{SubmissionID: submission, Epoch: epoch, Known: r.cancelled, Cancelled: true})
 	}
-	if r.acknowledged {
-		return forgotten(submission)
-	}
 	return nil
 }
 
@@ -56,6 +50,17 @@
 	return list
 }
 
+// runningTasks returns the tasks without a result.
+func (r *record) runningTasks() []vwid.TaskID {
+	running := make([]vwid.TaskID, 0, r.running)
+	for id, task := range r.tasks {
+		if !task.finished {
+			running = append(running, id)
+		}
+	}
+	return running
+}
+
 // report returns the result as an entry gets it, or nil while the task runs.
 func (t *started) report(submission vwid.SubmissionID, epoch vwid.Epoch, id vwid.TaskID) *vwmessage.Result {
 	if !t.finished {
--- a/internal/request/vwstart/records.go
+++ b/internal/request/vwstart/records.go
@@ -6,6 +6,9 @@
 import (
 	"time"
 
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -21,31 +24,35 @@
 
 // Limits bound the memory of the records.
 type Limits struct {
-	// Records bounds the number of start records and tombstones together. At the bound starts are
-	// refused; fences, cancellations and acknowledgements are always recorded.
+	// Records bounds the number of start records. At the bound starts are refused.
 	Records int
-	// Bytes bounds the payloads and messages of kept results.
+	// Bytes bounds the payloads and messages of kept results. The oldest are dropped first.
 	Bytes int
+	// Tombstones bounds the number of acknowledged submissions that are remembered. The oldest are
+	// forgotten first; then a first start of a submission as old as the forgotten one is refused.
+	Tombstones int
 }
 
 // Records are the start records of one agent incarnation. One goroutine owns them.
 type Records struct {
 	limits      Limits
 	submissions map[vwid.SubmissionID]*record
-	// tasks counts the start records, bytes the sizes of the kept results.
-	tasks int
-	bytes int
-	// finished holds the tasks with results, oldest first. Entries whose result is gone are skipped.
-	finished []*started
-	kept     int
-	// forgotten is the latest time inside the id of any expired submission that had starts. An
-	// unknown submission that is not newer may be one of them.
+	started     int
+	kept        keptResults
+	tombstones  tombstones
+	// forgotten is the latest time inside the id of any submission whose record or tombstone was
+	// dropped. An unknown submission that is not newer may be one of them.
 	forgotten time.Time
 }
 
 // Make returns empty records.
 func Make(limits Limits) *Records {
-	return &Records{limits: limits, submissions: map[vwid.SubmissionID]*record{}}
+	return &Records{
+		limits:      limits,
+		submissions: map[vwid.SubmissionID]*record{},
+		kept:        keptResults{limit: limits.Bytes},
+		tombstones:  makeTombstones(),
+	}
 }
 
 // Start records the start of a task, or returns why it must not start. The caller may start the task
@@ -56,38 +63,53 @@
 		if err := found.check(submission, epoch, task); err != nil {
 			return err
 		}
-	} else if err := r.checkUnknown(submission); err != nil {
+	} else if err := r.checkUnknown(submission, epoch); err != nil {
 		return err
 	}
-	if r.Len() >= r.limits.Records {
+	if r.started >= r.limits.Records {
 		return refuse(&ErrTooMany{Limit: r.limits.Records})
 	}
 	found = r.touch(now, submission)
 	found.epoch = epoch
-	found.hasStarted = true
 	found.running++
 	if found.tasks == nil {
 		found.tasks = map[vwid.TaskID]*started{}
 	}
 	found.tasks[task] = &started{}
-	r.tasks++
+	r.started++
 	return nil
 }
 
-// checkUnknown refuses a submission without a record when the record may have expired.
-func (r *Records) checkUnknown(submission vwid.SubmissionID) error {
-	at, err := vwid.SubmissionTime(submission)
+// checkUnknown refuses a submission without a record when it was acknowledged, or when its record
+// may have been dropped.
+func (r *Records) checkUnknown(submission vwid.SubmissionID, epoch vwid.Epoch) error {
+	id, err := parse(submission)
 	if err != nil {
 		return refuse(err)
 	}
-	if !at.After(r.forgotten) {
-		return forgotten(submission)
+	if known, found := r.tombstones.find(id); found {
+		if epoch < known {
+			return refuse(&ErrFenced{SubmissionID: submission, Epoch: epoch, Known: known})
+		}
+		return vwverdict.Wrap(vwverdict.MayHaveRun, &ErrForgotten{SubmissionID: submission})
+	}
+	if !timeOf(id).After(r.forgotten) {
+		return vwverdict.Wrap(vwverdict.MayHaveRun, &ErrForgotten{SubmissionID: submission})
 	}
 	return nil
 }
 
-func forgotten(submission vwid.SubmissionID) error {
-	return vwverdict.Wrap(vwverdict.MayHaveRun, &ErrForgotten{SubmissionID: submission})
+func parse(submission vwid.SubmissionID) (uuid.UUID, error) {
+	id, err := uuid.Parse(string(submission))
+	if err != nil || id.Version() != 7 {
+		return uuid.UUID{}, trace.BadParameter("submission id %q is not a UUIDv7", submission)
+	}
+	return id, nil
+}
+
+func timeOf(id uuid.UUID) time.Time {
+	seconds, nanoseconds := id.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds)
 }
 
 func (r *Records) touch(now time.Time, submission vwid.SubmissionID) *record {
@@ -117,15 +139,11 @@
 	found.running--
 	if result.Verdict == vwverdict.NotRun {
 		delete(found.tasks, result.TaskID)
-		r.tasks--
+		r.started--
 		return true
 	}
 	task.finished = true
-	task.result = result
-	r.finished = append(r.finished, task)
-	r.kept++
-	r.bytes += size(result)
-	r.trim()
+	r.kept.add(task, result)
 	return true
 }
 
@@ -145,10 +163,10 @@
 func (r *Records) Fence(now time.Time, submission vwid.SubmissionID, epoch vwid.Epoch) *vwmessage.FenceReply {
 	found := r.submissions[submission]
 	if found == nil {
-		if err := r.checkUnknown(submission); err != nil {
+		if err := r.checkUnknown(submission, epoch); err != nil {
 			return &vwmessage.FenceReply{SubmissionID: submission, Epoch: epoch, Refused: true}
 		}
-	} else if epoch < found.epoch || found.acknowledged {
+	} else if epoch < found.epoch {
 		return &vwmessage.FenceReply{SubmissionID: submission, Epoch: found.epoch, Refused: true}
 	}
 	found = r.touch(now, submission)
@@ -157,114 +175,95 @@
 }
 
 // Cancel refuses the starts of a submission up to epoch from now on, and returns its running tasks.
-// It reports false when a higher epoch is known.
+// It reports false when a higher epoch is known or nothing can be left to cancel.
 func (r *Records) Cancel(now time.Time, submission vwid.SubmissionID, epoch vwid.Epoch) ([]vwid.TaskID, bool) {
-	if found := r.submissions[submission]; found != nil && epoch < found.epoch {
+	if found := r.submissions[submission]; found != nil {
+		if epoch < found.epoch {
+			return nil, false
+		}
+	} else if r.checkUnknown(submission, epoch) != nil {
 		return nil, false
 	}
 	found := r.touch(now, submission)
 	found.epoch = epoch
-	found.cancelled = max(found.cancelled, epoch)
-	running := make([]vwid.TaskID, 0, found.running)
-	for id, task := range found.tasks {
-		if !task.finished {
-			running = append(running, id)
-		}
-	}
-	return running, true
+	found.cancelled = epoch
+	return found.runningTasks(), true
 }
 
 // Acknowledge drops the tasks and results of a submission. A tombstone stays for Lifetime, so that
 // a delayed start cannot start a task again. It reports false when a higher epoch is known.
 func (r *Records) Acknowledge(now time.Time, submission vwid.SubmissionID, epoch vwid.Epoch) bool {
-	if found := r.submissions[submission]; found != nil && epoch < found.epoch {
+	id, err := parse(submission)
+	if err != nil {
 		return false
 	}
-	found := r.touch(now, submission)
-	found.epoch = epoch
-	found.acknowledged = true
-	r.dropTasks(found)
+	if found := r.submissions[submission]; found != nil {
+		if epoch < found.epoch {
+			return false
+		}
+		r.drop(submission, found)
+	}
+	r.tombstones.put(now, id, epoch)
+	r.bury(now)
 	return true
 }
 
 // Expire drops the records whose last change is older than Lifetime and none of whose tasks runs.
 func (r *Records) Expire(now time.Time) {
-	for id, found := range r.submissions {
+	for submission, found := range r.submissions {
 		if found.running > 0 || now.Sub(found.touched) < Lifetime {
 			continue
 		}
-		// Records are made only for ids that carry a time, except by an entry that sends nonsense.
-		if at, err := vwid.SubmissionTime(id); err == nil && found.hasStarted && at.After(r.forgotten) {
-			r.forgotten = at
+		if id, err := parse(submission); err == nil {
+			r.forget(id)
 		}
-		r.dropTasks(found)
-		delete(r.submissions, id)
+		r.drop(submission, found)
 	}
+	r.bury(now)
 }
 
-// Len returns the number of start records and tombstones.
-func (r *Records) Len() int {
-	return r.tasks + len(r.submissions)
-}
-
-// Bytes returns the size of the kept results.
-func (r *Records) Bytes() int {
-	return r.bytes
+// bury drops the tombstones that are too old or too many.
+func (r *Records) bury(now time.Time) {
+	for {
+		id, found := r.tombstones.popOlder(now.Add(-Lifetime), r.limits.Tombstones)
+		if !found {
+			return
+		}
+		r.forget(id)
+	}
 }
 
-// Unacknowledged returns the number of finished tasks whose results are kept.
-func (r *Records) Unacknowledged() int {
-	return r.kept
+func (r *Records) forget(id uuid.UUID) {
+	if at := timeOf(id); at.After(r.forgotten) {
+		r.forgotten = at
+	}
 }
 
-func (r *Records) dropTasks(found *record) {
+func (r *Records) drop(submission vwid.SubmissionID, found *record) {
 	for _, task := range found.tasks {
-		r.dropResult(task)
+		r.kept.drop(task)
 	}
-	r.tasks -= len(found.tasks)
-	found.tasks = nil
-	found.running = 0
-	r.compact()
+	r.started -= len(found.tasks)
+	r.kept.compact()
+	delete(r.submissions, submission)
 }
 
-func (r *Records) dropResult(task *started) {
-	if task.result == nil {
-		return
-	}
-	r.bytes -= size(task.result)
-	r.kept--
-	task.result = nil
+// Started returns the number of start records.
+func (r *Records) Started() int {
+	return r.started
 }
 
-// trim drops the oldest results until the rest fits the bound.
-func (r *Records) trim() {
-	for r.bytes > r.limits.Bytes && len(r.finished) > 0 {
-		r.dropResult(r.finished[0])
-		r.finished[0] = nil
-		r.finished = r.finished[1:]
-	}
+// Tombstones returns the number of remembered acknowledged submissions.
+func (r *Records) Tombstones() int {
+	return r.tombstones.len()
 }
 
-// compactSlack is how many entries without a result the queue may hold before it is compacted.
-const compactSlack = 1024
-
-// compact removes entries without a result, so that acknowledged tasks do not pile up in the queue.
-func (r *Records) compact() {
-	if len(r.finished) <= 2*r.kept+compactSlack {
-		return
-	}
-	live := make([]*started, 0, r.kept)
-	for _, task := range r.finished {
-		if task.result != nil {
-			live = append(live, task)
-		}
-	}
-	r.finished = live
+// Bytes returns the size of the kept results.
+func (r *Records) Bytes() int {
+	return r.kept.bytes
 }
 
-// resultOverhead approximates the memory of a kept result beside its payload and message.
-const resultOverhead = 200
-
-func size(result *vwmessage.Result) int {
-	return resultOverhead + len(result.Payload) + len(result.Message)
+// Unacknowledged returns the number of results that are kept.
+func (r *Records) Unacknowledged() int {
+	return r.kept.count
 }
