--- a/internal/process/vwagent/agent_test.go
+++ b/internal/process/vwagent/agent_test.go
@@ -101,7 +101,7 @@
 
 // Guards the whole way of a task: announcement, registration, lease, credits, start and result.
 func TestTaskRuns(t *testing.T) {
-	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+	withAgent(t, func(t *testing.T, _ *fixture, e1, e2 *fakeEntry) {
 		require.Equal(t, 8, e1.held()+e2.held(), "all idle slots are granted")
 		require.NotEmpty(t, e1.registers)
 		require.Equal(t, vwid.Service("pedidos"), e1.registers[0].Service)
