--- a/internal/version/vwrule/line.go
+++ b/internal/version/vwrule/line.go
@@ -9,11 +9,21 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"vanillawind.example/vanillawind/pkg/vwsuggest"
 )
 
 // namePattern keeps names readable in keys, logs and metrics without quotes.
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`)
 
+// NameForm describes the names that IsName accepts, for suggestions.
+const NameForm = "up to 63 letters a-z, digits, - and _, beginning with a letter or digit"
+
+// IsName reports whether a service, team or data centre can have the name.
+func IsName(text string) bool {
+	return namePattern.MatchString(text)
+}
+
 // declarationPattern finds the name in a declaration whose line has a fault of syntax.
 var declarationPattern = regexp.MustCompile(`^\s*(Service|Team|DataCentre)\s*\.\s*([A-Za-z0-9_-]+)`)
 
@@ -97,7 +107,7 @@
 		for i, k := range kinds {
 			known[i] = string(k)
 		}
-		l.reportAt(r.column, fmt.Sprintf("there is no kind of rule %q", r.kind), suggestName(string(r.kind), known))
+		l.reportAt(r.column, fmt.Sprintf("there is no kind of rule %q", r.kind), vwsuggest.Name(string(r.kind), known))
 		return false
 	}
 	return l.checkNames(r)
@@ -111,8 +121,8 @@
 	}
 	valid := true
 	for _, n := range r.names {
-		if !namePattern.MatchString(n.text) {
-			l.reportAt(n.column, fmt.Sprintf("%q is not a name", n.text), "write up to 63 letters a-z, digits, - and _, beginning with a letter or digit")
+		if !IsName(n.text) {
+			l.reportAt(n.column, fmt.Sprintf("%q is not a name", n.text), "write "+NameForm)
 			valid = false
 		}
 	}
@@ -176,7 +186,7 @@
 	for i, f := range own {
 		known[i] = f.name
 	}
-	return suggestName(mistyped, known)
+	return vwsuggest.Name(mistyped, known)
 }
 
 // valueText returns the value of a key as it is written.
--- a/internal/version/vwrule/parse.go
+++ b/internal/version/vwrule/parse.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwsuggest"
 	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
@@ -148,7 +149,7 @@
 		for _, d := range slices.Sorted(maps.Keys(declared)) {
 			known = append(known, string(d))
 		}
-		suggestion = suggestName(n.text, known) + ", or " + suggestion
+		suggestion = vwsuggest.Name(n.text, known) + ", or " + suggestion
 	}
 	c.report(r, n.column, fmt.Sprintf("no line declares %s.%s", kind, n.text), suggestion)
 }
--- a/internal/version/vwrule/suggest.go
+++ b/pkg/vwsuggest/name.go
@@ -1,4 +1,5 @@
-package vwrule
+// Package vwsuggest proposes what a person may have meant to write.
+package vwsuggest
 
 import (
 	"fmt"
@@ -9,13 +10,13 @@
 const (
 	// maxListed bounds how many known names a suggestion lists.
 	maxListed = 10
-	// maxName is the length of the longest accepted name. Longer ones are not compared, because the time
-	// for a comparison grows with the product of both lengths.
+	// maxName is the length of the longest name that is compared, because the time for a comparison
+	// grows with the product of both lengths.
 	maxName = 63
 )
 
-// suggestName proposes the known name nearest to a mistyped one, or lists the known ones.
-func suggestName(mistyped string, known []string) string {
+// Name proposes the known name nearest to a mistyped one, or lists the known ones.
+func Name(mistyped string, known []string) string {
 	best, bestDistance := "", len(mistyped)/2+1
 	for _, candidate := range known {
 		if len(mistyped) > maxName {
