--- a/internal/version/vwrule/rules.go
+++ b/internal/version/vwrule/rules.go
@@ -127,3 +127,8 @@
 	}
 	return chain
 }
+
+// Len returns the number of rules in the file.
+func (r *Rules) Len() int {
+	return len(r.rules)
+}
