Test the backend client on in-memory connections

The verdicts of a call, and that nothing is sent twice, were not shown yet.

The dial of the client can be replaced, so that the tests run net/http over pipes under the fake clock.

--- a/internal/connection/vwbackend/client.go
+++ b/internal/connection/vwbackend/client.go
@@ -44,6 +44,8 @@
 type Settings struct {
 	Slots     int
 	MaxAnswer int64
+	// Dial opens connections, by TCP when it is nil.
+	Dial Dial
 }
 
 // Client calls a backend server. It is safe for concurrent use.
@@ -61,18 +63,21 @@
 	if settings.MaxAnswer == 0 {
 		settings.MaxAnswer = DefaultMaxAnswer
 	}
+	if settings.Dial == nil {
+		settings.Dial = dialTCP
+	}
 	if settings.Slots < 0 || settings.Slots > MaxConnections {
 		return nil, trace.BadParameter("slots must be from 1 to %d, not %d", MaxConnections, settings.Slots)
 	}
 	if settings.MaxAnswer < 0 {
 		return nil, trace.BadParameter("the limit of an answer must be positive, not %d", settings.MaxAnswer)
 	}
-	return &Client{settings: settings, slots: make(chan struct{}, settings.Slots), transport: makeTransport()}, nil
+	return &Client{settings: settings, slots: make(chan struct{}, settings.Slots), transport: makeTransport(settings.Dial)}, nil
 }
 
-func makeTransport() *http.Transport {
+func makeTransport(dial Dial) *http.Transport {
 	return &http.Transport{
-		DialContext:            dial,
+		DialContext:            counted(dial),
 		MaxConnsPerHost:        MaxConnections,
 		MaxIdleConns:           MaxConnections,
 		MaxIdleConnsPerHost:    MaxConnections,
--- a/internal/connection/vwbackend/conn.go
+++ b/internal/connection/vwbackend/conn.go
@@ -27,13 +27,23 @@
 	return c.Conn.Write(data)
 }
 
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+// Dial opens a connection to a backend server.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+func dialTCP(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveProbe}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+	return dialer.DialContext(ctx, network, address)
+}
+
+// counted makes dial return connections that count their writes.
+func counted(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn}, nil
 	}
-	return &countedConn{Conn: conn}, nil
 }
 
 // use records on which connection a request went out and what had been written there before.
