Force a dial in the test of a refused dial

The test failed in 1 of 20 repetitions: the client reused the kept connection before it saw its end, wrote to it, and rightly answered MayHaveRun.

The test now drops kept connections first, so that the call has to dial.

--- a/internal/connection/vwbackend/client_test.go
+++ b/internal/connection/vwbackend/client_test.go
@@ -271,6 +271,8 @@
 	require.Equal(t, "payload", body)
 	require.Equal(t, []string{"s", "t", "7"}, []string{header.Get("Submission-Id"), header.Get("Task-Id"), header.Get("Epoch")})
 	server.Close()
+	// A kept connection may not show its end yet; a write to it may have reached the server.
+	c.Close()
 	_, err = c.Run(t.Context(), call)
 	require.True(t, vwverdict.IsNotRun(err), "%v", err)
 	require.True(t, vwbackend.IsUnreachable(err))
