--- a/internal/connection/vwlink/pool.go
+++ b/internal/connection/vwlink/pool.go
@@ -44,8 +44,10 @@
 	slots map[string]*poolSlot
 }
 
+// poolSlot holds the session to one address. The turn is a lock that a caller can stop waiting for,
+// because it is held during a dial.
 type poolSlot struct {
-	mu      sync.Mutex
+	turn    chan struct{}
 	session *Session
 }
 
@@ -57,8 +59,12 @@
 // Get returns a live session to address. An error has verdict NotRun.
 func (p *Pool) Get(ctx context.Context, address string) (*Session, error) {
 	slot := p.slot(address)
-	slot.mu.Lock()
-	defer slot.mu.Unlock()
+	select {
+	case slot.turn <- struct{}{}:
+		defer func() { <-slot.turn }()
+	case <-ctx.Done():
+		return nil, vwverdict.Wrap(vwverdict.NotRun, ctx.Err())
+	}
 	if slot.session != nil && !slot.session.Ended() {
 		return slot.session, nil
 	}
@@ -80,7 +86,7 @@
 	defer p.mu.Unlock()
 	slot, ok := p.slots[address]
 	if !ok {
-		slot = &poolSlot{}
+		slot = &poolSlot{turn: make(chan struct{}, 1)}
 		p.slots[address] = slot
 	}
 	return slot
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -105,6 +105,7 @@
 				l.registration.agent.do(func(time.Time) { l.retryOffer(offer) })
 			} else {
 				registered = true
+				l.registration.agent.do(func(time.Time) { l.registration.admit(l) })
 			}
 		}
 		if registered {
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -147,8 +147,6 @@
 	}
 	l.target.link = l
 	r.links[l.entry] = l
-	r.granter.AddEntry(l.entry, l.session.Peer().DataCentre)
-	r.dirty = true
 	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
 	if r.agent.stopping || r.agent.backend.leaving {
 		l.send(&vwmessage.Leaving{})
@@ -156,6 +154,16 @@
 	return true
 }
 
+// admit lets the entry of a registered link have credits. Before that the entry would drop them, and
+// they would be lost to both ends.
+func (r *registration) admit(l *link) {
+	if l.retired {
+		return
+	}
+	r.granter.AddEntry(l.entry, l.session.Peer().DataCentre)
+	r.dirty = true
+}
+
 // retire ends the processing of messages from a link. Starts that wait for a slot are dropped: the
 // entry learns by a fence on the next link that they have not started.
 func (r *registration) retire(l *link) {
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -174,7 +174,7 @@
 		r.agent.counters.Refused.Add(1)
 		w.link.send(&vwmessage.Result{
 			SubmissionID: w.key.submission, Epoch: w.epoch, TaskID: w.key.task,
-			Verdict: vwverdict.Of(err), Failed: true, Message: err.Error(),
+			Verdict: vwverdict.Of(err), Fenced: vwstart.IsFencedByLaterEpoch(err), Failed: true, Message: err.Error(),
 		})
 		return
 	}
--- /dev/null
+++ b/internal/process/vwhistory/cluster_test.go
@@ -0,0 +1,294 @@
+package vwhistory_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"vanillawind.example/vanillawind/internal/connection/vwbackend"
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwlinktest"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwagent"
+	"vanillawind.example/vanillawind/internal/process/vwcontroltest"
+	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/pkg/vwapi"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+const (
+	service vwid.Service = "pedidos"
+	team    vwid.Team    = "Stands"
+	rules                = `Service.pedidos = {} # Ana, platform
+Team.Stands = {} # Ana, platform
+DataCentre.Guayaquil = {} # Ana, platform
+DataCentre.Manta = {} # Ana, platform
+DataCentre.Salinas = {} # Ana, platform
+`
+)
+
+var dataCentres = []vwid.DataCentre{"Guayaquil", "Manta", "Salinas"}
+
+// start is one start as a backend server saw it.
+type start struct {
+	submission vwid.SubmissionID
+	task       vwid.TaskID
+	epoch      vwid.Epoch
+	dataCentre vwid.DataCentre
+	worker     int
+	at         time.Time
+}
+
+// record is what the backend servers saw.
+type record struct {
+	mu     sync.Mutex
+	starts []start
+}
+
+func (r *record) add(s start) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.starts = append(r.starts, s)
+}
+
+func (r *record) all() []start {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]start(nil), r.starts...)
+}
+
+// backendServer is the fake server beside one agent. It answers each task with the task's own ids.
+type backendServer struct {
+	record     *record
+	dataCentre vwid.DataCentre
+	worker     int
+	mu         sync.Mutex
+	ctx        context.Context
+	crash      context.CancelFunc
+}
+
+func (b *backendServer) revive() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ctx, b.crash = context.WithCancel(context.Background())
+}
+
+func (b *backendServer) context() context.Context {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.ctx
+}
+
+// Run implements vwagent.Backend.
+func (b *backendServer) Run(ctx context.Context, task vwbackend.Task) ([]byte, error) {
+	alive := b.context()
+	if alive.Err() != nil {
+		return nil, vwverdict.Wrap(vwverdict.NotRun, &vwbackend.ErrUnreachable{Address: task.Address, Err: alive.Err()})
+	}
+	b.record.add(start{task.SubmissionID, task.TaskID, task.Epoch, b.dataCentre, b.worker, time.Now()})
+	var millis int
+	if err := json.Unmarshal(task.Payload, &millis); err != nil {
+		return nil, vwverdict.Wrap(vwverdict.Ran, err)
+	}
+	timer := time.NewTimer(time.Duration(millis) * time.Millisecond)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return json.Marshal(string(task.SubmissionID) + "/" + string(task.TaskID))
+	case <-alive.Done():
+		return nil, vwverdict.Wrap(vwverdict.MayHaveRun, alive.Err())
+	case <-ctx.Done():
+		return nil, vwverdict.Wrap(vwverdict.MayHaveRun, ctx.Err())
+	}
+}
+
+// entryProcess is one entry with its part of the network. Entry is nil while it is dead.
+type entryProcess struct {
+	index   int
+	address string
+	entry   *vwentry.Entry
+	control *vwcontroltest.Client
+	serving *vwgroup.Group
+}
+
+// agentProcess is one agent with its backend server. Agent is nil while it is dead.
+type agentProcess struct {
+	index      int
+	address    string
+	dataCentre vwid.DataCentre
+	agent      *vwagent.Agent
+	backend    *backendServer
+	running    *vwgroup.Group
+	left       bool
+}
+
+// cluster is a set of processes on one in-memory network.
+type cluster struct {
+	network *vwlinktest.Network
+	control *vwcontroltest.Control
+	record  *record
+	entries []*entryProcess
+	agents  []*agentProcess
+	log     *slog.Logger
+}
+
+func startCluster(entries, agents int, log *slog.Logger) *cluster {
+	c := &cluster{
+		network: vwlinktest.MakeNetwork(1500 * time.Microsecond),
+		control: vwcontroltest.Make(5 * time.Millisecond),
+		record:  &record{},
+		log:     log,
+	}
+	for i := range entries {
+		e := &entryProcess{index: i, address: fmt.Sprintf("entry-%d", i)}
+		c.entries = append(c.entries, e)
+		c.startEntry(e)
+	}
+	for i := range agents {
+		a := &agentProcess{index: i, address: fmt.Sprintf("agent-%d", i), dataCentre: dataCentres[i%len(dataCentres)]}
+		a.backend = &backendServer{record: c.record, dataCentre: a.dataCentre, worker: i}
+		c.agents = append(c.agents, a)
+		c.startAgent(a)
+	}
+	return c
+}
+
+func (c *cluster) startEntry(e *entryProcess) {
+	hello := vwmessage.Hello{
+		Cluster: "test", Process: vwid.Process(e.address), Incarnation: vwid.MakeIncarnation(),
+		Role: "Entry", DataCentre: dataCentres[e.index%len(dataCentres)],
+	}
+	endpoint := c.network.MakeEndpoint(e.address, hello)
+	settings := vwentry.DefaultSettings()
+	settings.Process, settings.DataCentre, settings.LinkAddress = hello.Process, hello.DataCentre, e.address
+	e.control = c.control.Client()
+	e.entry = vwentry.Make(settings, hello.Incarnation, e.control, endpoint, c.log)
+	e.entry.Start()
+	e.serving = vwgroup.Make(context.Background())
+	entry := e.entry
+	e.serving.Run(func(ctx context.Context) { _ = vwlink.Serve(ctx, endpoint, entry) })
+}
+
+func (c *cluster) killEntry(e *entryProcess) {
+	if e.entry == nil {
+		return
+	}
+	c.network.Kill(e.address)
+	e.entry.Kill()
+	_ = e.serving.Stop()
+	e.entry = nil
+}
+
+func (c *cluster) startAgent(a *agentProcess) {
+	var seeds []string
+	for _, e := range c.entries {
+		seeds = append(seeds, e.address)
+	}
+	a.backend.revive()
+	agent, err := vwagent.Make(vwagent.Options{
+		Settings: vwagent.Settings{Cluster: "test", Process: vwid.Process(a.address), DataCentre: a.dataCentre, Rack: "a", Entries: seeds, Slots: 4},
+		Backend:  a.backend,
+		MakeEndpoint: func(hello vwmessage.Hello) (vwagent.Endpoint, error) {
+			return c.network.MakeEndpoint(a.address, hello), nil
+		},
+		MakeLease: vwagent.MakeConfigLease,
+		Logger:    c.log,
+	})
+	if err != nil {
+		panic(err)
+	}
+	a.agent = agent
+	a.running = vwgroup.Make(context.Background())
+	a.running.Run(func(ctx context.Context) { _ = agent.Run(ctx) })
+	a.running.Run(func(ctx context.Context) { c.announce(ctx, a, agent) })
+}
+
+// announce keeps announcing the backend server while it lives and has not left.
+func (c *cluster) announce(ctx context.Context, a *agentProcess, agent *vwagent.Agent) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		a.backend.mu.Lock()
+		active := a.backend.ctx.Err() == nil && !a.left
+		a.backend.mu.Unlock()
+		if active {
+			_ = agent.Announce(ctx, vwagent.Announcement{Service: service, Address: "http://127.0.0.1:9", Slots: 4})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *cluster) setLeft(a *agentProcess, left bool) {
+	a.backend.mu.Lock()
+	a.left = left
+	a.backend.mu.Unlock()
+	if left && a.agent != nil {
+		_ = a.agent.Leave(context.Background())
+	}
+}
+
+func (c *cluster) killAgent(a *agentProcess) {
+	if a.agent == nil {
+		return
+	}
+	c.network.Kill(a.address)
+	a.backend.crash()
+	_ = a.running.Stop()
+	a.agent = nil
+}
+
+func (c *cluster) stop() {
+	for _, e := range c.entries {
+		c.killEntry(e)
+	}
+	for _, a := range c.agents {
+		c.killAgent(a)
+	}
+	_ = c.network.Close()
+}
+
+// call sends an HTTP request to an entry without a socket and returns the answer.
+func (e *entryProcess) call(ctx context.Context, operators bool, method, path string, body any) *httptest.ResponseRecorder {
+	data, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	answer := httptest.NewRecorder()
+	entry := e.entry
+	if entry == nil {
+		return nil
+	}
+	handler := entry.CallersHandler()
+	if operators {
+		handler = entry.OperatorsHandler()
+	}
+	handler.ServeHTTP(answer, httptest.NewRequest(method, path, bytes.NewReader(data)).WithContext(ctx))
+	return answer
+}
+
+func (e *entryProcess) putRules(ctx context.Context, base vwid.ConfigVersion, text string) int {
+	answer := e.call(ctx, true, http.MethodPut, "/Rules", vwapi.RulesChange{ChangeID: vwid.MakeChangeID(), Base: base, Text: text, By: "Ana"})
+	if answer == nil {
+		return 0
+	}
+	return answer.Code
+}
+
+func init() {
+	if _, err := vwrule.Parse("rules", []byte(rules)); err != nil {
+		panic(err)
+	}
+}
