--- a/internal/process/vwsettings/file_test.go
+++ b/internal/process/vwsettings/file_test.go
@@ -1,6 +1,7 @@
 package vwsettings
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -114,3 +115,24 @@
 		require.NoError(t, Check(s))
 	})
 }
+
+// The operators' page must list each key with the default in the code.
+func TestDocument(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/operator/settings.md")
+	require.NoError(t, err)
+	for _, role := range roles {
+		defaults := Defaults(role)
+		for _, k := range keysOf(&defaults) {
+			if !k.has(role) {
+				continue
+			}
+			_, row, listed := strings.Cut(string(page), "| `"+k.path+"` | ")
+			require.True(t, listed, k.path)
+			cells := strings.SplitN(row, "|", 3)
+			require.True(t, strings.Contains(cells[0], "all") || strings.Contains(cells[0], string(role)), k.path)
+			if !k.isUnset() && k.path != "Role" {
+				require.Equal(t, fmt.Sprint(k.value.Interface()), strings.Trim(cells[1], ` "`), k.path)
+			}
+		}
+	}
+}
