Grant credits by team, then to the entry whose task waits longest

Shares of entries by the number of waiting tasks let a job wait behind later ones at another entry. The Granter now ranks teams over all entries by priority and weighted credits, and within a team prefers the oldest task.

--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -15,8 +15,8 @@
 	OverCommit int
 	// DataCentre is the agent's own data centre.
 	DataCentre vwid.DataCentre
-	// Weights are the shares of the teams. A team that is not named has the weight 1.
-	Weights map[vwid.Team]float64
+	// Policy gives the shares and priorities of the teams.
+	Policy Policy
 }
 
 // Action is a decision of a Granter about one entry. One of Grant and Recall is zero.
@@ -28,9 +28,12 @@
 
 // Granter divides the slots of one worker as credits among the entries.
 type Granter struct {
-	settings    GranterSettings
-	entries     map[vwid.Incarnation]*entryState
-	order       []*entryState
+	settings GranterSettings
+	entries  map[vwid.Incarnation]*entryState
+	order    []*entryState
+	teams    map[vwid.Team]*teamShare
+	// ranking lists teams by first use, so that decisions do not depend on the order of a map.
+	ranking     []*teamShare
 	running     int
 	outstanding int
 	virtual     float64
@@ -38,27 +41,9 @@
 	actions     []Action
 }
 
-// entryState is an entry as an agent sees it.
-type entryState struct {
-	incarnation vwid.Incarnation
-	dataCentre  vwid.DataCentre
-	demand      []vwmessage.TeamDemand
-	// unmet is the number of waiting tasks for which no credit is granted yet.
-	unmet int
-	// outstanding is the number of credits that the entry holds, and recalling how many of them
-	// are asked back.
-	outstanding int
-	recalling   int
-	// share is the entry's weight by the teams that wait at it, and virtual the credits that it
-	// got divided by that weight.
-	share   float64
-	virtual float64
-	grant   int
-}
-
 // MakeGranter returns a Granter that knows no entries.
 func MakeGranter(settings GranterSettings) *Granter {
-	return &Granter{settings: settings, entries: map[vwid.Incarnation]*entryState{}}
+	return &Granter{settings: settings, entries: map[vwid.Incarnation]*entryState{}, teams: map[vwid.Team]*teamShare{}}
 }
 
 // AddEntry makes an entry known. A known one is left as it is.
@@ -66,7 +51,7 @@
 	if g.entries[entry] != nil {
 		return
 	}
-	e := &entryState{incarnation: entry, dataCentre: dataCentre, virtual: g.virtual}
+	e := &entryState{incarnation: entry, dataCentre: dataCentre}
 	g.entries[entry] = e
 	g.order = append(g.order, e)
 }
@@ -78,6 +63,7 @@
 	if e == nil {
 		return
 	}
+	e.clear()
 	g.outstanding -= e.outstanding
 	delete(g.entries, entry)
 	for i, other := range g.order {
@@ -86,7 +72,6 @@
 			break
 		}
 	}
-	g.weigh()
 }
 
 // SetDemand records what waits at an entry.
@@ -95,25 +80,16 @@
 	if e == nil {
 		return
 	}
-	e.demand = append(e.demand[:0], demand.Teams...)
-	waiting := 0
-	for _, team := range e.demand {
-		waiting += team.Waiting
-	}
-	// An entry uses the credits that it holds before it reports demand, so those that are still
-	// outstanding are on the way to it and will meet a part of the demand.
-	idle := e.unmet == 0
-	e.unmet = max(0, waiting-e.outstanding)
-	if idle && e.unmet > 0 {
-		e.virtual = max(e.virtual, g.virtual)
-	}
-	g.weigh()
+	e.clear()
+	e.set(demand.Teams, g.share)
 }
 
-// SetWeights replaces the shares of the teams.
-func (g *Granter) SetWeights(weights map[vwid.Team]float64) {
-	g.settings.Weights = weights
-	g.weigh()
+// SetPolicy replaces the shares and priorities of the teams.
+func (g *Granter) SetPolicy(policy Policy) {
+	g.settings.Policy = policy
+	for _, team := range g.ranking {
+		team.policy = policy.team(team.name)
+	}
 }
 
 // Started records that an entry used n credits.
@@ -156,12 +132,15 @@
 }
 
 // Decide returns the credits to grant and to recall. The result is valid until the next call.
-func (g *Granter) Decide(_ time.Time) []Action {
+func (g *Granter) Decide(now time.Time) []Action {
 	g.actions = g.actions[:0]
 	slots, overCommit := g.settings.Slots, g.settings.OverCommit
 	if g.stopped {
 		slots, overCommit = 0, 0
 	}
+	for _, e := range g.order {
+		e.stamp(now)
+	}
 	g.meetDemand(slots + overCommit)
 	g.spread(slots)
 	for _, e := range g.order {
@@ -174,23 +153,37 @@
 	return g.actions
 }
 
-// meetDemand grants credits to entries with waiting tasks, by their shares.
+// meetDemand grants credits for waiting tasks, by the shares of the teams over all entries and
+// within a team to the entry whose task waits longest.
 func (g *Granter) meetDemand(limit int) {
 	for g.running+g.outstanding < limit {
-		var best *entryState
-		for _, e := range g.order {
-			if e.unmet > 0 && (best == nil || e.virtual < best.virtual) {
-				best = e
+		var team *teamShare
+		for _, other := range g.ranking {
+			if other.unmet > 0 && other.ahead(team) {
+				team = other
 			}
 		}
-		if best == nil {
+		if team == nil {
 			return
 		}
-		g.virtual = max(g.virtual, best.virtual)
-		best.virtual += 1 / best.share
-		best.unmet--
-		g.give(best)
+		g.virtual = max(g.virtual, team.virtual)
+		e, row := g.oldest(team)
+		row.meet()
+		e.unmet--
+		g.give(e)
+	}
+}
+
+// oldest returns the entry at which the first task of the team arrived earliest.
+func (g *Granter) oldest(team *teamShare) (*entryState, *demandRow) {
+	var best *entryState
+	var first *demandRow
+	for _, e := range g.order {
+		if row := e.row(team); row != nil && (first == nil || row.since.Before(first.since)) {
+			best, first = e, row
+		}
 	}
+	return best, first
 }
 
 // spread grants the credits of idle slots to the entries with the fewest, so that a task that
@@ -270,37 +263,16 @@
 	}
 }
 
-// weigh divides the weight of each team over the entries at which it waits, by the number of its
-// tasks there. The entries' shares follow the teams' shares, wherever their callers connect.
-func (g *Granter) weigh() {
-	for _, e := range g.order {
-		e.share = 0
-		for _, d := range e.demand {
-			if d.Waiting > 0 {
-				e.share += g.weight(d.Team) * float64(d.Waiting) / float64(g.waiting(d.Team))
-			}
-		}
-		if e.share <= 0 {
-			e.share = 1
-		}
-	}
-}
-
-func (g *Granter) weight(team vwid.Team) float64 {
-	if weight := g.settings.Weights[team]; weight > 0 {
-		return weight
+// share returns the team's state. Unused share is not saved up while nothing of the team waits.
+func (g *Granter) share(name vwid.Team) *teamShare {
+	found, ok := g.teams[name]
+	if !ok {
+		found = &teamShare{name: name, policy: g.settings.Policy.team(name)}
+		g.teams[name] = found
+		g.ranking = append(g.ranking, found)
 	}
-	return 1
-}
-
-func (g *Granter) waiting(team vwid.Team) int {
-	sum := 0
-	for _, e := range g.order {
-		for _, d := range e.demand {
-			if d.Team == team {
-				sum += d.Waiting
-			}
-		}
+	if found.unmet == 0 {
+		found.virtual = max(found.virtual, g.virtual)
 	}
-	return sum
+	return found
 }
