Ask as many agents for credits as tasks wait

Reporting all waiting tasks to all agents moved credits for one task at eleven workers, and a team that was new at a busy entry was not reported at all. The queue now asks for two credits per waiting task, at the agents that were asked for the fewest, near ones first, and reports a team that no agent knows of at once.

--- a/internal/process/vwdispatch/demand.go
+++ b/internal/process/vwdispatch/demand.go
@@ -1,37 +1,85 @@
 package vwdispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
-// The waiting tasks that were last reported are refreshed when their number has grown by
-// refreshGrowth or fallen by refreshFall. Agents need the number only for the shares of entries.
-const (
-	refreshGrowth = 2
-	refreshFall   = 8
-)
+// hedge is how many credits are asked for per waiting task. More than one lets a task use the first
+// slot that becomes free at several workers; each further one costs messages.
+const hedge = 2
 
 // NextDemand returns the next worker whose agent must learn what waits for it, and the report to
 // send. The owner calls it after Next until it reports false, and sends each report at once.
 func (q *Queue) NextDemand(now time.Time) (vwid.Incarnation, vwmessage.Demand, bool) {
 	for _, s := range q.order {
-		s.review()
-		for len(s.stale) > 0 {
-			w := s.stale[len(s.stale)-1]
-			s.stale = s.stale[:len(s.stale)-1]
-			w.stale = false
-			if unserved := s.unserved(); q.workers[w.Incarnation] == w && w.mustTell(unserved) {
-				w.told, w.reported = unserved, unserved
-				return w.Incarnation, q.Demand(now, s.name), true
-			}
+		if w, count := s.nextAsked(); w != nil {
+			s.told += count - w.told
+			w.told = count
+			return w.Incarnation, vwmessage.Demand{Service: s.name, Teams: s.demand(now, count)}, true
 		}
 	}
 	return "", vwmessage.Demand{}, false
 }
 
+// nextAsked returns a worker and for how many tasks its agent is to grant credits from now on.
+func (s *serviceQueue) nextAsked() (*workerState, int) {
+	unserved := s.unserved()
+	if unserved == 0 {
+		return s.nextMistaken(), 0
+	}
+	missing := hedge*unserved - s.told
+	if s.covered(missing) {
+		return nil, 0
+	}
+	w := s.leastTold()
+	if w == nil {
+		return nil, 0
+	}
+	return w, w.told + max(1, (missing+len(s.workers)-1)/len(s.workers))
+}
+
+// covered reports whether the agents need no further report. While all of them have enough to
+// grant for, only a large change matters.
+func (s *serviceQueue) covered(missing int) bool {
+	for _, team := range s.order {
+		if team.sendable() > 0 && !team.reported {
+			return false
+		}
+	}
+	return missing <= 0 || (s.told > 2*s.slots && missing < s.told)
+}
+
+// nextMistaken returns a worker whose agent grants credits for tasks that are gone, or nil.
+func (s *serviceQueue) nextMistaken() *workerState {
+	for len(s.mistaken) > 0 {
+		w := s.mistaken[len(s.mistaken)-1]
+		s.mistaken = s.mistaken[:len(s.mistaken)-1]
+		if w.mistaken = false; w.told > 0 && w.credits > 0 {
+			return w
+		}
+	}
+	return nil
+}
+
+// leastTold returns the worker that was asked for the fewest credits, near ones first, or nil.
+func (s *serviceQueue) leastTold() *workerState {
+	var best *workerState
+	for _, w := range s.workers {
+		if w.out {
+			continue
+		}
+		if best == nil || w.told < best.told || (w.told == best.told && w.near && !best.near) {
+			best = w
+		}
+	}
+	return best
+}
+
 // unserved returns the number of tasks that wait because no credit is left.
 func (s *serviceQueue) unserved() int {
 	if s.worker() != nil {
@@ -44,43 +92,47 @@
 	return sum
 }
 
-// review marks all workers for a new report when the number of waiting tasks has changed much.
-func (s *serviceQueue) review() {
-	unserved := s.unserved()
-	if unserved == 0 {
-		s.reviewed = 0
-		return
-	}
-	if s.reviewed > 0 && unserved < refreshGrowth*s.reviewed && unserved*refreshFall > s.reviewed {
-		return
-	}
-	s.reviewed = unserved
-	for _, w := range s.workers {
-		s.mark(w)
+// demand lists the teams of the next count tasks, those that no agent knows of first.
+func (s *serviceQueue) demand(now time.Time, count int) []vwmessage.TeamDemand {
+	s.ranked = s.ranked[:0]
+	for _, team := range s.order {
+		if team.sendable() > 0 {
+			s.ranked = append(s.ranked, team)
+		}
 	}
-}
-
-func (s *serviceQueue) mark(w *workerState) {
-	if !w.stale {
-		w.stale = true
-		s.stale = append(s.stale, w)
+	slices.SortStableFunc(s.ranked, func(a, b *teamQueue) int {
+		if a.reported != b.reported {
+			return cmp.Compare(boolRank(a.reported), boolRank(b.reported))
+		}
+		return cmp.Compare(boolRank(!a.ahead(b)), boolRank(!b.ahead(a)))
+	})
+	var teams []vwmessage.TeamDemand
+	for i, team := range s.ranked {
+		part := min(team.sendable(), (count+len(s.ranked)-i-1)/(len(s.ranked)-i))
+		if part <= 0 {
+			break
+		}
+		count -= part
+		team.reported = true
+		teams = append(teams, vwmessage.TeamDemand{Team: team.team.name, Waiting: part, OldestMilliseconds: team.oldest(now).Milliseconds()})
 	}
+	return teams
 }
 
-// mustTell reports whether the agent's view of the waiting tasks has to be replaced. That nothing
-// waits is reported only once the agent has granted a credit that was not needed.
-func (w *workerState) mustTell(unserved int) bool {
-	if w.out {
-		return false
-	}
-	if unserved == 0 {
-		return w.told > 0 && w.credits > 0
+func boolRank(b bool) int {
+	if b {
+		return 1
 	}
-	return w.told == 0 || unserved >= refreshGrowth*w.reported || unserved*refreshFall <= w.reported
+	return 0
 }
 
 // noteGrant follows the agent's own count of tasks that still need a credit.
 func (w *workerState) noteGrant(count int) {
-	w.told = max(0, w.told-count)
-	w.service.mark(w)
+	count = min(count, w.told)
+	w.told -= count
+	w.service.told -= count
+	if w.told > 0 && !w.mistaken {
+		w.mistaken = true
+		w.service.mistaken = append(w.service.mistaken, w)
+	}
 }
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -94,10 +94,9 @@
 		credits = known.credits
 		q.RemoveWorker(worker.Incarnation)
 	}
-	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre]}
+	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre], near: worker.DataCentre == q.settings.DataCentre}
 	w.service.slots += worker.Slots
 	w.service.workers = append(w.service.workers, w)
-	w.service.mark(w)
 	q.workers[worker.Incarnation] = w
 	q.place(w)
 }
@@ -112,6 +111,8 @@
 	w.credits = 0
 	q.place(w)
 	w.service.slots -= w.Slots
+	w.service.told -= w.told
+	w.told = 0
 	w.service.workers = slices.DeleteFunc(w.service.workers, func(other *workerState) bool { return other == w })
 	delete(q.workers, worker)
 }
@@ -196,7 +197,6 @@
 	}
 	for _, w := range q.workers {
 		w.out = policy.Out[w.DataCentre]
-		w.service.mark(w)
 		q.place(w)
 	}
 }
@@ -285,6 +285,7 @@
 	task := job.take()
 	q.count(team, -1, -task.Bytes)
 	team.waiting--
+	team.reported = team.reported && team.waiting > 0
 	team.team.sent++
 	if job.waiting() == 0 {
 		team.jobs.pop()
@@ -302,7 +303,7 @@
 // place puts w into the ring in which its credits are found, or takes it out.
 func (q *Queue) place(w *workerState) {
 	switch {
-	case w.usable() && w.ring == nil && w.DataCentre == q.settings.DataCentre:
+	case w.usable() && w.ring == nil && w.near:
 		w.service.near.add(w)
 	case w.usable() && w.ring == nil:
 		w.service.far.add(w)
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -17,11 +17,12 @@
 	slots   int
 	near    workerRing
 	far     workerRing
-	// workers lists all workers, and stale those whose agents may need a new report of demand.
 	workers []*workerState
-	stale   []*workerState
-	// reviewed is the number of waiting tasks at the last report to all workers.
-	reviewed int
+	// told is the number of credits that agents are asked for and have not granted.
+	told int
+	// mistaken lists workers whose agents may grant credits for tasks that are gone.
+	mistaken []*workerState
+	ranked   []*teamQueue
 }
 
 func (s *serviceQueue) team(state *teamState) *teamQueue {
--- a/internal/process/vwdispatch/teamqueue.go
+++ b/internal/process/vwdispatch/teamqueue.go
@@ -11,6 +11,8 @@
 	jobs    heap[*queuedJob]
 	waiting int
 	dropped int
+	// reported tells that an agent knows of the waiting tasks.
+	reported bool
 	// virtual is the weighted slot time that the team has used, in seconds.
 	virtual float64
 	// charged is the sum of the expected run times of the sent tasks, and sent their number.
--- a/internal/process/vwdispatch/worker.go
+++ b/internal/process/vwdispatch/worker.go
@@ -19,11 +19,10 @@
 	credits int
 	out     bool
 	ring    *workerRing
-	// told is how many waiting tasks the agent believes to need a credit, and reported the number
-	// in the last report to it.
+	near    bool
+	// told is how many credits the agent is asked for and has not granted.
 	told     int
-	reported int
-	stale    bool
+	mistaken bool
 	next     *workerState
 	prev     *workerState
 }
