Ask for one credit per task, and for more when none comes

Two credits per waiting task were asked for at once, and half of the moved credits were not needed. The queue now asks for one, and for one more each 20 ms in which tasks wait and none is sent, so that an agent whose slots are held by long tasks delays a task by little. The entry repeats its turn every 10 ms while tasks wait.

--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -101,6 +101,7 @@
 	credits [][]*message
 	loads   []int
 	choose  Baseline
+	ticking bool
 }
 
 // simWorker is an agent process with its backend server: the real Granter and its slots.
@@ -271,11 +272,15 @@
 	for worker, demand, ok := e.queue.NextDemand(now); ok; worker, demand, ok = e.queue.NextDemand(now) {
 		w, m := e.c.workers[e.worker(worker)], e.c.send(nil)
 		e.c.after(e.c.link(e.dc, w.dc), func() {
+			if w.granter.entries[vwid.Incarnation(fmt.Sprint(e.index))].unmet > 0 {
+				m.cause = w.demand[e.index] // the new report contains what is left of the older one
+			}
 			w.demand[e.index] = m
 			w.granter.SetDemand(vwid.Incarnation(fmt.Sprint(e.index)), demand)
 			w.decide(m)
 		})
 	}
+	e.tick()
 	for _, expired := range e.queue.TakeExpired(now) {
 		job := e.jobs[expired.SubmissionID]
 		job.left -= len(expired.Tasks)
@@ -283,6 +288,17 @@
 	}
 }
 
+// tick repeats the turn every 10 ms while tasks wait, as the entry process does.
+func (e *simEntry) tick() {
+	if e.queue.Waiting() > 0 && !e.ticking {
+		e.ticking = true
+		e.c.after(10*time.Millisecond, func() {
+			e.ticking = false
+			e.turn()
+		})
+	}
+}
+
 func (e *simEntry) worker(incarnation vwid.Incarnation) int {
 	var worker int
 	_, _ = fmt.Sscan(string(incarnation), &worker)
--- a/internal/process/vwdispatch/demand.go
+++ b/internal/process/vwdispatch/demand.go
@@ -9,15 +9,15 @@
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
-// hedge is how many credits are asked for per waiting task. More than one lets a task use the first
-// slot that becomes free at several workers; each further one costs messages.
-const hedge = 2
+// patience is how long waiting tasks see no credit before one more credit per task is asked for. It
+// bounds the harm of asking an agent whose slots are all held by long tasks.
+const patience = 20 * time.Millisecond
 
 // NextDemand returns the next worker whose agent must learn what waits for it, and the report to
 // send. The owner calls it after Next until it reports false, and sends each report at once.
 func (q *Queue) NextDemand(now time.Time) (vwid.Incarnation, vwmessage.Demand, bool) {
 	for _, s := range q.order {
-		if w, count := s.nextAsked(); w != nil {
+		if w, count := s.nextAsked(now); w != nil {
 			s.told += count - w.told
 			w.told = count
 			return w.Incarnation, vwmessage.Demand{Service: s.name, Teams: s.demand(now, count)}, true
@@ -27,12 +27,13 @@
 }
 
 // nextAsked returns a worker and for how many tasks its agent is to grant credits from now on.
-func (s *serviceQueue) nextAsked() (*workerState, int) {
+func (s *serviceQueue) nextAsked(now time.Time) (*workerState, int) {
 	unserved := s.unserved()
 	if unserved == 0 {
+		s.starved = now
 		return s.nextMistaken(), 0
 	}
-	missing := hedge*unserved - s.told
+	missing := s.hedge(now)*unserved - s.told
 	if s.covered(missing) {
 		return nil, 0
 	}
@@ -43,6 +44,14 @@
 	return w, w.told + max(1, (missing+len(s.workers)-1)/len(s.workers))
 }
 
+// hedge returns how many credits to ask for per waiting task.
+func (s *serviceQueue) hedge(now time.Time) int {
+	if s.told > s.slots {
+		return 1
+	}
+	return 1 + int(now.Sub(s.starved)/patience)
+}
+
 // covered reports whether the agents need no further report. While all of them have enough to
 // grant for, only a large change matters.
 func (s *serviceQueue) covered(missing int) bool {
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -146,7 +146,7 @@
 			continue
 		}
 		if team, job := q.pick(now, service); job != nil {
-			return q.send(w, team, job), true
+			return q.send(now, w, team, job), true
 		}
 	}
 	return Assignment{}, false
@@ -281,8 +281,9 @@
 	}
 }
 
-func (q *Queue) send(w *workerState, team *teamQueue, job *queuedJob) Assignment {
+func (q *Queue) send(now time.Time, w *workerState, team *teamQueue, job *queuedJob) Assignment {
 	task := job.take()
+	w.service.starved = now
 	q.count(team, -1, -task.Bytes)
 	team.waiting--
 	team.reported = team.reported && team.waiting > 0
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -20,6 +20,8 @@
 	workers []*workerState
 	// told is the number of credits that agents are asked for and have not granted.
 	told int
+	// starved is the last time at which a task was sent or none waited.
+	starved time.Time
 	// mistaken lists workers whose agents may grant credits for tasks that are gone.
 	mistaken []*workerState
 	ranked   []*teamQueue
