Recall only credits that an entry has held for 10 ms

Recalls met credits that were just granted and already used. A credit is now recalled for another entry after 10 ms; Granter.Retry tells the agent when to decide again. This is the hysteresis of the push thresholds in 'Peer-to-Peer Caching Schemes to Address Flash Crowds', applied to recalls. The paper's probabilistic forwarding was not tried: a task goes to one worker only.

--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -106,16 +106,17 @@
 
 // simWorker is an agent process with its backend server: the real Granter and its slots.
 type simWorker struct {
-	c       *cluster
-	index   int
-	dc      vwid.DataCentre
-	granter *Granter
-	running int
-	waiting []simStart
-	demand  []*message
-	out     bool
-	factor  float64
-	failing bool
+	c        *cluster
+	index    int
+	dc       vwid.DataCentre
+	granter  *Granter
+	running  int
+	waiting  []simStart
+	demand   []*message
+	out      bool
+	factor   float64
+	failing  bool
+	retrying bool
 }
 
 // simStart is a task at a worker.
@@ -421,4 +422,11 @@
 			}
 		})
 	}
+	if at, ok := w.granter.Retry(); ok && !w.retrying {
+		w.retrying = true
+		w.c.after(at.Sub(simTime(w.c.now)), func() {
+			w.retrying = false
+			w.decide(nil)
+		})
+	}
 }
--- a/internal/process/vwdispatch/entrystate.go
+++ b/internal/process/vwdispatch/entrystate.go
@@ -21,6 +21,8 @@
 	outstanding int
 	recalling   int
 	grant       int
+	// granted is when the entry got its last credit.
+	granted time.Time
 }
 
 // clear forgets what waits at the entry.
--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -19,6 +19,11 @@
 	Policy Policy
 }
 
+// standing is how long an entry must hold a credit before it is recalled for another entry. A credit
+// that was just granted is usually used already. This is the hysteresis of the push thresholds in
+// "Peer-to-Peer Caching Schemes to Address Flash Crowds", applied to the recall of credits.
+const standing = 10 * time.Millisecond
+
 // Action is a decision of a Granter about one entry. One of Grant and Recall is zero.
 type Action struct {
 	Entry  vwid.Incarnation
@@ -33,7 +38,10 @@
 	order    []*entryState
 	teams    map[vwid.Team]*teamShare
 	// ranking lists teams by first use, so that decisions do not depend on the order of a map.
-	ranking     []*teamShare
+	ranking []*teamShare
+	now     time.Time
+	// retry is when a credit that is too young to recall will be old enough, zero when there is none.
+	retry       time.Time
 	running     int
 	outstanding int
 	virtual     float64
@@ -133,7 +141,7 @@
 
 // Decide returns the credits to grant and to recall. The result is valid until the next call.
 func (g *Granter) Decide(now time.Time) []Action {
-	g.actions = g.actions[:0]
+	g.actions, g.now, g.retry = g.actions[:0], now, time.Time{}
 	slots, overCommit := g.settings.Slots, g.settings.OverCommit
 	if g.stopped {
 		slots, overCommit = 0, 0
@@ -213,6 +221,7 @@
 
 func (g *Granter) give(e *entryState) {
 	e.grant++
+	e.granted = g.now
 	e.outstanding++
 	g.outstanding++
 }
@@ -228,9 +237,9 @@
 	for _, e := range g.order {
 		need -= e.recalling
 	}
-	for {
+	for need > 0 || excess > 0 {
 		best := g.richest(excess > 0)
-		if best == nil || (need <= 0 && excess <= 0) {
+		if best == nil {
 			return
 		}
 		count := min(best.outstanding, max(need, excess))
@@ -241,6 +250,12 @@
 	}
 }
 
+// Retry returns when Decide is to be called again although nothing happens, and false when that is
+// not needed.
+func (g *Granter) Retry() (time.Time, bool) {
+	return g.retry, !g.retry.IsZero()
+}
+
 // richest returns the entry with the most credits that can be recalled, or nil.
 func (g *Granter) richest(anyEntry bool) *entryState {
 	var best *entryState
@@ -248,6 +263,10 @@
 		if e.recalling > 0 || e.outstanding == 0 || (e.unmet > 0 && !anyEntry) {
 			continue
 		}
+		if age := g.now.Sub(e.granted); !anyEntry && age < standing {
+			g.postpone(e.granted.Add(standing))
+			continue
+		}
 		if best == nil || e.outstanding > best.outstanding {
 			best = e
 		}
@@ -255,6 +274,12 @@
 	return best
 }
 
+func (g *Granter) postpone(until time.Time) {
+	if g.retry.IsZero() || until.Before(g.retry) {
+		g.retry = until
+	}
+}
+
 func (g *Granter) release(entry vwid.Incarnation, n int) {
 	if e := g.entries[entry]; e != nil {
 		n = min(n, e.outstanding)
