Leave idle slots beyond one credit per entry with the agent

Idle slots were all spread over the entries and had to be recalled for an entry that needed more. An entry without waiting tasks now holds one credit of each worker (GranterSettings.Standing), and the agent grants the other idle slots without a recall.

--- a/internal/process/vwdispatch/demand.go
+++ b/internal/process/vwdispatch/demand.go
@@ -34,13 +34,18 @@
 		return s.nextMistaken(), 0
 	}
 	missing := s.hedge(now)*unserved - s.told
-	if s.covered(missing) {
+	idle := s.dry && unserved >= len(s.workers)
+	if !idle && s.covered(missing) {
 		return nil, 0
 	}
 	w := s.leastTold()
 	if w == nil {
 		return nil, 0
 	}
+	if idle && w.told == 0 {
+		missing = max(missing, unserved)
+	}
+	s.dry = idle && w.told == 0
 	return w, w.told + max(1, (missing+len(s.workers)-1)/len(s.workers))
 }
 
@@ -140,6 +145,7 @@
 	count = min(count, w.told)
 	w.told -= count
 	w.service.told -= count
+	w.service.dry = w.service.dry || w.told == 0
 	if w.told > 0 && !w.mistaken {
 		w.mistaken = true
 		w.service.mistaken = append(w.service.mistaken, w)
--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -13,6 +13,10 @@
 	// OverCommit is how many credits may exceed the slots, so that a task is already at the agent
 	// when a slot becomes free. Only waiting tasks get them.
 	OverCommit int
+	// Standing is how many credits an entry without waiting tasks holds at most; zero means
+	// DefaultStanding. The other idle slots stay with the agent, which can grant them to any entry
+	// without a recall.
+	Standing int
 	// DataCentre is the agent's own data centre.
 	DataCentre vwid.DataCentre
 	// Policy gives the shares and priorities of the teams.
@@ -24,6 +28,9 @@
 // "Peer-to-Peer Caching Schemes to Address Flash Crowds", applied to the recall of credits.
 const standing = 10 * time.Millisecond
 
+// DefaultStanding is the default of GranterSettings.Standing.
+const DefaultStanding = 1
+
 // Action is a decision of a Granter about one entry. One of Grant and Recall is zero.
 type Action struct {
 	Entry  vwid.Incarnation
@@ -51,6 +58,9 @@
 
 // MakeGranter returns a Granter that knows no entries.
 func MakeGranter(settings GranterSettings) *Granter {
+	if settings.Standing <= 0 {
+		settings.Standing = DefaultStanding
+	}
 	return &Granter{settings: settings, entries: map[vwid.Incarnation]*entryState{}, teams: map[vwid.Team]*teamShare{}}
 }
 
@@ -207,6 +217,9 @@
 				best = e
 			}
 		}
+		if best.outstanding >= g.settings.Standing {
+			return
+		}
 		g.give(best)
 	}
 }
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -20,6 +20,9 @@
 	workers []*workerState
 	// told is the number of credits that agents are asked for and have not granted.
 	told int
+	// dry tells that an agent may know of no waiting task. While many wait, each is to know of some,
+	// or its slots stay idle.
+	dry bool
 	// starved is the last time at which a task was sent or none waited.
 	starved time.Time
 	// mistaken lists workers whose agents may grant credits for tasks that are gone.
