Try to batch credits with results

A credit for an idle slot goes only to the entry whose task ended, so that it leaves in one packet with the result.

--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -370,7 +370,7 @@
 	}
 	if w.out {
 		w.c.messages++ // a start that is refused
-		w.free()
+		w.free(start.entry)
 		w.answer(start, false, false)
 		return
 	}
@@ -394,7 +394,7 @@
 			start.task.actual = runTime
 			w.answer(start, failed, true)
 			w.fill()
-			w.free()
+			w.free(start.entry)
 		})
 	}
 }
@@ -405,9 +405,9 @@
 	w.c.after(w.c.link(e.dc, w.dc), func() { e.result(w.index, start.task, failed, ran) })
 }
 
-func (w *simWorker) free() {
+func (w *simWorker) free(entry int) {
 	if w.c.policy.baseline == nil {
-		w.granter.Freed(1)
+		w.granter.FreedBy(vwid.Incarnation(fmt.Sprint(entry)), 1)
 		w.decide(nil)
 	}
 }
--- a/internal/process/vwdispatch/scenario_test.go
+++ b/internal/process/vwdispatch/scenario_test.go
@@ -173,7 +173,7 @@
 		for _, start := range waiting {
 			w.c.messages++
 			w.answer(start, false, false)
-			w.free()
+			w.free(start.entry)
 		}
 	}
 	if w.c.policy.baseline == nil {
