--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -370,7 +370,7 @@
 	}
 	if w.out {
 		w.c.messages++ // a start that is refused
-		w.free(start.entry)
+		w.free()
 		w.answer(start, false, false)
 		return
 	}
@@ -394,7 +394,7 @@
 			start.task.actual = runTime
 			w.answer(start, failed, true)
 			w.fill()
-			w.free(start.entry)
+			w.free()
 		})
 	}
 }
@@ -405,9 +405,9 @@
 	w.c.after(w.c.link(e.dc, w.dc), func() { e.result(w.index, start.task, failed, ran) })
 }
 
-func (w *simWorker) free(entry int) {
+func (w *simWorker) free() {
 	if w.c.policy.baseline == nil {
-		w.granter.FreedBy(vwid.Incarnation(fmt.Sprint(entry)), 1)
+		w.granter.Freed(1)
 		w.decide(nil)
 	}
 }
--- a/internal/process/vwdispatch/entrystate.go
+++ b/internal/process/vwdispatch/entrystate.go
@@ -21,8 +21,6 @@
 	outstanding int
 	recalling   int
 	grant       int
-	// due tells that the entry gets a credit for an idle slot at the next decision.
-	due bool
 	// granted is when the entry got its last credit.
 	granted time.Time
 }
--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -69,7 +69,7 @@
 	if g.entries[entry] != nil {
 		return
 	}
-	e := &entryState{incarnation: entry, dataCentre: dataCentre, due: true}
+	e := &entryState{incarnation: entry, dataCentre: dataCentre}
 	g.entries[entry] = e
 	g.order = append(g.order, e)
 }
@@ -124,25 +124,14 @@
 	}
 }
 
-// Freed records that n running tasks ended, of entries that the caller does not tell.
+// Freed records that n running tasks ended.
 func (g *Granter) Freed(n int) {
 	g.running = max(0, g.running-n)
-	g.allDue()
-}
-
-// FreedBy records that n running tasks of an entry ended. A credit for the idle slot goes to that
-// entry only, where it leaves in one packet with the result.
-func (g *Granter) FreedBy(entry vwid.Incarnation, n int) {
-	g.running = max(0, g.running-n)
-	if e := g.entries[entry]; e != nil {
-		e.due = true
-	}
 }
 
 // SetSlots changes the number of slots. When it falls, credits above it are recalled.
 func (g *Granter) SetSlots(n int) {
 	g.settings.Slots = n
-	g.allDue()
 }
 
 // Stop ends the granting of credits for good and recalls all.
@@ -215,30 +204,24 @@
 	return best, first
 }
 
-// spread grants the credits of idle slots to the entries that are due, the one with the fewest
-// first, so that a task that arrives at any of them can leave at once.
+// spread grants the credits of idle slots to the entries with the fewest, so that a task that
+// arrives at any of them can leave at once.
 func (g *Granter) spread(limit int) {
+	if len(g.order) == 0 {
+		return
+	}
 	for g.running+g.outstanding < limit {
-		var best *entryState
-		for _, e := range g.order {
-			if e.due && e.outstanding < g.settings.Standing && (best == nil || g.fewer(e, best)) {
+		best := g.order[0]
+		for _, e := range g.order[1:] {
+			if g.fewer(e, best) {
 				best = e
 			}
 		}
-		if best == nil {
-			break
+		if best.outstanding >= g.settings.Standing {
+			return
 		}
 		g.give(best)
 	}
-	for _, e := range g.order {
-		e.due = false
-	}
-}
-
-func (g *Granter) allDue() {
-	for _, e := range g.order {
-		e.due = true
-	}
 }
 
 // fewer reports whether e is to get an idle credit before other.
--- a/internal/process/vwdispatch/scenario_test.go
+++ b/internal/process/vwdispatch/scenario_test.go
@@ -173,7 +173,7 @@
 		for _, start := range waiting {
 			w.c.messages++
 			w.answer(start, false, false)
-			w.free(start.entry)
+			w.free()
 		}
 	}
 	if w.c.policy.baseline == nil {
