Eject workers that fail what they start, and let them return with care

A worker that fails everything at once draws most tasks. At most half of the workers are ejected, and none when all fail alike. Credits asked of a worker that gets no tasks no longer count as expected.

--- a/internal/process/vwdispatch/demand.go
+++ b/internal/process/vwdispatch/demand.go
@@ -84,7 +84,7 @@
 func (s *serviceQueue) leastTold() *workerState {
 	var best *workerState
 	for _, w := range s.workers {
-		if w.out {
+		if w.blocked() {
 			continue
 		}
 		if best == nil || w.told < best.told || (w.told == best.told && w.near && !best.near) {
--- /dev/null
+++ b/internal/process/vwdispatch/health_test.go
@@ -0,0 +1,68 @@
+package vwdispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// sendOne grants one credit of each worker and returns how many tasks went to each of them.
+func sendOne(t *testing.T, q *vwdispatch.Queue, now time.Time, failing map[vwid.Incarnation]bool) map[vwid.Incarnation]int {
+	t.Helper()
+	sent := map[vwid.Incarnation]int{}
+	for _, worker := range []vwid.Incarnation{"worker-a", "worker-b", "worker-c"} {
+		q.Recall(worker, 100)
+		q.Grant(worker, 1)
+	}
+	for next, ok := q.Next(now); ok; next, ok = q.Next(now) {
+		sent[next.Worker]++
+		q.Finish(now, next.Worker, next.Task.Team, vwdispatch.FinishInfo{Failed: failing[next.Worker]})
+	}
+	return sent
+}
+
+// Guards against a worker that draws tasks because it fails them quickly, and against one that is
+// used in full, or never again, after its fault is repaired.
+func TestEjectionAndReturn(t *testing.T) {
+	q := makeQueue(vwdispatch.Policy{}, "a", "b", "c")
+	require.NoError(t, q.Enqueue(start, makeJob("j", "t", 1000, 0)))
+	failing := map[vwid.Incarnation]bool{"worker-a": true}
+	failed := 0
+	for range 20 {
+		failed += sendOne(t, q, start, failing)["worker-a"]
+	}
+	require.Equal(t, 4, failed)
+	now := start.Add(time.Second)
+	require.Equal(t, 1, sendOne(t, q, now, failing)["worker-a"], "one task tries the worker")
+	require.Zero(t, sendOne(t, q, now.Add(time.Second), failing)["worker-a"], "the second ejection lasts longer")
+	now = now.Add(2 * time.Second)
+	q.Grant("worker-a", 3)
+	first, ok := q.Next(now)
+	require.True(t, ok)
+	require.Equal(t, vwid.Incarnation("worker-a"), first.Worker)
+	_, ok = q.Next(now)
+	require.False(t, ok, "only one task at a time until some succeeded")
+	q.Finish(now, "worker-a", "t", vwdispatch.FinishInfo{})
+	require.Equal(t, 1, sendOne(t, q, now, nil)["worker-a"])
+	require.Equal(t, 1, sendOne(t, q, now, nil)["worker-a"])
+	q.Grant("worker-a", 2)
+	for range 2 {
+		next, ok := q.Next(now)
+		require.True(t, ok)
+		require.Equal(t, vwid.Incarnation("worker-a"), next.Worker)
+	}
+}
+
+// Guards against the ejection of healthy workers when the tasks are the cause of the failures.
+func TestNoEjectionWhenAllFail(t *testing.T) {
+	q := makeQueue(vwdispatch.Policy{}, "a", "b", "c")
+	require.NoError(t, q.Enqueue(start, makeJob("j", "t", 100, 0)))
+	all := map[vwid.Incarnation]bool{"worker-a": true, "worker-b": true, "worker-c": true}
+	for range 20 {
+		require.Len(t, sendOne(t, q, start, all), 3)
+	}
+}
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -89,12 +89,15 @@
 
 // AddWorker makes a worker known. A known incarnation is updated and keeps its credits.
 func (q *Queue) AddWorker(worker Worker) {
-	credits := 0
+	credits, old := 0, health{}
 	if known := q.workers[worker.Incarnation]; known != nil {
-		credits = known.credits
+		credits, old = known.credits, known.health
 		q.RemoveWorker(worker.Incarnation)
 	}
 	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre], near: worker.DataCentre == q.settings.DataCentre}
+	if w.health = old; old.ejected {
+		w.service.ejected++
+	}
 	w.service.slots += worker.Slots
 	w.service.workers = append(w.service.workers, w)
 	q.workers[worker.Incarnation] = w
@@ -112,7 +115,9 @@
 	q.place(w)
 	w.service.slots -= w.Slots
 	w.service.told -= w.told
-	w.told = 0
+	if w.told = 0; w.health.ejected {
+		w.service.ejected--
+	}
 	w.service.workers = slices.DeleteFunc(w.service.workers, func(other *workerState) bool { return other == w })
 	delete(q.workers, worker)
 }
@@ -141,6 +146,7 @@
 // Next takes the next task and uses one credit for it. It reports false when no task can be sent.
 func (q *Queue) Next(now time.Time) (Assignment, bool) {
 	for _, service := range q.order {
+		q.comeBack(now, service)
 		w := service.worker()
 		if w == nil || service.waiting == 0 {
 			continue
@@ -153,11 +159,29 @@
 }
 
 // Finish records the end of a task that was sent to worker.
-func (q *Queue) Finish(_ time.Time, worker vwid.Incarnation, team vwid.Team, info FinishInfo) {
+func (q *Queue) Finish(now time.Time, worker vwid.Incarnation, team vwid.Team, info FinishInfo) {
 	state := q.team(team)
 	state.sent = max(0, state.sent-1)
 	if w := q.workers[worker]; w != nil {
 		w.service.team(state).settle(info.RunTime)
+		if w.health.finished(info.Failed) && w.service.outlier(w) {
+			w.health.eject(now)
+			w.service.ejected++
+		}
+		q.place(w)
+	}
+}
+
+// comeBack lets ejected workers have tasks again when their time is over.
+func (q *Queue) comeBack(now time.Time, service *serviceQueue) {
+	if service.ejected == 0 {
+		return
+	}
+	for _, w := range service.workers {
+		if w.health.comeBack(now) {
+			service.ejected--
+			q.place(w)
+		}
 	}
 }
 
@@ -294,6 +318,7 @@
 	}
 	team.charge(task.RunTime)
 	w.credits--
+	w.health.sent()
 	if w.ring != nil {
 		w.ring.head = w.next
 	}
@@ -303,6 +328,11 @@
 
 // place puts w into the ring in which its credits are found, or takes it out.
 func (q *Queue) place(w *workerState) {
+	if w.blocked() {
+		// Nothing is to be expected from it, so other agents have to be asked.
+		w.service.told -= w.told
+		w.told = 0
+	}
 	switch {
 	case w.usable() && w.ring == nil && w.near:
 		w.service.near.add(w)
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -20,6 +20,8 @@
 	workers []*workerState
 	// told is the number of credits that agents are asked for and have not granted.
 	told int
+	// ejected counts the workers that are ejected because of their failures.
+	ejected int
 	// dry tells that an agent may know of no waiting task. While many wait, each is to know of some,
 	// or its slots stay idle.
 	dry bool
@@ -67,3 +69,18 @@
 	}
 	return 0
 }
+
+// outlier reports whether w fails much more often than the other workers, and few enough workers
+// are ejected that the others can take its work.
+func (s *serviceQueue) outlier(w *workerState) bool {
+	if 2*(s.ejected+1) > len(s.workers) {
+		return false
+	}
+	sum := 0.0
+	for _, other := range s.workers {
+		if other != w && !other.health.ejected {
+			sum += other.health.rate
+		}
+	}
+	return w.health.rate-sum/float64(len(s.workers)-1-s.ejected) > ejectionMargin || w.health.probes > 0
+}
--- a/internal/process/vwdispatch/worker.go
+++ b/internal/process/vwdispatch/worker.go
@@ -20,6 +20,7 @@
 	out     bool
 	ring    *workerRing
 	near    bool
+	health  health
 	// told is how many credits the agent is asked for and has not granted.
 	told     int
 	mistaken bool
@@ -28,7 +29,12 @@
 }
 
 func (w *workerState) usable() bool {
-	return w.credits > 0 && !w.out
+	return w.credits > 0 && !w.blocked()
+}
+
+// blocked reports whether no task may be sent to w, whatever credits are held.
+func (w *workerState) blocked() bool {
+	return w.out || w.health.blocked()
 }
 
 // workerRing lists the workers of which a credit can be used, in the order of use.
