Expect the run time that a team's tasks took lately

Declared run times are often off by a factor of ten, and shares that are charged by them are wrong until the tasks end. The queue now charges the moving mean of the team's last 32 run times on the service, and the declared time only before the first result.

--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -316,7 +316,7 @@
 		team.jobs.pop()
 		delete(q.jobs, job.SubmissionID)
 	}
-	team.charge(task.RunTime)
+	team.charge(team.expected(task.RunTime))
 	w.credits--
 	w.health.sent()
 	if w.ring != nil {
--- a/internal/process/vwdispatch/teamqueue.go
+++ b/internal/process/vwdispatch/teamqueue.go
@@ -4,6 +4,9 @@
 	"time"
 )
 
+// learnTasks is how many tasks the moving mean of run times covers.
+const learnTasks = 32
+
 // teamQueue holds the waiting jobs of one team for one service, earliest deadline first.
 type teamQueue struct {
 	team    *teamState
@@ -18,6 +21,8 @@
 	// charged is the sum of the expected run times of the sent tasks, and sent their number.
 	charged float64
 	sent    int
+	// learned is the moving mean of actual run times, zero before the first one.
+	learned time.Duration
 }
 
 func makeTeamQueue(team *teamState, service *serviceQueue) *teamQueue {
@@ -67,6 +72,15 @@
 	return t.waiting
 }
 
+// expected returns the run time to expect of a task. What the team's tasks took lately is a better
+// guess than what callers declare, which is often off by a factor of ten.
+func (t *teamQueue) expected(declared time.Duration) time.Duration {
+	if t.learned > 0 {
+		return t.learned
+	}
+	return declared
+}
+
 // charge accounts for a task that is sent and expected to run for cost.
 func (t *teamQueue) charge(cost time.Duration) {
 	t.service.virtual = max(t.service.virtual, t.virtual)
@@ -85,6 +99,13 @@
 	t.charged -= mean
 	t.sent--
 	t.virtual += (actual.Seconds() - mean) / t.team.policy.Weight
+	switch {
+	case actual <= 0: // the task did not run
+	case t.learned == 0:
+		t.learned = actual
+	default:
+		t.learned += (actual - t.learned) / learnTasks
+	}
 }
 
 // ahead reports whether t is to be served before other.
