Refuse early what cannot meet its deadline

Jobs that missed their deadline in the queue had already used slots for some of their tasks. Enqueue now expects the wait from the team's waiting work, its share and the slot time that the service gave to the entry over about the last second, and refuses with the verdict NotRun.

--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -244,13 +244,19 @@
 	return team.admit(now, count, bytes)
 }
 
-// expectedEnd returns the earliest possible end of job.
+// expectedEnd returns when job can be expected to end: its team gets its share of the throughput
+// that the service gave lately, and its waiting tasks come first. While nothing waits, and before
+// anything was sent, only the run time counts.
 func (q *Queue) expectedEnd(now time.Time, job Job) time.Time {
-	var longest time.Duration
+	service := q.service(job.Service)
+	queue := service.team(q.team(job.Team))
+	var longest, work time.Duration
 	for i := range job.Tasks {
-		longest = max(longest, job.Tasks[i].RunTime)
+		expected := queue.expected(job.Tasks[i].RunTime)
+		longest = max(longest, expected)
+		work += expected
 	}
-	return now.Add(longest)
+	return now.Add(longest + service.wait(now, queue, work))
 }
 
 func (q *Queue) insert(now time.Time, job Job, bytes int) {
@@ -307,6 +313,8 @@
 
 func (q *Queue) send(now time.Time, w *workerState, team *teamQueue, job *queuedJob) Assignment {
 	task := job.take()
+	expected := team.expected(task.RunTime)
+	team.service.throughput.add(now, expected)
 	w.service.starved = now
 	q.count(team, -1, -task.Bytes)
 	team.waiting--
@@ -316,7 +324,7 @@
 		team.jobs.pop()
 		delete(q.jobs, job.SubmissionID)
 	}
-	team.charge(team.expected(task.RunTime))
+	team.charge(expected)
 	w.credits--
 	w.health.sent()
 	if w.ring != nil {
--- a/internal/process/vwdispatch/queue_test.go
+++ b/internal/process/vwdispatch/queue_test.go
@@ -119,6 +119,27 @@
 	require.Zero(t, q.Waiting())
 }
 
+// Guards against the acceptance of a job that would wait beyond its deadline behind others.
+func TestEarlyRefusal(t *testing.T) {
+	q := makeQueue(vwdispatch.Policy{}, "a")
+	require.NoError(t, q.Enqueue(start, makeJob("first", "t", 100, 100*time.Millisecond)))
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		q.Grant("worker-a", 1)
+		sent, ok := q.Next(now)
+		require.True(t, ok)
+		q.Finish(now.Add(100*time.Millisecond), sent.Worker, "t", vwdispatch.FinishInfo{RunTime: 100 * time.Millisecond})
+	}
+	now := start.Add(time.Second)
+	job := makeJob("second", "t", 1, 100*time.Millisecond)
+	job.Deadline = now.Add(3 * time.Second)
+	err := q.Enqueue(now, job)
+	require.True(t, vwdispatch.IsDeadline(err))
+	require.True(t, vwverdict.IsNotRun(err))
+	job.Deadline = now.Add(30 * time.Second)
+	require.NoError(t, q.Enqueue(now, job))
+}
+
 // Guards against a quota or a priority that the order of arrival overrides.
 func TestQuotaAndPriority(t *testing.T) {
 	q := makeQueue(vwdispatch.Policy{Teams: map[vwid.Team]vwdispatch.TeamPolicy{"first": {Priority: 1, Quota: 1}}}, "a")
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -19,7 +19,8 @@
 	far     workerRing
 	workers []*workerState
 	// told is the number of credits that agents are asked for and have not granted.
-	told int
+	told       int
+	throughput throughput
 	// ejected counts the workers that are ejected because of their failures.
 	ejected int
 	// dry tells that an agent may know of no waiting task. While many wait, each is to know of some,
@@ -84,3 +85,19 @@
 	}
 	return w.health.rate-sum/float64(len(s.workers)-1-s.ejected) > ejectionMargin || w.health.probes > 0
 }
+
+// wait returns how long a team's waiting tasks and work more are likely to take until all are sent.
+func (s *serviceQueue) wait(now time.Time, team *teamQueue, work time.Duration) time.Duration {
+	rate := s.throughput.rate(now)
+	if s.unserved() == 0 || rate <= 0 {
+		return 0
+	}
+	weights := team.team.policy.Weight
+	for _, other := range s.order {
+		if other != team && other.waiting > 0 {
+			weights += other.team.policy.Weight
+		}
+	}
+	backlog := team.learned.Seconds()*float64(team.waiting) + work.Seconds()
+	return time.Duration(backlog * weights / (rate * team.team.policy.Weight) * float64(time.Second))
+}
