--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -318,11 +318,6 @@
 	e.c.starts++
 	e.loads[worker]++
 	w := e.c.workers[worker]
-	for _, o := range e.c.entries {
-		if o != e && e.choose == nil {
-			e.c.after(3*time.Millisecond, func() { o.queue.Charge(simService, task.job.team, 1) })
-		}
-	}
 	e.c.after(e.c.link(e.dc, w.dc), func() { w.receive(simStart{task: task, entry: e.index}) })
 }
 
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -369,9 +369,3 @@
 	}
 	return found
 }
-
-// Charge accounts for tasks of a team that other entries sent.
-func (q *Queue) Charge(service vwid.Service, team vwid.Team, tasks int) {
-	t := q.service(service).team(q.team(team))
-	t.virtual += float64(tasks) * t.learned.Seconds() / t.team.policy.Weight
-}
