--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -89,15 +89,17 @@
 
 // AddWorker makes a worker known. A known incarnation is updated and keeps its credits.
 func (q *Queue) AddWorker(worker Worker) {
-	credits := 0
+	credits, old := 0, health{}
 	if known := q.workers[worker.Incarnation]; known != nil {
-		credits = known.credits
+		credits, old = known.credits, known.health
 		q.RemoveWorker(worker.Incarnation)
 	}
-	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre]}
+	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre], near: worker.DataCentre == q.settings.DataCentre}
+	if w.health = old; old.ejected {
+		w.service.ejected++
+	}
 	w.service.slots += worker.Slots
 	w.service.workers = append(w.service.workers, w)
-	w.service.mark(w)
 	q.workers[worker.Incarnation] = w
 	q.place(w)
 }
@@ -112,6 +114,10 @@
 	w.credits = 0
 	q.place(w)
 	w.service.slots -= w.Slots
+	w.service.told -= w.told
+	if w.told = 0; w.health.ejected {
+		w.service.ejected--
+	}
 	w.service.workers = slices.DeleteFunc(w.service.workers, func(other *workerState) bool { return other == w })
 	delete(q.workers, worker)
 }
@@ -140,23 +146,42 @@
 // Next takes the next task and uses one credit for it. It reports false when no task can be sent.
 func (q *Queue) Next(now time.Time) (Assignment, bool) {
 	for _, service := range q.order {
+		q.comeBack(now, service)
 		w := service.worker()
 		if w == nil || service.waiting == 0 {
 			continue
 		}
 		if team, job := q.pick(now, service); job != nil {
-			return q.send(w, team, job), true
+			return q.send(now, w, team, job), true
 		}
 	}
 	return Assignment{}, false
 }
 
 // Finish records the end of a task that was sent to worker.
-func (q *Queue) Finish(_ time.Time, worker vwid.Incarnation, team vwid.Team, info FinishInfo) {
+func (q *Queue) Finish(now time.Time, worker vwid.Incarnation, team vwid.Team, info FinishInfo) {
 	state := q.team(team)
 	state.sent = max(0, state.sent-1)
 	if w := q.workers[worker]; w != nil {
 		w.service.team(state).settle(info.RunTime)
+		if w.health.finished(info.Failed) && w.service.outlier(w) {
+			w.health.eject(now)
+			w.service.ejected++
+		}
+		q.place(w)
+	}
+}
+
+// comeBack lets ejected workers have tasks again when their time is over.
+func (q *Queue) comeBack(now time.Time, service *serviceQueue) {
+	if service.ejected == 0 {
+		return
+	}
+	for _, w := range service.workers {
+		if w.health.comeBack(now) {
+			service.ejected--
+			q.place(w)
+		}
 	}
 }
 
@@ -196,7 +221,6 @@
 	}
 	for _, w := range q.workers {
 		w.out = policy.Out[w.DataCentre]
-		w.service.mark(w)
 		q.place(w)
 	}
 }
@@ -220,13 +244,19 @@
 	return team.admit(now, count, bytes)
 }
 
-// expectedEnd returns the earliest possible end of job.
+// expectedEnd returns when job can be expected to end: its team gets its share of the throughput
+// that the service gave lately, and its waiting tasks come first. While nothing waits, and before
+// anything was sent, only the run time counts.
 func (q *Queue) expectedEnd(now time.Time, job Job) time.Time {
-	var longest time.Duration
+	service := q.service(job.Service)
+	queue := service.team(q.team(job.Team))
+	var longest, work time.Duration
 	for i := range job.Tasks {
-		longest = max(longest, job.Tasks[i].RunTime)
+		expected := queue.expected(job.Tasks[i].RunTime)
+		longest = max(longest, expected)
+		work += expected
 	}
-	return now.Add(longest)
+	return now.Add(longest + service.wait(now, queue, work))
 }
 
 func (q *Queue) insert(now time.Time, job Job, bytes int) {
@@ -281,17 +311,22 @@
 	}
 }
 
-func (q *Queue) send(w *workerState, team *teamQueue, job *queuedJob) Assignment {
+func (q *Queue) send(now time.Time, w *workerState, team *teamQueue, job *queuedJob) Assignment {
 	task := job.take()
+	expected := team.expected(task.RunTime)
+	team.service.throughput.add(now, expected)
+	w.service.starved = now
 	q.count(team, -1, -task.Bytes)
 	team.waiting--
+	team.reported = team.reported && team.waiting > 0
 	team.team.sent++
 	if job.waiting() == 0 {
 		team.jobs.pop()
 		delete(q.jobs, job.SubmissionID)
 	}
-	team.charge(task.RunTime)
+	team.charge(expected)
 	w.credits--
+	w.health.sent()
 	if w.ring != nil {
 		w.ring.head = w.next
 	}
@@ -301,8 +336,13 @@
 
 // place puts w into the ring in which its credits are found, or takes it out.
 func (q *Queue) place(w *workerState) {
+	if w.blocked() {
+		// Nothing is to be expected from it, so other agents have to be asked.
+		w.service.told -= w.told
+		w.told = 0
+	}
 	switch {
-	case w.usable() && w.ring == nil && w.DataCentre == q.settings.DataCentre:
+	case w.usable() && w.ring == nil && w.near:
 		w.service.near.add(w)
 	case w.usable() && w.ring == nil:
 		w.service.far.add(w)
--- a/internal/process/vwdispatch/worker.go
+++ b/internal/process/vwdispatch/worker.go
@@ -19,17 +19,22 @@
 	credits int
 	out     bool
 	ring    *workerRing
-	// told is how many waiting tasks the agent believes to need a credit, and reported the number
-	// in the last report to it.
+	near    bool
+	health  health
+	// told is how many credits the agent is asked for and has not granted.
 	told     int
-	reported int
-	stale    bool
+	mistaken bool
 	next     *workerState
 	prev     *workerState
 }
 
 func (w *workerState) usable() bool {
-	return w.credits > 0 && !w.out
+	return w.credits > 0 && !w.blocked()
+}
+
+// blocked reports whether no task may be sent to w, whatever credits are held.
+func (w *workerState) blocked() bool {
+	return w.out || w.health.blocked()
 }
 
 // workerRing lists the workers of which a credit can be used, in the order of use.
