--- a/internal/process/vwevent/log_test.go
+++ b/internal/process/vwevent/log_test.go
@@ -11,7 +11,7 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
-	"vanillawind.example/vanillawind/internal/process/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 var testSource = Source{Process: "entry-1", Incarnation: "0191-a", DataCentre: "north"}
--- a/internal/process/vwstandin/backend_test.go
+++ b/internal/process/vwstandin/backend_test.go
@@ -12,7 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"vanillawind.example/vanillawind/internal/process/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 func post(ctx context.Context, handler http.Handler, path, body string) *httptest.ResponseRecorder {
--- a/internal/process/vwstandin/server.go
+++ b/internal/process/vwstandin/server.go
@@ -9,7 +9,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/gravitational/trace"
 
-	"vanillawind.example/vanillawind/internal/process/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
