Record a tag of the payload's choice with each start

An entry gives each attempt of an idempotent request an id of its own, so a load tool cannot find its starts by the ids that it sent.

--- a/internal/process/vwstandin/backend.go
+++ b/internal/process/vwstandin/backend.go
@@ -104,7 +104,7 @@
 // still reached the backend server.
 func (b *Backend) runTask(c *gin.Context) {
 	index := b.log.begin(startOf(c))
-	outcome, status, body := b.run(c)
+	outcome, status, body := b.run(c, index)
 	// The end is recorded before the answer is sent, so that whoever has the answer finds it.
 	b.log.end(index, outcome)
 	if outcome == OutcomeAborted {
@@ -114,7 +114,7 @@
 	c.Data(status, "application/json", body)
 }
 
-func (b *Backend) run(c *gin.Context) (Outcome, int, []byte) {
+func (b *Backend) run(c *gin.Context, index int) (Outcome, int, []byte) {
 	if service := vwid.Service(c.Param("Service")); service != b.config.Service {
 		return OutcomeFailed, http.StatusNotFound, []byte(`"unknown service"`)
 	}
@@ -126,6 +126,7 @@
 	if err != nil {
 		return OutcomeFailed, http.StatusBadRequest, []byte(strconv.Quote(trace.UserMessage(err)))
 	}
+	b.log.tag(index, payload.Tag)
 	failed, err := b.work(c.Request.Context(), payload)
 	switch {
 	case err != nil:
--- a/internal/process/vwstandin/backend_test.go
+++ b/internal/process/vwstandin/backend_test.go
@@ -37,7 +37,7 @@
 		outcome   Outcome
 		took      time.Duration
 	}{
-		"echo":            {body: `{"RunMillis":50,"Echo":{"A":1}}`, status: 200, answer: `{"A":1}`, outcome: OutcomeDone, took: 50 * time.Millisecond},
+		"echo":            {body: `{"RunMillis":50,"Echo":{"A":1},"Tag":"g"}`, status: 200, answer: `{"A":1}`, outcome: OutcomeDone, took: 50 * time.Millisecond},
 		"no payload":      {status: 200, answer: `null`, outcome: OutcomeDone},
 		"failure":         {body: `{"RunMillis":5,"Fail":true}`, status: 500, answer: `"failed on request"`, outcome: OutcomeFailed, took: 5 * time.Millisecond},
 		"not JSON":        {body: `{`, status: 400, outcome: OutcomeFailed},
@@ -73,6 +73,7 @@
 				require.Equal(t, test.outcome, starts[0].Outcome)
 				require.Equal(t, test.took, starts[0].EndedAt.Sub(starts[0].At))
 				require.EqualValues(t, 7, starts[0].Epoch)
+				require.Equal(t, strings.Contains(test.body, "Tag"), starts[0].Tag == "g")
 			})
 		})
 	}
--- a/internal/process/vwstandin/behaviour.go
+++ b/internal/process/vwstandin/behaviour.go
@@ -45,6 +45,7 @@
 	RunMillis float64         `json:",omitempty"`
 	Fail      bool            `json:",omitempty"`
 	Echo      json.RawMessage `json:",omitempty"`
+	Tag       string          `json:",omitempty"`
 }
 
 func parsePayload(body []byte) (Payload, error) {
--- a/internal/process/vwstandin/record.go
+++ b/internal/process/vwstandin/record.go
@@ -30,6 +30,8 @@
 	TaskID       vwid.TaskID
 	Epoch        vwid.Epoch
 	Service      vwid.Service
+	// Tag is the payload's Tag. It tells tasks apart without relying on the ids that the dispatcher sets.
+	Tag string `json:",omitempty"`
 	// DataCentre and Worker are absent in a Record, which names them once.
 	DataCentre vwid.DataCentre `json:",omitzero"`
 	Worker     vwid.Process    `json:",omitzero"`
@@ -85,6 +87,15 @@
 	return len(l.record.Starts) - 1
 }
 
+func (l *log) tag(index int, tag string) {
+	if index < 0 || tag == "" {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.record.Starts[index].Tag = tag
+}
+
 func (l *log) end(index int, outcome Outcome) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
