Add the open-loop load tool

Response time, the promises and the work during a drain must be measured from outside. vwloadtest sends a seeded plan at the planned times, counts latency from them, compares it with one work-conserving queue on the same arrivals and recorded run times, and checks the answers against the stand-ins' start records. Reports are text, JSON and one HTML page with inline SVG.

There is no run against the real entry yet.

--- /dev/null
+++ b/internal/process/vwloadtest/command.go
@@ -0,0 +1,129 @@
+package vwloadtest
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/process/vwstandin"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// delayProbes is the number of calls of which the median is the network delay.
+const delayProbes = 21
+
+// Tester runs load tests. Run fills in what is left nil for the HTTP interfaces of the scenario.
+type Tester struct {
+	Target   Target
+	StandIns StandIns
+	Log      *slog.Logger
+}
+
+// Run runs the load test of a scenario. The stand-ins must be up before, and are left running.
+func Run(ctx context.Context, scenario Scenario, log *slog.Logger) (Report, error) {
+	client := &http.Client{}
+	tester := Tester{Target: makeHTTPTarget(scenario), StandIns: &httpStandIns{client: client, scenario: scenario}, Log: log}
+	return tester.Run(ctx, scenario)
+}
+
+// Run runs the load test of a scenario.
+func (t Tester) Run(ctx context.Context, scenario Scenario) (Report, error) {
+	records, err := t.StandIns.Records(ctx)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	slots := 0
+	for _, record := range records {
+		slots += record.Slots
+	}
+	delay, err := t.measureDelay(ctx)
+	if err != nil {
+		return Report{}, trace.Wrap(err, "measuring the network delay")
+	}
+	wastedBefore := t.StandIns.Wasted(ctx)
+	id := string(vwid.MakeIncarnation())[:8]
+	d := driver{scenario: scenario, target: t.Target, control: t.StandIns, log: t.Log}
+	begin := time.Now()
+	if err := d.run(ctx, MakePlan(scenario, slots, id)); err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	end := time.Now()
+	if err := sleep(ctx, time.Duration(scenario.Settle)); err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	records, err = t.StandIns.Records(ctx)
+	if err != nil {
+		return Report{}, trace.Wrap(err)
+	}
+	return makeReport(evaluate(run{
+		scenario: scenario, id: id, begin: begin, end: end, outcomes: d.outcomes, outages: d.outages, records: records,
+		delay: delay + time.Duration(scenario.ExtraDelay), wasted: difference(wastedBefore, t.StandIns.Wasted(ctx)),
+		failures: d.failures,
+	})), nil
+}
+
+// measureDelay returns the median delay of the call to an entry plus that of a call to a stand-in,
+// which are the two round trips that no dispatcher can avoid.
+func (t Tester) measureDelay(ctx context.Context) (time.Duration, error) {
+	var sum time.Duration
+	for _, probe := range []func(context.Context) (time.Duration, error){t.Target.Delay, t.StandIns.Delay} {
+		delays := make([]time.Duration, delayProbes)
+		for index := range delays {
+			var err error
+			if delays[index], err = probe(ctx); err != nil {
+				return 0, trace.Wrap(err)
+			}
+		}
+		slices.Sort(delays)
+		sum += delays[len(delays)/2]
+	}
+	return sum, nil
+}
+
+func difference(before, after *float64) *float64 {
+	if before == nil || after == nil {
+		return nil
+	}
+	result := *after - *before
+	return &result
+}
+
+// Output says where the command loadtest writes its report. Empty paths are left out.
+type Output struct {
+	JSON string
+	HTML string
+}
+
+// Write writes the report to the files.
+func (o Output) Write(report Report) error {
+	for path, write := range map[string]func(*os.File) error{
+		o.JSON: func(file *os.File) error { return report.WriteJSON(file) },
+		o.HTML: func(file *os.File) error { return report.WriteHTML(file) },
+	} {
+		if path == "" {
+			continue
+		}
+		file, err := os.Create(path)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		if err := trace.NewAggregate(write(file), file.Close()); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// StandIns are the stand-in backend servers and the metrics of the processes as the tool sees them.
+type StandIns interface {
+	Records(ctx context.Context) ([]vwstandin.Record, error)
+	Change(ctx context.Context, change Change) error
+	Delay(ctx context.Context) (time.Duration, error)
+	// Wasted returns the number of wasted messages so far, or nil when it is not known.
+	Wasted(ctx context.Context) *float64
+}
