--- a/internal/process/vwloadtest/plan_test.go
+++ b/internal/process/vwloadtest/plan_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/process/vwstandin"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
 // Two versions can be compared only on the same arrivals.
@@ -22,7 +23,7 @@
 func TestPlanOffersTheLoad(t *testing.T) {
 	scenario := testScenario()
 	phase := &scenario.Phases[0]
-	phase.Bursts, phase.Duration = nil, Duration(20*time.Minute)
+	phase.Bursts, phase.Duration = nil, vwunit.Duration(20*time.Minute)
 	phase.RunMillis.TailShare, phase.RunMillis.TailMost = 0.02, 5000
 	phase.RequestShare = 0.2
 	work, tags := 0.0, map[string]bool{}
--- a/internal/process/vwloadtest/scenario.go
+++ b/internal/process/vwloadtest/scenario.go
@@ -14,6 +14,7 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwstandin"
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
 // Scenario says what to send, where and when.
@@ -30,12 +31,12 @@
 	// Metrics are the URLs of the processes' metrics pages, for the count of wasted messages.
 	Metrics []string
 	// AnswerTimeout is when a caller gives up. Default 60 s.
-	AnswerTimeout Duration
+	AnswerTimeout vwunit.Duration
 	// Settle is how long to wait after the last answer for starts that should not come. Default 4 s,
 	// which is above the bound for late starts.
-	Settle Duration
+	Settle vwunit.Duration
 	// ExtraDelay is added to the measured network delay of the ideal, for links that the test slows.
-	ExtraDelay Duration
+	ExtraDelay vwunit.Duration
 	Teams      []Team
 	Phases     []Phase
 	Changes    []Change
@@ -51,7 +52,7 @@
 // Phase is a span of time with one kind of load. Arrivals are a Poisson process.
 type Phase struct {
 	Name     string
-	Duration Duration
+	Duration vwunit.Duration
 	// JobsPerSecond is the arrival rate. Load gives it as a share of what all slots can do instead.
 	JobsPerSecond float64
 	Load          float64
@@ -68,16 +69,16 @@
 	FailShare float64
 	// ResubmitShare of the jobs are sent again at another entry when no answer came within ResubmitAfter.
 	ResubmitShare float64
-	ResubmitAfter Duration
+	ResubmitAfter vwunit.Duration
 	// CancelShare of the jobs are cancelled CancelAfter their arrival.
 	CancelShare float64
-	CancelAfter Duration
+	CancelAfter vwunit.Duration
 	Bursts      []Burst
 }
 
 // Burst is a number of arrivals at the same moment of a phase.
 type Burst struct {
-	At   Duration
+	At   vwunit.Duration
 	Jobs int
 }
 
@@ -98,7 +99,7 @@
 
 // Change is something that happens during the run, At after its beginning.
 type Change struct {
-	At         Duration
+	At         vwunit.Duration
 	Action     Action
 	DataCentre vwid.DataCentre
 	// Backend is the index of a stand-in in Backends.
@@ -114,8 +115,8 @@
 }
 
 const (
-	defaultAnswerTimeout = Duration(time.Minute)
-	defaultSettle        = Duration(4 * time.Second)
+	defaultAnswerTimeout = vwunit.Duration(time.Minute)
+	defaultSettle        = vwunit.Duration(4 * time.Second)
 )
 
 // LoadScenario reads and checks a scenario file.
@@ -217,7 +218,7 @@
 }
 
 func (s Scenario) duration() time.Duration {
-	var sum Duration
+	var sum vwunit.Duration
 	for _, phase := range s.Phases {
 		sum += phase.Duration
 	}
--- a/internal/process/vwloadtest/tester_test.go
+++ b/internal/process/vwloadtest/tester_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/process/vwstandin"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
 func testScenario() Scenario {
@@ -18,13 +19,13 @@
 		Name: "test", Seed: 7, Service: "muotoilu",
 		Entries: []string{"http://e0", "http://e1"}, Operators: []string{"http://o0"},
 		Backends: []string{"http://b0", "http://b1"}, Metrics: []string{"http://e0/metrics"},
-		AnswerTimeout: Duration(30 * time.Second), Settle: defaultSettle,
+		AnswerTimeout: vwunit.Duration(30 * time.Second), Settle: defaultSettle,
 		Teams: []Team{{Name: "red", Weight: 2}, {Name: "blue", Weight: 1}},
 		Phases: []Phase{{
-			Name: "steady", Duration: Duration(10 * time.Second), Load: 0.8,
+			Name: "steady", Duration: vwunit.Duration(10 * time.Second), Load: 0.8,
 			Tasks:     Distribution{Shape: ShapeUniform, Least: 1, Most: 20},
 			RunMillis: Distribution{Shape: ShapeUniform, Least: 50, Most: 500},
-			Bursts:    []Burst{{At: Duration(3 * time.Second), Jobs: 5}},
+			Bursts:    []Burst{{At: vwunit.Duration(3 * time.Second), Jobs: 5}},
 		}},
 	}
 }
@@ -46,8 +47,8 @@
 // the check of that promise and no other.
 func TestTesterFindsBrokenPromises(t *testing.T) {
 	out := []Change{
-		{At: Duration(2 * time.Second), Action: ActionOut, DataCentre: "north"},
-		{At: Duration(8 * time.Second), Action: ActionIn, DataCentre: "north"},
+		{At: vwunit.Duration(2 * time.Second), Action: ActionOut, DataCentre: "north"},
+		{At: vwunit.Duration(8 * time.Second), Action: ActionIn, DataCentre: "north"},
 	}
 	cases := map[string]struct {
 		fault   fault
@@ -87,7 +88,7 @@
 func TestLatencyCountsFromThePlannedTime(t *testing.T) {
 	scenario := testScenario()
 	one := Distribution{Shape: ShapeConstant, Mean: 1}
-	scenario.Phases[0] = Phase{Name: "stall", Duration: Duration(2 * time.Second), JobsPerSecond: 100, Tasks: one, RunMillis: one}
+	scenario.Phases[0] = Phase{Name: "stall", Duration: vwunit.Duration(2 * time.Second), JobsPerSecond: 100, Tasks: one, RunMillis: one}
 	report := runTest(t, scenario, faultStalling)
 	require.Greater(t, report.Phases[0].Measured.P90, 600.0)
 	require.Less(t, report.Phases[0].Measured.Most, 1100.0)
@@ -100,8 +101,8 @@
 	scenario := testScenario()
 	phase := &scenario.Phases[0]
 	phase.RequestShare, phase.IdempotentShare = 0.3, 0.5
-	phase.CancelShare, phase.CancelAfter = 0.2, Duration(10*time.Millisecond)
-	phase.ResubmitShare, phase.ResubmitAfter = 0.5, Duration(50*time.Millisecond)
+	phase.CancelShare, phase.CancelAfter = 0.2, vwunit.Duration(10*time.Millisecond)
+	phase.ResubmitShare, phase.ResubmitAfter = 0.5, vwunit.Duration(50*time.Millisecond)
 	report := runTest(t, scenario, faultNone)
 	require.Positive(t, report.Requests)
 	require.Equal(t, report.Jobs+report.Requests, report.Complete)
@@ -132,7 +133,7 @@
 		"two rates":            func(s *Scenario) { s.Phases[0].JobsPerSecond = 1 },
 		"share above one":      func(s *Scenario) { s.Phases[0].CancelShare = 1.1 },
 		"unknown shape":        func(s *Scenario) { s.Phases[0].Tasks.Shape = "Round" },
-		"late burst":           func(s *Scenario) { s.Phases[0].Bursts[0].At = Duration(time.Hour) },
+		"late burst":           func(s *Scenario) { s.Phases[0].Bursts[0].At = vwunit.Duration(time.Hour) },
 		"no such backend":      func(s *Scenario) { s.Changes = []Change{{Action: ActionLeave, Backend: 2}} },
 		"no data centre":       func(s *Scenario) { s.Changes = []Change{{Action: ActionOut}} },
 		"unknown action":       func(s *Scenario) { s.Changes = []Change{{Action: "Explode"}} },
