Use a link for credits only once the entry has registered the agent

An entry drops credits on a link until its registration is in the control log, and gives its credits up when the agent says that it leaves. The agent counted such credits as held, so their slots stayed idle until the link ended.

Credits now begin with the outcome of the registration and end with Leaving. An address that is no longer chosen is drained before its link ends, results that do not fit in one fence reply follow it, and the shares of teams reach the granter.

--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -195,7 +195,7 @@
 		r.expired = now
 		r.records.Expire(now)
 	}
-	r.refreshTargets(now)
+	r.refreshTargets()
 }
 
 // settle acts on what the events have changed.
@@ -222,7 +222,7 @@
 		return trace.Wrap(err)
 	}
 	a.current = makeRegistration(a, incarnation, endpoint)
-	a.current.refreshTargets(time.Now())
+	a.current.refreshTargets()
 	a.logger.Info("incarnation begins", "Incarnation", string(incarnation))
 	return nil
 }
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -34,7 +34,9 @@
 
 	// The control goroutine owns the rest.
 	retired bool
-	credits int
+	// draining is set once the address is no longer chosen. The link ends when its tasks have.
+	draining bool
+	credits  int
 	// offer is what this link is to register next; nil when nothing changed.
 	offer *vwmessage.Register
 }
@@ -44,7 +46,7 @@
 	l := &link{registration: r, target: t, entry: conn.Peer().Incarnation, wake: make(chan struct{}, 1)}
 	l.session = vwlink.MakeSession(conn, l)
 	attached := false
-	if !r.agent.do(func(time.Time) { attached = r.attach(l); l.setOffer() }) || !attached {
+	if !r.agent.do(func(time.Time) { attached = r.attach(l) }) || !attached {
 		return trace.Wrap(l.session.Close())
 	}
 	group := vwgroup.Make(ctx)
@@ -101,11 +103,9 @@
 			return vwlink.ErrClosed
 		}
 		if offer != nil {
-			if !l.register(ctx, offer) {
-				l.registration.agent.do(func(time.Time) { l.retryOffer(offer) })
-			} else {
-				registered = true
-			}
+			done := l.register(ctx, offer)
+			registered = registered || done
+			l.registration.agent.do(func(time.Time) { l.afterRegister(offer, done) })
 		}
 		if registered {
 			l.renewLease(ctx)
@@ -121,9 +121,12 @@
 	}
 }
 
-// retryOffer keeps an offer that was not registered for the next try, unless a newer one exists.
-func (l *link) retryOffer(offer *vwmessage.Register) {
-	if l.offer == nil {
+// afterRegister opens a registered link. An offer that was not registered is kept for the next try,
+// unless a newer one exists.
+func (l *link) afterRegister(offer *vwmessage.Register, done bool) {
+	if done {
+		l.registration.open(l)
+	} else if l.offer == nil {
 		l.offer = offer
 	}
 }
@@ -192,7 +195,7 @@
 	case *vwmessage.CreditReturn:
 		r.onCreditReturn(m.link, body.Count)
 	case *vwmessage.Fence:
-		m.reply(r.onFence(now, m.link, body), nil)
+		r.onFence(now, m.link, body, m.reply)
 	case *vwmessage.Acknowledge:
 		r.onAcknowledge(now, body)
 	case *vwmessage.Cancel:
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -25,10 +25,15 @@
 	granter *vwdispatch.Granter
 	// dirty asks for a new decision about credits.
 	dirty bool
+	// weighed is the configuration version of which the granter has the shares of the teams.
+	weighed vwid.ConfigVersion
 
 	targets map[string]*target
-	// named are the entries of the newest lease reply that names any.
-	named map[string]namedEntry
+	// named are the entries that lease replies name, and namedAt is when one last named any.
+	named   map[string]namedEntry
+	namedAt time.Time
+	// reached tells to which entry an address led last.
+	reached map[string]vwid.Incarnation
 	// links holds the newest link to each entry incarnation.
 	links map[vwid.Incarnation]*link
 
@@ -63,6 +68,7 @@
 		}),
 		targets: map[string]*target{},
 		named:   map[string]namedEntry{},
+		reached: map[string]vwid.Incarnation{},
 		links:   map[vwid.Incarnation]*link{},
 		running: map[taskKey]*runningTask{},
 	}
@@ -112,6 +118,7 @@
 		return
 	}
 	r.dirty = false
+	r.weigh(now)
 	if r.gate(now) == "" {
 		r.granter.SetSlots(r.slots())
 	} else {
@@ -123,6 +130,20 @@
 	}
 }
 
+// weigh gives the granter the teams' shares once the rules have changed.
+func (r *registration) weigh(now time.Time) {
+	rules, fresh := r.lease.Rules(now)
+	if !fresh || r.weighed == r.lease.Held() {
+		return
+	}
+	r.weighed = r.lease.Held()
+	weights := map[vwid.Team]float64{}
+	for _, team := range rules.Teams() {
+		weights[team] = float64(rules.Team(r.agent.backend.service, team).Weight)
+	}
+	r.granter.SetWeights(weights)
+}
+
 func (r *registration) act(action vwdispatch.Action) {
 	l := r.links[action.Entry]
 	if l == nil {
@@ -139,7 +160,7 @@
 
 // attach makes l the newest link to its entry. It reports false when the link is of no use.
 func (r *registration) attach(l *link) bool {
-	if r != r.agent.current {
+	if r != r.agent.current || r.targets[l.target.address] != l.target {
 		return false
 	}
 	if older := r.links[l.entry]; older != nil {
@@ -147,15 +168,33 @@
 	}
 	l.target.link = l
 	r.links[l.entry] = l
-	r.granter.AddEntry(l.entry, l.session.Peer().DataCentre)
-	r.dirty = true
+	r.reached[l.target.address] = l.entry
 	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
-	if r.agent.stopping || r.agent.backend.leaving {
-		l.send(&vwmessage.Leaving{})
-	}
+	l.setOffer()
 	return true
 }
 
+// open is called when the entry has registered the agent over l. Before that the entry drops credits.
+func (r *registration) open(l *link) {
+	if l.retired || r != r.agent.current {
+		return
+	}
+	if l.draining || r.ended || r.agent.stopping || r.agent.backend.leaving {
+		r.sayLeaving(l)
+		return
+	}
+	r.granter.AddEntry(l.entry, l.session.Peer().DataCentre)
+	r.dirty = true
+}
+
+// sayLeaving tells an entry that no more credits come. The entry gives up those that it holds.
+func (r *registration) sayLeaving(l *link) {
+	l.credits = 0
+	r.granter.RemoveEntry(l.entry)
+	r.dirty = true
+	l.send(&vwmessage.Leaving{})
+}
+
 // retire ends the processing of messages from a link. Starts that wait for a slot are dropped: the
 // entry learns by a fence on the next link that they have not started.
 func (r *registration) retire(l *link) {
--- a/internal/process/vwagent/stop.go
+++ b/internal/process/vwagent/stop.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-
-	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 )
 
 // reopenInterval is how long the agent waits after its endpoint could not be opened.
@@ -38,9 +36,8 @@
 	if a.current == nil {
 		return
 	}
-	a.current.dirty = true
 	for _, l := range a.current.links {
-		l.send(&vwmessage.Leaving{})
+		a.current.sayLeaving(l)
 	}
 }
 
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -33,34 +33,47 @@
 }
 
 // refreshTargets starts and stops links so that they fit the known entries.
-func (r *registration) refreshTargets(now time.Time) {
-	wanted := r.wanted(now)
+func (r *registration) refreshTargets() {
+	wanted := r.wanted()
 	for address, t := range r.targets {
 		if !wanted[address] {
-			r.removeTarget(t)
+			r.drainTarget(t)
 		}
 	}
 	for address := range wanted {
-		if r.targets[address] == nil {
+		if t := r.targets[address]; t == nil {
 			r.addTarget(address)
+		} else if t.link != nil && t.link.draining {
+			// The entry has given the credits of this link up; a new link begins afresh.
+			r.retire(t.link)
 		}
 	}
 }
 
-// wanted returns the addresses to link to: the chosen ones of the entries that lease replies name,
-// and the addresses of the settings while there is room.
-func (r *registration) wanted(now time.Time) map[string]bool {
-	var entries []vwmessage.EntryAddress
-	for address, named := range r.named {
-		if now.Sub(named.at) > nameTimeout && !r.linked(address) {
-			delete(r.named, address)
-			continue
+// drainTarget gives up an address once no task of its link is left.
+func (r *registration) drainTarget(t *target) {
+	if l := t.link; l != nil {
+		if !l.draining {
+			l.draining = true
+			r.sayLeaving(l)
+		}
+		for _, running := range r.running {
+			if running.entry == l.entry {
+				return
+			}
 		}
-		entries = append(entries, named.entry)
 	}
+	delete(r.targets, t.address)
+	r.retire(t.link)
+	t.stop()
+}
+
+// wanted returns the addresses to link to: the chosen ones of the entries that lease replies name,
+// and the addresses of the settings while there is room.
+func (r *registration) wanted() map[string]bool {
 	settings := &r.agent.settings
 	wanted := map[string]bool{}
-	for _, entry := range ChooseEntries(settings.Process, settings.DataCentre, entries, settings.MaxEntries) {
+	for _, entry := range ChooseEntries(settings.Process, settings.DataCentre, r.namedEntries(), settings.MaxEntries) {
 		wanted[entry.Address] = true
 	}
 	for _, address := range settings.Entries {
@@ -71,20 +84,29 @@
 	return wanted
 }
 
-func (r *registration) linked(address string) bool {
-	t := r.targets[address]
-	return t != nil && t.link != nil
+// namedEntries returns the entries that lease replies name. One that they stop naming is kept for
+// nameTimeout; without any replies all are kept.
+func (r *registration) namedEntries() []vwmessage.EntryAddress {
+	entries := make([]vwmessage.EntryAddress, 0, len(r.named))
+	for address, named := range r.named {
+		if r.namedAt.Sub(named.at) > nameTimeout {
+			delete(r.named, address)
+			continue
+		}
+		entries = append(entries, named.entry)
+	}
+	return entries
 }
 
-// isAlias reports whether an address of the settings leads to an entry that has a link under the
-// address that lease replies name. Two links to one entry would replace each other in turns.
+// isAlias reports whether an address of the settings leads to an entry that lease replies name under
+// another address. Two links to one entry would replace each other in turns.
 func (r *registration) isAlias(address string) bool {
-	t := r.targets[address]
-	if t == nil || t.link == nil {
+	entry, known := r.reached[address]
+	if !known || r.named[address].entry.Address != "" {
 		return false
 	}
-	for named, entry := range r.named {
-		if named != address && entry.entry.Incarnation == t.link.entry {
+	for _, named := range r.named {
+		if named.entry.Incarnation == entry {
 			return true
 		}
 	}
@@ -100,12 +122,6 @@
 	}
 }
 
-func (r *registration) removeTarget(t *target) {
-	delete(r.targets, t.address)
-	r.retire(t.link)
-	t.stop()
-}
-
 // keep holds a link to the target until ctx ends.
 func (r *registration) keep(ctx context.Context, t *target) {
 	var wait backoff
@@ -169,9 +185,12 @@
 	if err := r.lease.Renew(sent, reply); err != nil {
 		r.agent.logger.Warn("lease reply is of no use", "Entry", string(l.entry), "Error", err.Error())
 	}
+	if len(reply.Entries) > 0 {
+		r.namedAt = now
+	}
 	for _, entry := range reply.Entries {
 		r.named[entry.Address] = namedEntry{entry: entry, at: now}
 	}
 	r.dirty = true
-	r.refreshTargets(now)
+	r.refreshTargets()
 }
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwbackend"
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/request/vwstart"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -174,7 +175,7 @@
 		r.agent.counters.Refused.Add(1)
 		w.link.send(&vwmessage.Result{
 			SubmissionID: w.key.submission, Epoch: w.epoch, TaskID: w.key.task,
-			Verdict: vwverdict.Of(err), Failed: true, Message: err.Error(),
+			Verdict: vwverdict.Of(err), Fenced: vwstart.IsOutdated(err), Failed: true, Message: err.Error(),
 		})
 		return
 	}
@@ -192,12 +193,18 @@
 	r.granter.Returned(l.entry, count)
 }
 
+// maxFenceBytes bounds the results inside a FenceReply, which must fit in one message.
+const maxFenceBytes = 8 << 20
+
 // onFence fences lower epochs. From then on the asking entry gets the results of the submission.
-func (r *registration) onFence(now time.Time, l *link, fence *vwmessage.Fence) *vwmessage.FenceReply {
+// Results that do not fit in the reply follow it as messages of their own; the reply lists their tasks
+// as running.
+func (r *registration) onFence(now time.Time, l *link, fence *vwmessage.Fence, answer vwlink.Reply) {
 	reply := r.records.Fence(now, fence.SubmissionID, fence.Epoch)
 	if reply.Refused {
 		r.agent.counters.Late.Add(1)
-		return reply
+		answer(reply, nil)
+		return
 	}
 	// The reply says that what it does not list will never run.
 	r.dropWaiting(func(w *waitingTask) bool {
@@ -208,7 +215,28 @@
 			running.entry, running.epoch = l.entry, fence.Epoch
 		}
 	}
-	return reply
+	rest := splitResults(reply)
+	answer(reply, nil)
+	for _, result := range rest {
+		l.send(result)
+	}
+}
+
+// splitResults takes the results that exceed maxFenceBytes out of a reply.
+func splitResults(reply *vwmessage.FenceReply) []*vwmessage.Result {
+	var rest []*vwmessage.Result
+	size := 0
+	for i := range reply.Started {
+		result := reply.Started[i].Result
+		if result == nil {
+			continue
+		}
+		if size += len(result.Payload) + len(result.Message); size > maxFenceBytes {
+			rest = append(rest, result)
+			reply.Started[i].Result = nil
+		}
+	}
+	return rest
 }
 
 func (r *registration) onAcknowledge(now time.Time, acknowledge *vwmessage.Acknowledge) {
--- a/internal/request/vwstart/error.go
+++ b/internal/request/vwstart/error.go
@@ -29,6 +29,12 @@
 	return errors.As(err, &target)
 }
 
+// IsOutdated reports whether err refuses an epoch because a later owner is known.
+func IsOutdated(err error) bool {
+	var target *ErrFenced
+	return errors.As(err, &target) && !target.Cancelled
+}
+
 // ErrAlreadyStarted refuses a second start of a task. Its verdict NotRun is about the second start
 // only: the task itself runs or has run, so it must not be reported to an entry as not run.
 type ErrAlreadyStarted struct {
