Test the agent against failures of entries, links and its backend server

A repeated start without a credit was answered with NotRun although its task had been started.

A refusal now looks into the records first. The tests run the agent on the in-memory network under the fake clock, with fake entries and a fake backend server whose record of starts they check.

--- a/internal/process/vwagent/agent_test.go
+++ b/internal/process/vwagent/agent_test.go
@@ -35,12 +35,22 @@
 	hellos    []vwmessage.Hello
 }
 
+// pass lets time pass and then waits for what it has set off. The test may then read all state.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 func announcement() vwagent.Announcement {
 	return vwagent.Announcement{Service: "pedidos", Address: "127.0.0.1:80", Slots: 8}
 }
 
 // withAgent runs check against an agent that announces a backend server and knows the entries e1 and e2.
 func withAgent(t *testing.T, check func(t *testing.T, f *fixture, e1, e2 *fakeEntry)) {
+	withLease(t, vwagent.MakeConfigLease, check)
+}
+
+func withLease(t *testing.T, makeLease func() vwagent.Lease, check func(t *testing.T, f *fixture, e1, e2 *fakeEntry)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{
 			network: vwlinktest.MakeNetwork(time.Millisecond),
@@ -55,7 +65,7 @@
 				Cluster: "c", Process: "agent", DataCentre: "a", Entries: []string{"e1", "e2"}, OverCommit: -1,
 			},
 			Backend:   f.backend,
-			MakeLease: vwagent.MakeConfigLease,
+			MakeLease: makeLease,
 			MakeEndpoint: func(hello vwmessage.Hello) (vwagent.Endpoint, error) {
 				f.hellos = append(f.hellos, hello)
 				return f.network.MakeEndpoint("agent", hello), nil
@@ -65,7 +75,7 @@
 		f.agent = agent
 		f.process.Run(func(ctx context.Context) { f.ended <- agent.Run(ctx) })
 		f.announce(t)
-		time.Sleep(time.Second)
+		pass(time.Second)
 		check(t, f, e1, e2)
 		begun, found := twice(f.backend.started())
 		require.False(t, found, "task %v started twice", begun)
@@ -108,7 +118,7 @@
 		require.Equal(t, 8, e1.registers[0].Slots)
 		submission := vwid.MakeSubmissionID()
 		e1.start(t, submission, 1, "t1")
-		time.Sleep(time.Second)
+		pass(time.Second)
 		result := e1.result(t, submission, "t1")
 		require.NotNil(t, result)
 		require.Equal(t, vwverdict.Ran, result.Verdict)
--- a/internal/process/vwagent/entry_test.go
+++ b/internal/process/vwagent/entry_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -21,20 +23,25 @@
 	incarnation vwid.Incarnation
 	endpoint    *vwlinktest.Endpoint
 
-	mu        sync.Mutex
-	sessions  []*vwlink.Session
-	lease     vwmessage.LeaseReply
-	leasing   bool
+	mu       sync.Mutex
+	sessions []*vwlink.Session
+	lease    vwmessage.LeaseReply
+	leasing  bool
+	// deaf makes the entry register nobody.
+	deaf      bool
 	registers []vwmessage.Register
 	credits   int
-	recalled  int
 	leaving   int
 	requests  int
 	results   []vwmessage.Result
 }
 
 func (f *fixture) addEntry(address string) *fakeEntry {
-	e := &fakeEntry{address: address, incarnation: vwid.Incarnation(address + "-1"), leasing: true}
+	return f.addEntryAs(address, vwid.Incarnation(address+"-1"))
+}
+
+func (f *fixture) addEntryAs(address string, incarnation vwid.Incarnation) *fakeEntry {
+	e := &fakeEntry{address: address, incarnation: incarnation, leasing: true}
 	e.lease = vwmessage.LeaseReply{Version: 1, RemainingMilliseconds: 2000}
 	e.endpoint = f.network.MakeEndpoint(address, vwmessage.Hello{
 		Cluster: "c", Process: vwid.Process(address), Incarnation: e.incarnation, Role: string(vwstate.RoleEntry), DataCentre: "a",
@@ -61,12 +68,15 @@
 }
 
 // HandleMessage implements vwlink.Handler.
-func (e *fakeEntry) HandleMessage(_ *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+func (e *fakeEntry) HandleMessage(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	switch body := body.(type) {
 	case *vwmessage.Register:
 		e.registers = append(e.registers, *body)
+		if e.deaf {
+			return
+		}
 		outcome := vwstate.Outcome{}
 		encoded, err := outcome.MarshalMsg(nil)
 		reply(&vwmessage.Outcome{Outcome: encoded}, err)
@@ -79,9 +89,12 @@
 	case *vwmessage.Credit:
 		e.credits += body.Count
 	case *vwmessage.CreditRecall:
-		e.recalled += body.Count
+		returned := max(0, min(body.Count, e.credits))
+		e.credits -= returned
+		_ = session.Send(context.Background(), &vwmessage.CreditReturn{Count: returned})
 	case *vwmessage.Leaving:
 		e.leaving++
+		e.credits = 0
 	case *vwmessage.Result:
 		e.results = append(e.results, *body)
 	}
@@ -136,6 +149,28 @@
 	e.send(t, message)
 }
 
+// flood sends starts until ctx ends: one for each credit, each sent twice, and one without a credit.
+func (e *fakeEntry) flood(ctx context.Context) {
+	for number := 0; ctx.Err() == nil; number++ {
+		e.mu.Lock()
+		session, tasks := e.sessions[len(e.sessions)-1], max(1, e.credits)
+		e.credits = 0
+		e.mu.Unlock()
+		message := &vwmessage.Start{SubmissionID: vwid.MakeSubmissionID(), Epoch: 1, Service: "pedidos"}
+		for i := range tasks {
+			message.Tasks = append(message.Tasks, vwmessage.StartTask{TaskID: vwid.TaskID(fmt.Sprint(number, "-", i))})
+		}
+		for range 2 {
+			_ = session.Send(ctx, message)
+		}
+		timer := time.NewTimer(10 * time.Millisecond)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
+		}
+	}
+}
+
 // result returns the only result of a task that the entry got, or nil.
 func (e *fakeEntry) result(t *testing.T, submission vwid.SubmissionID, task vwid.TaskID) *vwmessage.Result {
 	e.mu.Lock()
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -159,8 +159,13 @@
 	}
 }
 
-// refuse answers a task that has not started and will not.
+// refuse answers a task that does not start for a reason outside the records. A repeated start of a
+// task that was started before must not be answered with NotRun.
 func (r *registration) refuse(w *waitingTask, reason string) {
+	if err := r.records.Check(w.key.submission, w.epoch, w.key.task); vwstart.IsAlreadyStarted(err) || vwstart.IsForgotten(err) {
+		r.answerRefusedStart(w, err)
+		return
+	}
 	r.agent.counters.Refused.Add(1)
 	w.link.send(&vwmessage.Result{
 		SubmissionID: w.key.submission, Epoch: w.epoch, TaskID: w.key.task,
--- a/internal/request/vwstart/records.go
+++ b/internal/request/vwstart/records.go
@@ -58,18 +58,10 @@
 // Start records the start of a task, or returns why it must not start. The caller may start the task
 // only after a nil error. The error's verdict is NotRun, and MayHaveRun for ErrForgotten.
 func (r *Records) Start(now time.Time, submission vwid.SubmissionID, epoch vwid.Epoch, task vwid.TaskID) error {
-	found := r.submissions[submission]
-	if found != nil {
-		if err := found.check(submission, epoch, task); err != nil {
-			return err
-		}
-	} else if err := r.checkUnknown(submission, epoch); err != nil {
+	if err := r.Check(submission, epoch, task); err != nil {
 		return err
 	}
-	if r.started >= r.limits.Records {
-		return refuse(&ErrTooMany{Limit: r.limits.Records})
-	}
-	found = r.touch(now, submission)
+	found := r.touch(now, submission)
 	found.epoch = epoch
 	found.running++
 	if found.tasks == nil {
@@ -80,6 +72,21 @@
 	return nil
 }
 
+// Check returns why Start would refuse a task, without a change.
+func (r *Records) Check(submission vwid.SubmissionID, epoch vwid.Epoch, task vwid.TaskID) error {
+	if found := r.submissions[submission]; found != nil {
+		if err := found.check(submission, epoch, task); err != nil {
+			return err
+		}
+	} else if err := r.checkUnknown(submission, epoch); err != nil {
+		return err
+	}
+	if r.started >= r.limits.Records {
+		return refuse(&ErrTooMany{Limit: r.limits.Records})
+	}
+	return nil
+}
+
 // checkUnknown refuses a submission without a record when it was acknowledged, or when its record
 // may have been dropped.
 func (r *Records) checkUnknown(submission vwid.SubmissionID, epoch vwid.Epoch) error {
