--- a/internal/process/vwhistory/cluster_test.go
+++ b/internal/process/vwhistory/cluster_test.go
@@ -139,6 +139,8 @@
 	entries []*entryProcess
 	agents  []*agentProcess
 	log     *slog.Logger
+	// supervisors outlive the entries that they replace.
+	supervisors *vwgroup.Group
 }
 
 func startCluster(entries, agents int, log *slog.Logger) *cluster {
@@ -147,6 +149,8 @@
 		control: vwcontroltest.Make(5 * time.Millisecond),
 		record:  &record{},
 		log:     log,
+
+		supervisors: vwgroup.Make(context.Background()),
 	}
 	for i := range entries {
 		e := &entryProcess{index: i, address: fmt.Sprintf("entry-%d", i)}
@@ -176,6 +180,21 @@
 	e.serving = vwgroup.Make(context.Background())
 	entry := e.entry
 	e.serving.Run(func(ctx context.Context) { _ = vwlink.Serve(ctx, endpoint, entry) })
+	c.supervisors.Run(func(ctx context.Context) { c.replaceLost(ctx, e, entry) })
+}
+
+// replaceLost starts a new incarnation of an entry that has lost its registration, as its process does.
+func (c *cluster) replaceLost(ctx context.Context, e *entryProcess, entry *vwentry.Entry) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-entry.Lost():
+	}
+	time.Sleep(time.Second)
+	if e.entry == entry {
+		c.killEntry(e)
+		c.startEntry(e)
+	}
 }
 
 func (c *cluster) killEntry(e *entryProcess) {
@@ -251,6 +270,7 @@
 }
 
 func (c *cluster) stop() {
+	_ = c.supervisors.Stop()
 	for _, e := range c.entries {
 		c.killEntry(e)
 	}
