--- a/internal/process/vwhistory/history_test.go
+++ b/internal/process/vwhistory/history_test.go
@@ -322,7 +322,7 @@
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
 			found, log := runHistory(t, seed)
-			if len(found) > 0 && os.Getenv("HISTORY_SEED") != "" {
+			if len(found) > 0 {
 				t.Log(log)
 			}
 			for _, violation := range found {
