--- /dev/null
+++ b/internal/process/vwraft/node_test.go
@@ -0,0 +1,263 @@
+package vwraft_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// Guards against lost, reordered or diverging committed entries and against two leaders of a term,
+// under any order of deliveries, losses, crashes before and after a sync, restarts and compactions.
+func TestSafety(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.SampledFrom([]int{3, 5}).Draw(t, "size")
+		c := makeCluster(t, size, rapid.Uint64().Draw(t, "seed"))
+		pick := func(t *rapid.T) vwid.Member { return voter(rapid.IntRange(0, size-1).Draw(t, "member")).Member }
+		proposed := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"run": func(t *rapid.T) { c.run(rapid.IntRange(1, 30).Draw(t, "ticks")) },
+			"tick one": func(t *rapid.T) {
+				member := pick(t)
+				for range rapid.IntRange(1, 15).Draw(t, "ticks") {
+					if c.nodes[member] != nil {
+						c.nodes[member].Tick()
+						c.settle(member, false)
+					}
+				}
+			},
+			"deliver one": func(t *rapid.T) {
+				if len(c.network) == 0 {
+					return
+				}
+				at := rapid.IntRange(0, len(c.network)-1).Draw(t, "at")
+				m := c.network[at]
+				if !rapid.Bool().Draw(t, "duplicate") {
+					c.network = append(c.network[:at:at], c.network[at+1:]...)
+				}
+				c.step(m)
+			},
+			"lose": func(_ *rapid.T) { c.network = nil },
+			"propose": func(t *rapid.T) {
+				member := pick(t)
+				if c.nodes[member] == nil {
+					return
+				}
+				proposed++
+				_, _, _ = c.nodes[member].Propose([]byte(fmt.Sprint(proposed)))
+				c.settle(member, rapid.Bool().Draw(t, "crash before sync"))
+			},
+			"crash or restart": func(t *rapid.T) {
+				member := pick(t)
+				if c.nodes[member] == nil {
+					c.start(member)
+					return
+				}
+				c.crash(member)
+			},
+			"isolate": func(t *rapid.T) { c.isolate(pick(t), rapid.Bool().Draw(t, "cut")) },
+			"compact": func(t *rapid.T) {
+				if member := pick(t); c.nodes[member] != nil {
+					c.compact(member)
+				}
+			},
+			"transfer": func(t *rapid.T) {
+				if member := pick(t); c.nodes[member] != nil {
+					c.nodes[member].Transfer()
+					c.settle(member, false)
+				}
+			},
+		})
+		c.recover(size)
+	})
+}
+
+// recover heals everything and requires progress: no reachable state may block the cluster for good.
+func (c *cluster) recover(size int) {
+	clear(c.cut)
+	for at := range size {
+		if member := voter(at).Member; c.nodes[member] == nil {
+			c.start(member)
+		}
+	}
+	// An unfinished transfer ends within one election timeout.
+	c.run(40)
+	leader := c.leader()
+	c.propose(leader, "after recovery")
+	require.NoError(c.t, c.nodes[leader].Read(99))
+	c.settle(leader, false)
+	c.run(40)
+	require.Equal(c.t, uint64(99), c.reads[leader][len(c.reads[leader])-1].ID)
+	for _, member := range c.members() {
+		require.Equal(c.t, c.nodes[leader].Status().Commit, c.applied[member], "member %s", member)
+	}
+}
+
+// Guards against a member that was cut off raising the term, and so deposing a healthy leader, on return.
+func TestPreVoteProtectsLeader(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		c := makeCluster(t, 3, seed)
+		leader := c.leader()
+		term := c.nodes[leader].Status().Term
+		cutOff := c.other(leader)
+		c.isolate(cutOff, true)
+		c.run(500)
+		c.isolate(cutOff, false)
+		c.run(100)
+		require.Equal(t, term, c.nodes[leader].Status().Term)
+		require.True(t, c.nodes[leader].IsLeader())
+	})
+}
+
+// Guards against a cut-off leader that keeps its lease or its role beyond the time at which another may lead.
+func TestIsolatedLeaderLosesLeaseFirst(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		c := makeCluster(t, 5, seed)
+		old := c.leader()
+		c.isolate(old, true)
+		for range 60 {
+			c.run(1)
+			for _, member := range c.members() {
+				if member != old && c.nodes[member].IsLeader() {
+					require.False(t, c.nodes[old].Leased(), "two leaders trust their lease")
+				}
+			}
+		}
+		require.False(t, c.nodes[old].IsLeader(), "check-quorum did not end the leadership")
+		require.NotEqual(t, old, c.leader())
+	})
+}
+
+// Guards against lease reads during a transfer, in which another member may lead at any moment.
+func TestTransferEndsLease(t *testing.T) {
+	c := makeCluster(t, 3, 7)
+	old := c.leader()
+	require.True(t, c.nodes[old].Transfer())
+	require.False(t, c.nodes[old].Leased())
+	_, _, err := c.nodes[old].Propose(nil)
+	require.ErrorIs(t, err, vwraft.ErrTransferring)
+	c.settle(old, false)
+	c.deliver()
+	require.False(t, c.nodes[old].IsLeader())
+	_, _, err = c.nodes[old].Propose(nil)
+	_, refused := vwraft.IsNotLeader(err)
+	require.True(t, refused)
+}
+
+// Guards against answers to reads before a quorum round when the lease does not cover them.
+func TestReadWaitsForQuorum(t *testing.T) {
+	c := makeCluster(t, 3, 3)
+	leader := c.leader()
+	require.NoError(t, c.nodes[leader].Read(1))
+	c.settle(leader, false)
+	require.Len(t, c.reads[leader], 1, "the lease permits an answer without messages")
+	c.isolate(leader, true)
+	for range 10 {
+		c.nodes[leader].Tick()
+	}
+	require.True(t, c.nodes[leader].IsLeader())
+	require.NoError(t, c.nodes[leader].Read(2))
+	c.settle(leader, false)
+	require.Len(t, c.reads[leader], 1, "without a lease the read has to wait")
+	c.isolate(leader, false)
+	require.NoError(t, c.nodes[leader].Read(3))
+	c.settle(leader, false)
+	c.deliver()
+	require.Len(t, c.reads[leader], 3)
+}
+
+// Guards against a member that lags behind the compacted log, or holds a long conflicting tail, staying behind.
+func TestLaggingMemberCatchesUp(t *testing.T) {
+	cases := map[string]struct {
+		changes int
+		compact bool
+		batch   int
+	}{
+		"few entries":             {changes: 3, batch: 1 << 10},
+		"hundreds of entries":     {changes: 300, batch: 64},
+		"snapshot in many chunks": {changes: 300, compact: true, batch: 4},
+		"snapshot in one message": {changes: 300, compact: true, batch: 1 << 10},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := makeCluster(t, 3, 9)
+			c.tune = func(s *vwraft.Settings) { s.Trailing, s.MaxBatchBytes = 4, k.batch }
+			for _, member := range c.members() {
+				c.start(member)
+			}
+			leader := c.leader()
+			lagging := c.other(leader)
+			c.isolate(lagging, true)
+			for at := range k.changes {
+				c.propose(leader, fmt.Sprint(at))
+			}
+			if k.compact {
+				c.compact(leader)
+			}
+			c.isolate(lagging, false)
+			c.run(30)
+			require.Equal(t, c.nodes[leader].Status().Commit, c.applied[lagging])
+		})
+	}
+}
+
+func (c *cluster) other(than vwid.Member) vwid.Member {
+	for _, member := range c.members() {
+		if member != than {
+			return member
+		}
+	}
+	return ""
+}
+
+// Guards against a learner that votes before it holds the log, and against two changes at once.
+func TestMembershipChanges(t *testing.T) {
+	c := makeCluster(t, 3, 11)
+	leader := c.leader()
+	for at := range 20 {
+		c.propose(leader, fmt.Sprint(at))
+	}
+	added := voter(3)
+	c.disks[added.Member] = &disk{}
+	node := c.nodes[leader]
+	change := func(kind vwraft.ChangeKind, v vwraft.Voter) error {
+		_, _, err := node.ProposeChange(vwraft.Change{Kind: kind, Voter: v})
+		return err
+	}
+	require.NoError(t, change(vwraft.ChangeAddLearner, added))
+	require.ErrorIs(t, change(vwraft.ChangeRemove, voter(0)), vwraft.ErrChangePending)
+	c.run(10)
+	require.ErrorIs(t, change(vwraft.ChangePromote, added), vwraft.ErrNotCaughtUp)
+	c.start(added.Member)
+	c.run(10)
+	require.NoError(t, change(vwraft.ChangePromote, added))
+	c.run(10)
+	require.NoError(t, change(vwraft.ChangeRemove, vwraft.Voter{Member: leader}))
+	c.run(60)
+	require.False(t, node.IsLeader(), "a removed leader steps down")
+	c.crash(leader)
+	next := c.leader()
+	c.propose(next, "after the change")
+	status := c.nodes[next].Status()
+	require.Len(t, status.Membership.Voters, 3)
+	require.False(t, status.Membership.Votes(leader))
+}
+
+// Guards against an unbounded log of uncommitted entries at a leader that has lost its quorum.
+func TestProposalsAreBounded(t *testing.T) {
+	c := makeCluster(t, 3, 13)
+	c.tune = func(s *vwraft.Settings) { s.MaxUncommittedBytes = 100 }
+	for _, member := range c.members() {
+		c.start(member)
+	}
+	leader := c.leader()
+	c.isolate(leader, true)
+	_, _, err := c.nodes[leader].Propose(make([]byte, 90))
+	require.NoError(t, err)
+	_, _, err = c.nodes[leader].Propose(make([]byte, 90))
+	require.ErrorIs(t, err, vwraft.ErrBusy)
+}
