Add the control member

A control member runs the replicated log, its store and the control state in one goroutine and serves Propose, Renew and Read in process. A member that does not lead forwards a request once. Errors carry NotRun only when the command is certainly not in the log: a proposal whose index was committed with another term has not run, one whose fate is open may have.

The first log is created only by the member with the lowest initial address and only when all initial members have answered that they are empty; any other empty member joins as a learner under its new id, and replaces the voter at its address once it has caught up.

The decoders' limit now applies to lists only.

--- /dev/null
+++ b/internal/process/vwcontrol/core.go
@@ -0,0 +1,240 @@
+package vwcontrol
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// core is the state of a member. The member's goroutine owns it.
+type core struct {
+	settings  Settings
+	transport Transport
+	store     *vwstore.Store
+	raft      vwraft.Settings
+	node      *vwraft.Node
+	state     *vwstate.State
+	self      vwraft.Voter
+	clock     clock
+	now       time.Time
+	nextDuty  time.Time
+
+	applied   vwraft.Index
+	leading   bool
+	term      vwraft.Term
+	config    vwid.ConfigVersion
+	watchers  []func(vwid.ConfigVersion)
+	proposals proposals
+	reads     reads
+	forwards  forwards
+	leases    leases
+	discovery discovery
+	snapshots snapshots
+	peers     peers
+	handed    chan struct{}
+}
+
+func makeCore(settings Settings, files vwstore.FileSystem, transport Transport) (*core, error) {
+	store, loaded, err := vwstore.Open(files, settings.SegmentBytes)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c := &core{settings: settings, transport: transport, store: store, state: vwstate.Make()}
+	c.self = vwraft.Voter{Member: loaded.Member, Address: settings.Address}
+	c.raft = settings.raft(loaded.Member)
+	c.now = time.Now()
+	c.leases.restart(c.now)
+	c.clock = makeClock(settings.Tick)
+	c.proposals, c.reads, c.forwards = makeProposals(), makeReads(), makeForwards()
+	c.peers, c.discovery = makePeers(), makeDiscovery(loaded.Empty())
+	if err := c.restore(loaded); err != nil {
+		return nil, trace.NewAggregate(err, store.Close())
+	}
+	settings.Logger.Info("control member starts", "member", string(loaded.Member), "empty", loaded.Empty(),
+		"snapshot", uint64(loaded.Snapshot.Index), "entries", len(loaded.Entries), "torn_bytes", loaded.Truncated)
+	return c, nil
+}
+
+func (c *core) restore(loaded vwstore.Loaded) error {
+	node, err := vwraft.MakeNode(c.raft, loaded.HardState, loaded.Snapshot, loaded.Entries)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.node = node
+	if loaded.Snapshot.Index == 0 {
+		return nil
+	}
+	return trace.Wrap(c.install(loaded.Snapshot))
+}
+
+// advance accounts for the time that has passed. It precedes everything that reaches the log.
+func (c *core) advance() {
+	now := time.Now()
+	if now.Sub(c.now) > stallLimit {
+		c.leases.postpone(now)
+	}
+	c.now = now
+	// More ticks than two election timeouts end every lease and every leadership anyway.
+	for range c.clock.due(now, int64(4*c.raft.ElectionTicks)) {
+		c.node.Tick()
+	}
+}
+
+// settle does what is due by time and carries out everything that the log asks for.
+func (c *core) settle() error {
+	c.advance()
+	if err := c.discover(); err != nil {
+		return trace.Wrap(err)
+	}
+	c.lead()
+	for {
+		ready, ok := c.node.Ready()
+		c.observeLeadership()
+		if !ok {
+			break
+		}
+		if err := c.carryOut(ready); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	c.expireWaiting()
+	c.finishHandOver()
+	return trace.Wrap(c.snapshot())
+}
+
+func (c *core) carryOut(ready vwraft.Ready) error {
+	c.send(ready.Messages)
+	if err := c.save(ready); err != nil {
+		return trace.Wrap(err)
+	}
+	c.send(ready.AfterSync)
+	for at := range ready.Committed {
+		c.apply(&ready.Committed[at])
+	}
+	c.reads.release(ready.Reads)
+	c.reads.answer(c.applied)
+	c.node.Advance()
+	return nil
+}
+
+func (c *core) save(ready vwraft.Ready) error {
+	if !ready.MustSync() {
+		return nil
+	}
+	if ready.Snapshot != nil {
+		if err := c.store.Install(*ready.Snapshot); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if err := c.store.Append(ready.HardState, ready.Entries); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := c.store.Sync(); err != nil {
+		return trace.Wrap(err)
+	}
+	if ready.Snapshot != nil {
+		return trace.Wrap(c.install(*ready.Snapshot))
+	}
+	return nil
+}
+
+// install replaces the state by a snapshot.
+func (c *core) install(snapshot vwraft.Snapshot) error {
+	state, err := vwstate.Restore(snapshot.Data)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.state, c.applied = state, snapshot.Index
+	c.snapshots.installed(snapshot)
+	c.proposals.overtaken(snapshot.Index)
+	c.announceConfig()
+	return nil
+}
+
+func (c *core) apply(entry *vwraft.Entry) {
+	c.applied = entry.Index
+	c.snapshots.applied(entry)
+	if entry.Kind != vwraft.EntryCommand {
+		c.proposals.replaced(entry)
+		return
+	}
+	command, err := vwstate.Decode(entry.Data)
+	if err != nil {
+		// The leader decodes every command before it proposes it. All members skip the entry alike.
+		c.settings.Logger.Error("malformed command in the log", "index", uint64(entry.Index), "error", err)
+		return
+	}
+	outcome := c.state.Apply(command)
+	c.leases.observe(command, c.now)
+	c.proposals.applied(entry, outcome)
+	c.announceConfig()
+}
+
+func (c *core) announceConfig() {
+	version := c.state.Version()
+	if version == c.config {
+		return
+	}
+	c.config = version
+	for _, notify := range c.watchers {
+		notify(version)
+	}
+}
+
+// observeLeadership reacts to the gain and the loss of the leadership.
+func (c *core) observeLeadership() {
+	status := c.node.Status()
+	if c.leading == c.node.IsLeader() && c.term == status.Term {
+		c.forwards.follow(status.Leader)
+		return
+	}
+	if c.leading != c.node.IsLeader() {
+		c.settings.Logger.Info("leadership", "leading", c.node.IsLeader(), "term", uint64(status.Term))
+	}
+	c.leading, c.term = c.node.IsLeader(), status.Term
+	c.reads.fail(status.Leader)
+	c.forwards.follow(status.Leader)
+	c.leases.restart(c.now)
+}
+
+func (c *core) expireWaiting() {
+	c.proposals.expire(c.now)
+	c.reads.expire(c.now)
+	c.forwards.expire(c.now)
+}
+
+// handOver starts a transfer of the leadership, and closes handed when this member does not lead any more.
+func (c *core) handOver(handed chan struct{}) {
+	c.advance()
+	c.handed = handed
+	if c.node.IsLeader() && !c.node.Transfer() {
+		// There is nobody to hand over to.
+		close(handed)
+		c.handed = nil
+	}
+}
+
+func (c *core) finishHandOver() {
+	if c.handed != nil && !c.node.IsLeader() {
+		close(c.handed)
+		c.handed = nil
+	}
+}
+
+func (c *core) status() Status {
+	return Status{Self: c.self, Log: c.node.Status(), Applied: c.applied, Config: c.state.Version()}
+}
+
+// close answers everything that waits and releases the data directory.
+func (c *core) close() error {
+	c.proposals.stop()
+	c.reads.failAll(vwverdict.Wrap(vwverdict.NotRun, ErrStopped))
+	c.forwards.failAll(ErrStopped)
+	return c.store.Close()
+}
--- /dev/null
+++ b/internal/process/vwcontrol/member_test.go
@@ -0,0 +1,215 @@
+package vwcontrol
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+// bubble runs a scenario on the fake clock.
+func bubble(t *testing.T, size int, seed uint64, scenario func(t *testing.T, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := makeCluster(t, size, seed)
+		defer c.stop()
+		c.startAll()
+		c.leader()
+		scenario(t, c)
+	})
+}
+
+// Guards, under each kind of fault and a constant load of racing operators, against lost acknowledged
+// changes, two winners of a version, decreasing versions, two leaders of a term, untrue NotRun answers
+// and members whose states differ.
+func TestFaults(t *testing.T) {
+	faults := map[string]func(c *cluster){
+		"none":              func(*cluster) {},
+		"leader crashes":    func(c *cluster) { c.crash(c.leader()) },
+		"follower crashes":  func(c *cluster) { c.crash(c.follower()) },
+		"two at once":       func(c *cluster) { c.crash(c.follower()); c.crash((c.leader() + 2) % len(c.disks)) },
+		"all at once":       func(c *cluster) { crashAll(c) },
+		"one after repair":  oneAfterRepair,
+		"leader isolated":   func(c *cluster) { c.isolate(c.leader(), false, true) },
+		"follower isolated": func(c *cluster) { c.isolate(c.follower(), false, true) },
+		"leader sends but hears nothing": func(c *cluster) {
+			leader := c.leader()
+			for other := range c.disks {
+				c.network.setCut(address(other), address(leader), true)
+			}
+		},
+		"leader hears but sends nothing": func(c *cluster) { c.isolate(c.leader(), true, true) },
+		"follower sends nothing":         func(c *cluster) { c.isolate(c.follower(), true, true) },
+		"one direction between two": func(c *cluster) {
+			c.network.setCut(address(c.leader()), address(c.follower()), true)
+		},
+		"cut off for long": func(c *cluster) {
+			c.isolate(c.follower(), false, true)
+			time.Sleep(2 * time.Minute)
+		},
+		"lossy network":  func(c *cluster) { c.network.setLoss(0.2) },
+		"slow disk":      func(c *cluster) { c.disks[c.leader()].SetSyncDelay(800 * time.Millisecond) },
+		"failing disk":   func(c *cluster) { c.disks[c.leader()].SetFailSync(true) },
+		"lost disk":      func(c *cluster) { c.wipe(c.follower()) },
+		"lost leader":    func(c *cluster) { c.wipe(c.leader()) },
+		"planned stop":   plannedStop,
+		"repeated stops": func(c *cluster) { plannedStop(c); time.Sleep(time.Second); plannedStop(c) },
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			seeded(t, func(_ *testing.T, c *cluster) {
+				end := c.operate(3)
+				time.Sleep(3 * time.Second)
+				fault(c)
+				time.Sleep(5 * time.Second)
+				c.network.heal()
+				time.Sleep(3 * time.Second)
+				end()
+				c.finish()
+			})
+		})
+	}
+}
+
+func crashAll(c *cluster) {
+	for at := range c.disks {
+		c.crash(at)
+	}
+	for at := range c.disks {
+		c.start(at)
+	}
+}
+
+func oneAfterRepair(c *cluster) {
+	first := c.follower()
+	c.crash(first)
+	time.Sleep(2 * time.Second)
+	c.start(first)
+	// A second member fails while the first one may still be catching up.
+	c.crash((first + 1) % len(c.disks))
+}
+
+func plannedStop(c *cluster) {
+	leader := c.leader()
+	m := c.member(leader)
+	c.set(leader, nil)
+	_ = m.Stop()
+	c.start(leader)
+}
+
+// The load and the final check must find acknowledged changes that disks lose after a reported sync.
+func TestFaultsFindLyingDisks(t *testing.T) {
+	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
+		// With one segment and no snapshots the disks lose only the tail of the log, which a restart cannot notice.
+		c.tune = func(s *Settings) { s.SnapshotEntries, s.SegmentBytes = 1<<30, 1<<30 }
+		crashAll(c)
+		c.leader()
+		for _, disk := range c.disks {
+			disk.SetIgnoreSync(true)
+		}
+		end := c.operate(3)
+		time.Sleep(3 * time.Second)
+		end()
+		time.Sleep(time.Second)
+		crashAll(c)
+		leader := c.leader()
+		require.Error(t, c.history.check(c.finalState(leader)))
+	})
+}
+
+// Guards against a planned stop that costs an election timeout.
+func TestPlannedStopHandsOver(t *testing.T) {
+	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
+		time.Sleep(time.Second)
+		leader := c.leader()
+		before := time.Now()
+		require.NoError(t, c.member(leader).Stop())
+		c.set(leader, nil)
+		require.NotEqual(t, leader, c.leader())
+		require.Less(t, time.Since(before), 300*time.Millisecond)
+	})
+}
+
+// Guards against a restart that replays the whole history, and against a state that differs after it.
+func TestRestartUsesSnapshot(t *testing.T) {
+	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
+		for at := range 600 {
+			change := &vwstate.ChangeRules{ChangeID: vwid.ChangeID(fmt.Sprint(at)), Base: vwid.ConfigVersion(at), Text: []byte("text")}
+			outcome, err := proposeWithin(c.member(at%3), vwstate.Command{ChangeRules: change})
+			require.NoError(t, err)
+			require.Equal(t, vwid.ConfigVersion(at+1), outcome.Version)
+		}
+		time.Sleep(time.Second)
+		for at := range c.disks {
+			c.crash(at)
+			store, loaded, err := vwstore.Open(c.disks[at], 4096)
+			require.NoError(t, err)
+			require.Greater(t, loaded.Snapshot.Index, vwraft.Index(100))
+			require.Less(t, len(loaded.Entries), 500)
+			require.NoError(t, store.Close())
+			c.start(at)
+		}
+		view, err := readWithin(c.member(c.leader()), vwstate.Query{Config: true})
+		require.NoError(t, err)
+		require.Equal(t, vwid.ConfigVersion(600), view.Config.Version)
+	})
+}
+
+// Guards against a member that votes again under the id whose disk was lost.
+func TestLostDiskJoinsUnderNewID(t *testing.T) {
+	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
+		lost := c.follower()
+		old := c.member(lost).Status().Self.Member
+		c.wipe(lost)
+		require.NotEqual(t, old, c.member(lost).Status().Self.Member)
+		time.Sleep(5 * time.Second)
+		membership := c.member(c.leader()).Status().Log.Membership
+		require.Len(t, membership.Voters, 3)
+		require.Empty(t, membership.Learners)
+		require.False(t, membership.Votes(old))
+		require.True(t, membership.Votes(c.member(lost).Status().Self.Member))
+	})
+}
+
+// Guards against a second log: members that are empty create one only while all of them are.
+func TestFirstStart(t *testing.T) {
+	cases := map[string]struct {
+		prepare func(c *cluster)
+		want    bool
+	}{
+		"all empty":          {func(*cluster) {}, true},
+		"one is unreachable": {func(c *cluster) { c.crash(2) }, false},
+		"two lost their disk": {func(c *cluster) {
+			c.leader()
+			c.crash(0)
+			c.crash(1)
+			c.disks[0].Wipe()
+			c.disks[1].Wipe()
+			c.start(0)
+			c.start(1)
+		}, false},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := makeCluster(t, 3, 1)
+				defer c.stop()
+				c.startAll()
+				k.prepare(c)
+				time.Sleep(10 * time.Second)
+				require.Equal(t, k.want, c.member(0).Status().Log.Last > 0)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/process/vwcontrol/peer.go
@@ -0,0 +1,127 @@
+package vwcontrol
+
+import (
+	"slices"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// maxPacket bounds the data in one packet, well below vwmessage.MaxEnvelope.
+const maxPacket = 1 << 20
+
+// peers remembers where packets came from, for members that no membership names yet.
+type peers struct {
+	addresses map[vwid.Member]string
+}
+
+func makePeers() peers {
+	return peers{addresses: map[vwid.Member]string{}}
+}
+
+// send puts messages of the log into as few packets as their size permits.
+func (c *core) send(messages []vwraft.Message) {
+	var order []vwid.Member
+	grouped := map[vwid.Member][]vwraft.Message{}
+	sizes := map[vwid.Member]int{}
+	for _, m := range messages {
+		if !slices.Contains(order, m.To) {
+			order = append(order, m.To)
+		}
+		if sizes[m.To] += sizeOf(m); sizes[m.To] > maxPacket && len(grouped[m.To]) > 0 {
+			c.sendMessages(m.To, grouped[m.To])
+			grouped[m.To], sizes[m.To] = nil, sizeOf(m)
+		}
+		grouped[m.To] = append(grouped[m.To], m)
+	}
+	for _, member := range order {
+		c.sendMessages(member, grouped[member])
+	}
+}
+
+func (c *core) sendMessages(member vwid.Member, messages []vwraft.Message) {
+	if to := c.locate(member); to.Address != "" {
+		c.sendPacket(to, Packet{Messages: messages})
+	}
+}
+
+// locate returns a member with its address, which is empty when it is not known.
+func (c *core) locate(member vwid.Member) vwraft.Voter {
+	membership := c.node.Status().Membership
+	if found, known := membership.Find(member); known {
+		return found
+	}
+	return vwraft.Voter{Member: member, Address: c.peers.addresses[member]}
+}
+
+func sizeOf(m vwraft.Message) int {
+	size := 0
+	for _, entry := range m.Entries {
+		size += len(entry.Data)
+	}
+	if m.Snapshot != nil {
+		size += len(m.Snapshot.Data)
+	}
+	return size
+}
+
+func (c *core) sendPacket(to vwraft.Voter, packet Packet) {
+	packet.From = c.self
+	data, err := packet.Encode()
+	if err != nil {
+		c.settings.Logger.Error("packet not encoded", "error", err)
+		return
+	}
+	c.transport.Send(to, data)
+}
+
+// handlePacket handles what another member sent.
+func (c *core) handlePacket(data []byte) {
+	c.advance()
+	packet, err := DecodePacket(data)
+	if err != nil {
+		c.settings.Logger.Warn("packet dropped", "error", err)
+		return
+	}
+	if packet.From.Member == c.self.Member || packet.From.Address == c.self.Address || (packet.Probe == nil && c.discovery.superseded(packet.From)) {
+		return
+	}
+	c.peers.addresses[packet.From.Member] = packet.From.Address
+	for at := range packet.Messages {
+		// A packet speaks only for its sender.
+		if packet.Messages[at].From == packet.From.Member {
+			c.node.Step(packet.Messages[at])
+		}
+	}
+	if packet.Probe != nil {
+		c.handleProbe(packet.From, *packet.Probe)
+	}
+	if packet.Envelope != nil {
+		c.handleEnvelope(packet.From, *packet.Envelope)
+	}
+}
+
+// handleEnvelope handles a forwarded request or the reply to one.
+func (c *core) handleEnvelope(from vwraft.Voter, envelope vwmessage.Envelope) {
+	body, err := vwmessage.Open(envelope)
+	if err != nil {
+		c.settings.Logger.Warn("envelope dropped", "error", err)
+		return
+	}
+	if envelope.Reply {
+		c.forwards.reply(from.Member, envelope.Call, body)
+		return
+	}
+	c.serve(body, func(reply vwmessage.Body, err error) {
+		if err != nil {
+			reply = failureOf(err)
+		}
+		sealed, err := vwmessage.Seal(reply, envelope.Call, true)
+		if err != nil {
+			c.settings.Logger.Error("reply not encoded", "error", err)
+			return
+		}
+		c.sendPacket(from, Packet{Envelope: &sealed})
+	}, false)
+}
--- /dev/null
+++ b/internal/process/vwcontrol/serve.go
@@ -0,0 +1,105 @@
+package vwcontrol
+
+import (
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// serve handles a request. A member that does not lead forwards it once when mayForward is set.
+func (c *core) serve(body vwmessage.Body, answer Answer, mayForward bool) {
+	c.advance()
+	if !c.node.IsLeader() {
+		c.forward(body, answer, mayForward)
+		return
+	}
+	switch message := body.(type) {
+	case *vwmessage.Propose:
+		c.propose(message, answer)
+	case *vwmessage.Read:
+		c.query(message, answer)
+	case *vwmessage.LeaseRequest:
+		c.renew(message, answer)
+	default:
+		answer(nil, vwverdict.Errorf(vwverdict.NotRun, "control does not serve message kind %d", body.MessageKind()))
+	}
+}
+
+func (c *core) forward(body vwmessage.Body, answer Answer, mayForward bool) {
+	leader := c.locate(c.node.Status().Leader.Member)
+	if leader.Address == "" || !mayForward {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, ErrNotLeader{Leader: leader}))
+		return
+	}
+	if len(c.forwards.waiting) >= c.settings.MaxWaiting {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, vwraft.ErrBusy))
+		return
+	}
+	one := forward{to: leader.Member, deadline: c.now.Add(c.settings.RequestTimeout), answer: answer, verdict: vwverdict.NotRun}
+	if _, proposes := body.(*vwmessage.Propose); proposes {
+		one.verdict = vwverdict.MayHaveRun
+	}
+	call := c.forwards.add(one)
+	envelope, err := vwmessage.Seal(body, call, false)
+	if err != nil {
+		c.forwards.fail(call, err)
+		return
+	}
+	c.sendPacket(leader, Packet{Envelope: &envelope})
+}
+
+func (c *core) propose(message *vwmessage.Propose, answer Answer) {
+	command, err := vwstate.Decode(message.Command)
+	if err != nil {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, err))
+		return
+	}
+	c.proposeCommand(command, answer)
+}
+
+// proposeCommand stamps a command with the leader's clock and appends it to the log.
+func (c *core) proposeCommand(command vwstate.Command, answer Answer) {
+	command.At = c.now.UnixMilli()
+	data, err := vwstate.Encode(command)
+	if err != nil {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, err))
+		return
+	}
+	if len(c.proposals.waiting) >= c.settings.MaxWaiting {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, vwraft.ErrBusy))
+		return
+	}
+	index, term, err := c.node.Propose(data)
+	if err != nil {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, err))
+		return
+	}
+	c.proposals.add(index, proposal{term: term, deadline: c.now.Add(c.settings.RequestTimeout), answer: answer})
+}
+
+func (c *core) query(message *vwmessage.Read, answer Answer) {
+	var query vwstate.Query
+	if _, err := query.UnmarshalMsg(message.Query); err != nil {
+		answer(nil, vwverdict.Wrap(vwverdict.NotRun, err))
+		return
+	}
+	c.whenCurrent(func(err error) {
+		if err != nil {
+			answer(nil, err)
+			return
+		}
+		view := c.state.Read(query)
+		data, err := view.MarshalMsg(nil)
+		answer(&vwmessage.View{View: data}, vwverdict.Wrap(vwverdict.NotRun, err))
+	})
+}
+
+// whenCurrent calls finish once the state holds everything that was committed before this call.
+func (c *core) whenCurrent(finish func(err error)) {
+	id := c.reads.add(read{deadline: c.now.Add(c.settings.RequestTimeout), finish: finish})
+	if err := c.node.Read(id); err != nil {
+		delete(c.reads.waiting, id)
+		finish(vwverdict.Wrap(vwverdict.NotRun, err))
+	}
+}
--- /dev/null
+++ b/internal/process/vwcontrol/settings.go
@@ -0,0 +1,92 @@
+package vwcontrol
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+const (
+	// LeaseDuration is how long a configuration lease lasts from the moment at which it was asked for.
+	LeaseDuration = 2 * time.Second
+	// RegistrationPeriod is how long a registration is kept after its last renewal. It exceeds
+	// LeaseDuration, so that a holder has stopped before its registration ends.
+	RegistrationPeriod = 4 * time.Second
+	// MaxMembers bounds the voters and learners: each one costs the leader messages.
+	MaxMembers = 7
+)
+
+// Settings are the fixed parameters of a Member.
+type Settings struct {
+	// Address is where the other members reach this one.
+	Address string
+	// Initial are the addresses of all members of the first start, this one's included. They are only
+	// used while the data directory is empty.
+	Initial []string
+	// Tick is the interval of vwraft's ticks.
+	Tick time.Duration
+	// ProbeInterval is how often a member with an empty log looks for the others.
+	ProbeInterval time.Duration
+	// RequestTimeout bounds how long a request waits for a commit or a quorum.
+	RequestTimeout time.Duration
+	// SnapshotEntries is the least number of entries between two snapshots.
+	SnapshotEntries int
+	// SegmentBytes is the size of a log segment.
+	SegmentBytes int64
+	// MaxWaiting bounds the requests that wait for the member.
+	MaxWaiting int
+	// Random draws the election timeouts.
+	Random rand.Source
+	// Tune changes the settings of the log; it may be nil.
+	Tune   func(*vwraft.Settings)
+	Logger *slog.Logger
+}
+
+// DefaultSettings returns settings with all bounds set, for a member at address.
+func DefaultSettings(address string, initial []string) Settings {
+	return Settings{
+		Address:         address,
+		Initial:         initial,
+		Tick:            50 * time.Millisecond,
+		ProbeInterval:   500 * time.Millisecond,
+		RequestTimeout:  5 * time.Second,
+		SnapshotEntries: 500,
+		SegmentBytes:    vwstore.DefaultSegmentBytes,
+		MaxWaiting:      4096,
+		Random:          rand.NewPCG(rand.Uint64(), rand.Uint64()),
+		Logger:          slog.Default(),
+	}
+}
+
+func (s Settings) check() error {
+	switch {
+	case s.Address == "" || len(s.Initial) == 0:
+		return trace.BadParameter("the address of the member and the initial addresses must be set")
+	case len(s.Initial) > MaxMembers:
+		return trace.BadParameter("%d initial members exceed the limit of %d", len(s.Initial), MaxMembers)
+	case len(slices.Compact(slices.Sorted(slices.Values(s.Initial)))) != len(s.Initial):
+		return trace.BadParameter("an initial address is named twice")
+	case s.Tick <= 0 || s.ProbeInterval <= 0 || s.RequestTimeout <= 0:
+		return trace.BadParameter("intervals and timeouts must be positive")
+	case s.SnapshotEntries < 1 || s.SegmentBytes < 1 || s.MaxWaiting < 1:
+		return trace.BadParameter("sizes and bounds must be positive")
+	case s.Random == nil || s.Logger == nil:
+		return trace.BadParameter("Random and Logger must be set")
+	}
+	return nil
+}
+
+func (s Settings) raft(self vwid.Member) vwraft.Settings {
+	settings := vwraft.DefaultSettings(self, s.Random)
+	if s.Tune != nil {
+		s.Tune(&settings)
+	}
+	return settings
+}
--- a/internal/process/vwraft/message.go
+++ b/internal/process/vwraft/message.go
@@ -8,9 +8,6 @@
 
 //go:generate go tool msgp -tests=false -io=false -o message_gen.go -file message.go
 
-// Bounds what a malformed message can make a decoder allocate.
-//msgp:limit arrays:65536 maps:64
-
 //msgp:replace vwid.Member with:string
 //msgp:replace Term with:uint64
 //msgp:replace Index with:uint64
@@ -54,7 +51,7 @@
 	LogTerm Term `msg:",omitempty"`
 	// Commit is the leader's commit index.
 	Commit  Index   `msg:",omitempty"`
-	Entries []Entry `msg:",omitempty"`
+	Entries []Entry `msg:",omitempty,limit=65536"`
 	Reject  bool    `msg:",omitempty"`
 	// Hint and HintTerm tell the last entry of the replier that may match the leader's log.
 	Hint     Index `msg:",omitempty"`
--- a/internal/process/vwraft/message_gen.go
+++ b/internal/process/vwraft/message_gen.go
@@ -7,12 +7,6 @@
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
-// Size limits for msgp deserialization
-const (
-	zdc5d9100limitArrays = 65536
-	zdc5d9100limitMaps   = 64
-)
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Message) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -174,10 +168,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zdc5d9100limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -263,7 +253,7 @@
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
-			if zb0009 > zdc5d9100limitArrays {
+			if zb0009 > 65536 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
--- a/internal/process/vwraft/type.go
+++ b/internal/process/vwraft/type.go
@@ -6,9 +6,6 @@
 
 //go:generate go tool msgp -tests=false -io=false -o type_gen.go -file type.go
 
-// Bounds what a malformed message can make a decoder allocate.
-//msgp:limit arrays:65536 maps:64
-
 //msgp:replace vwid.Member with:string
 //msgp:replace Term with:uint64
 //msgp:replace Index with:uint64
@@ -50,9 +47,10 @@
 }
 
 // Membership lists who votes and who only learns.
+// The limits of lists bound what a malformed message can make a decoder allocate.
 type Membership struct {
-	Voters   []Voter
-	Learners []Voter
+	Voters   []Voter `msg:",limit=64"`
+	Learners []Voter `msg:",limit=64"`
 }
 
 // HardState must be synced before any message that depends on it is sent.
--- a/internal/process/vwraft/type_gen.go
+++ b/internal/process/vwraft/type_gen.go
@@ -7,12 +7,6 @@
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
-// Size limits for msgp deserialization
-const (
-	zc8ad6737limitArrays = 65536
-	zc8ad6737limitMaps   = 64
-)
-
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -42,10 +36,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zc8ad6737limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -85,27 +75,11 @@
 				z.Kind = EntryKind(zb0004)
 			}
 		case "Data":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadBytesHeader(bts)
+			z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
 			if err != nil {
 				err = msgp.WrapError(err, "Data")
 				return
 			}
-			if zb0005 > zc8ad6737limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Data == nil || uint32(cap(z.Data)) < zb0005 {
-				z.Data = make([]byte, zb0005)
-			} else {
-				z.Data = z.Data[:zb0005]
-			}
-			if uint32(len(bts)) < zb0005 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Data, bts[:zb0005])
-			bts = bts[zb0005:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -175,10 +149,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zc8ad6737limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -294,10 +264,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zc8ad6737limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -313,7 +279,7 @@
 				err = msgp.WrapError(err, "Voters")
 				return
 			}
-			if zb0002 > zc8ad6737limitArrays {
+			if zb0002 > 64 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -329,7 +295,7 @@
 					err = msgp.WrapError(err, "Voters", za0001)
 					return
 				}
-				if zb0003 > zc8ad6737limitMaps {
+				if zb0003 > 64 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -373,7 +339,7 @@
 				err = msgp.WrapError(err, "Learners")
 				return
 			}
-			if zb0005 > zc8ad6737limitArrays {
+			if zb0005 > 64 {
 				err = msgp.ErrLimitExceeded
 				return
 			}
@@ -389,7 +355,7 @@
 					err = msgp.WrapError(err, "Learners", za0002)
 					return
 				}
-				if zb0006 > zc8ad6737limitMaps {
+				if zb0006 > 64 {
 					err = msgp.ErrLimitExceeded
 					return
 				}
@@ -484,10 +450,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zc8ad6737limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -523,27 +485,11 @@
 				return
 			}
 		case "Data":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadBytesHeader(bts)
+			z.Data, bts, err = msgp.ReadBytesBytes(bts, z.Data)
 			if err != nil {
 				err = msgp.WrapError(err, "Data")
 				return
 			}
-			if zb0004 > zc8ad6737limitArrays {
-				err = msgp.ErrLimitExceeded
-				return
-			}
-			if z.Data == nil || uint32(cap(z.Data)) < zb0004 {
-				z.Data = make([]byte, zb0004)
-			} else {
-				z.Data = z.Data[:zb0004]
-			}
-			if uint32(len(bts)) < zb0004 {
-				err = msgp.ErrShortBytes
-				return
-			}
-			copy(z.Data, bts[:zb0004])
-			bts = bts[zb0004:]
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -613,10 +559,6 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 > zc8ad6737limitMaps {
-		err = msgp.ErrLimitExceeded
-		return
-	}
 	for zb0001 > 0 {
 		zb0001--
 		field, bts, err = msgp.ReadMapKeyZC(bts)
--- a/internal/process/vwstoretest/disk.go
+++ b/internal/process/vwstoretest/disk.go
@@ -41,6 +41,7 @@
 	syncs      int
 	delay      time.Duration
 	failSync   bool
+	ignoreSync bool
 	space      int
 }
 
@@ -63,6 +64,14 @@
 	d.failSync = fail
 }
 
+// SetIgnoreSync makes every sync report success without effect, as a lying device does. It plants a
+// fault that checkers must find.
+func (d *Disk) SetIgnoreSync(ignore bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ignoreSync = ignore
+}
+
 // SetSpace lets only that many further bytes be written.
 func (d *Disk) SetSpace(space int) {
 	d.mu.Lock()
--- a/internal/process/vwstoretest/handle.go
+++ b/internal/process/vwstoretest/handle.go
@@ -43,6 +43,9 @@
 		return ErrSync
 	}
 	h.disk.syncs++
+	if h.disk.ignoreSync {
+		return nil
+	}
 	h.file.synced = len(h.file.data)
 	return nil
 }
