--- /dev/null
+++ b/internal/process/vwcontrol/linkserver.go
@@ -0,0 +1,91 @@
+package vwcontrol
+
+import (
+	"sync"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+// LinkServer serves a member to entries and to other members over links. It is the handler of both
+// the accepted and the dialled sessions of its process.
+type LinkServer struct {
+	transport *LinkTransport
+
+	mu      sync.Mutex
+	member  *Member
+	holders map[*vwlink.Session]bool
+}
+
+// MakeLinkServer returns a server that refuses requests until Attach.
+func MakeLinkServer() *LinkServer {
+	return &LinkServer{holders: map[*vwlink.Session]bool{}}
+}
+
+// Connect sets the transport that receives the messages of the log. It precedes all sessions.
+func (s *LinkServer) Connect(transport *LinkTransport) {
+	s.transport = transport
+}
+
+// Attach sets the member that answers, and announces its new configuration versions to the holders
+// of leases that are connected to this process.
+func (s *LinkServer) Attach(group *vwgroup.Group, member *Member) error {
+	s.mu.Lock()
+	s.member = member
+	s.mu.Unlock()
+	return trace.Wrap(member.Watch(func(version vwid.ConfigVersion) { s.announce(group, version) }))
+}
+
+func (s *LinkServer) announce(group *vwgroup.Group, version vwid.ConfigVersion) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for session := range s.holders {
+		// A holder that misses the announcement learns of the version at its next renewal.
+		_ = session.Send(group.Context(), &vwmessage.ConfigAnnounce{Version: version})
+	}
+}
+
+// HandleMessage implements vwlink.Handler.
+func (s *LinkServer) HandleMessage(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+	if message, ok := body.(*vwmessage.Replication); ok {
+		s.transport.HandleReplication(message)
+		reply(nil, nil)
+		return
+	}
+	member := s.admit(session, body)
+	if member == nil {
+		reply(nil, vwverdict.Wrap(vwverdict.NotRun, ErrStopped))
+		return
+	}
+	member.Serve(body, func(answer vwmessage.Body, err error) { reply(answer, remoteError(err)) })
+}
+
+func (s *LinkServer) admit(session *vwlink.Session, body vwmessage.Body) *Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, holds := body.(*vwmessage.LeaseRequest); holds && session != nil && !session.Ended() {
+		s.holders[session] = true
+	}
+	return s.member
+}
+
+// HandleEnd implements vwlink.EndHandler.
+func (s *LinkServer) HandleEnd(session *vwlink.Session, _ error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.holders, session)
+}
+
+// remoteError returns the error that vwlink sends as a Failure with the same verdict, code and leader.
+func remoteError(err error) error {
+	if err == nil {
+		return nil
+	}
+	failure := failureOf(err)
+	return vwverdict.Wrap(failure.Verdict, &vwlink.ErrRemote{Code: failure.Code, Message: failure.Message, Leader: failure.Leader})
+}
