Check shares, failing workers and lost records in load tests

The design page states bounds for a team's share of the slot time and for the starts of a worker that fails everything, and both can be measured from the start records. A stand-in that went away with its record made the whole report fail; now the report says that its checks are inconclusive.

--- a/internal/process/vwloadtest/command.go
+++ b/internal/process/vwloadtest/command.go
@@ -33,12 +33,12 @@
 
 // Run runs the load test of a scenario.
 func (t Tester) Run(ctx context.Context, scenario Scenario) (Report, error) {
-	records, err := t.StandIns.Records(ctx)
+	before, err := t.StandIns.Records(ctx)
 	if err != nil {
 		return Report{}, trace.Wrap(err)
 	}
 	slots := 0
-	for _, record := range records {
+	for _, record := range before {
 		slots += record.Slots
 	}
 	delay, err := t.measureDelay(ctx)
@@ -56,17 +56,30 @@
 	if err := sleep(ctx, time.Duration(scenario.Settle)); err != nil {
 		return Report{}, trace.Wrap(err)
 	}
-	records, err = t.StandIns.Records(ctx)
-	if err != nil {
-		return Report{}, trace.Wrap(err)
-	}
+	records, lost := t.readRecords(ctx, before)
 	return makeReport(evaluate(run{
-		scenario: scenario, id: id, begin: begin, end: end, outcomes: d.outcomes, outages: d.outages, records: records,
-		delay: delay + time.Duration(scenario.ExtraDelay), wasted: difference(wastedBefore, t.StandIns.Wasted(ctx)),
-		failures: d.failures,
+		scenario: scenario, id: id, begin: begin, end: end, outcomes: d.outcomes, outages: d.outages, failing: d.failing,
+		records: records, lost: lost, delay: delay + time.Duration(scenario.ExtraDelay),
+		wasted: difference(wastedBefore, t.StandIns.Wasted(ctx)), failures: d.failures,
 	})), nil
 }
 
+// readRecords reads the records after a run. A stand-in that has gone or was started anew has lost
+// its record; the one from before the run takes its place, and the checks are inconclusive.
+func (t Tester) readRecords(ctx context.Context, before []vwstandin.Record) (records []vwstandin.Record, lost int) {
+	records, err := t.StandIns.Records(ctx)
+	if err != nil {
+		t.Log.Error("a stand-in's record cannot be read", "error", err)
+	}
+	for index := range records {
+		if records[index].Incarnation != before[index].Incarnation {
+			records[index] = before[index]
+			lost++
+		}
+	}
+	return records, lost
+}
+
 // measureDelay returns the median delay of the call to an entry plus that of a call to a stand-in,
 // which are the two round trips that no dispatcher can avoid.
 func (t Tester) measureDelay(ctx context.Context) (time.Duration, error) {
@@ -121,6 +134,8 @@
 
 // StandIns are the stand-in backend servers and the metrics of the processes as the tool sees them.
 type StandIns interface {
+	// Records returns one record for each stand-in, in the order of the scenario's Backends. One that
+	// cannot be read is empty and part of the error.
 	Records(ctx context.Context) ([]vwstandin.Record, error)
 	Change(ctx context.Context, change Change) error
 	Delay(ctx context.Context) (time.Duration, error)
--- a/internal/process/vwloadtest/driver.go
+++ b/internal/process/vwloadtest/driver.go
@@ -54,6 +54,7 @@
 	mu       sync.Mutex
 	outcomes []Outcome
 	outages  []vwstandin.Outage
+	failing  []failingSpan
 	failures []string
 }
 
@@ -102,6 +103,7 @@
 		return nil
 	}
 	d.noteOutage(change, asked, time.Now())
+	d.noteFailing(change, asked, time.Now())
 	return nil
 }
 
@@ -120,6 +122,21 @@
 	}
 }
 
+// noteFailing does the same for the spans in which a stand-in fails everything.
+func (d *driver) noteFailing(change Change, asked, accepted time.Time) {
+	if change.Action != ActionBehave {
+		return
+	}
+	for index := range d.failing {
+		if d.failing[index].backend == change.Backend && d.failing[index].End.IsZero() {
+			d.failing[index].End = asked
+		}
+	}
+	if change.Mode == vwstandin.ModeFail {
+		d.failing = append(d.failing, failingSpan{backend: change.Backend, Span: vwstandin.Span{Begin: accepted}})
+	}
+}
+
 // send makes the attempts of one arrival.
 func (d *driver) send(ctx context.Context, arrival Arrival, planned time.Time) Outcome {
 	ctx, cancel := context.WithDeadline(ctx, planned.Add(time.Duration(d.scenario.AnswerTimeout)))
--- a/internal/process/vwloadtest/evaluation.go
+++ b/internal/process/vwloadtest/evaluation.go
@@ -21,7 +21,11 @@
 	end      time.Time
 	outcomes []Outcome
 	outages  []vwstandin.Outage
-	records  []vwstandin.Record
+	failing  []failingSpan
+	// records are in the order of the scenario's Backends.
+	records []vwstandin.Record
+	// lost is the number of stand-ins whose record could not be read at the end.
+	lost int
 	// delay is the unavoidable network delay of one job.
 	delay time.Duration
 	// wasted is the number of wasted messages; nil when no metrics page told.
@@ -137,6 +141,24 @@
 	return count
 }
 
+// abortedRuns counts interrupted tasks, except those that their caller cancelled or gave up.
+func (e *evaluation) abortedRuns() int {
+	count := 0
+	for _, outcome := range e.outcomes {
+		if outcome.cancelled() || outcome.Answered.IsZero() {
+			continue
+		}
+		for _, task := range outcome.Arrival.Tasks {
+			for _, start := range e.starts[task.Tag] {
+				if start.Outcome == vwstandin.OutcomeAborted {
+					count++
+				}
+			}
+		}
+	}
+	return count
+}
+
 func (e *evaluation) unanswered() int {
 	return e.count(func(outcome Outcome) bool { return outcome.Answered.IsZero() })
 }
--- a/internal/process/vwloadtest/report.go
+++ b/internal/process/vwloadtest/report.go
@@ -45,6 +45,11 @@
 	// WastedMessagesPerTask and DrainWorkRatio are null when they were not measured.
 	WastedMessagesPerTask *float64
 	DrainWorkRatio        *float64
+	// FailingWorkerShare is the largest share of starts that a worker received that failed everything
+	// for more than a second. ShareError is the largest relative error of a team's share of the slot
+	// time over any 2 s in which all teams waited. Both are null when the case did not occur.
+	FailingWorkerShare *float64
+	ShareError         *float64
 
 	DuplicateStarts int
 	PartialAnswers  int
@@ -53,6 +58,11 @@
 	LateStarts      int
 	LeavingStarts   int
 	Unrecorded      int
+	// LostRecords is the number of stand-ins that went away with their record.
+	LostRecords int
+	// AbortedRuns counts the tasks that were interrupted although nobody cancelled them. Without a
+	// crash in the scenario there must be none.
+	AbortedRuns int
 
 	Phases []PhaseReport
 	// SendLagP99Millis is how late the tool itself sent. A large figure means that the tool, not the
@@ -89,8 +99,10 @@
 
 // The bounds of the design page, section 1.2.
 const (
-	wastedBound    = 0.02
-	drainWorkBound = 0.98
+	wastedBound        = 0.02
+	drainWorkBound     = 0.98
+	failingWorkerBound = 0.01
+	shareErrorBound    = 0.05
 )
 
 func makeReport(e *evaluation) Report {
@@ -114,6 +126,10 @@
 		LateStarts:            len(e.recorder.LateStarts(e.outages, lateBound)),
 		LeavingStarts:         len(e.recorder.StartsAtLeaving(lateBound)),
 		Unrecorded:            e.recorder.Unrecorded(),
+		LostRecords:           e.lost,
+		AbortedRuns:           e.abortedRuns(),
+		FailingWorkerShare:    e.failingWorkerShare(),
+		ShareError:            e.shareError(),
 		SendLagP99Millis:      e.sendLag(),
 		FailedChanges:         e.failures,
 	}
@@ -189,11 +205,18 @@
 		atMost("LeavingStarts", float64(r.LeavingStarts), 0),
 		atMost("Unanswered", float64(r.Unanswered), 0),
 		atMost("Unrecorded", float64(r.Unrecorded), 0),
+		atMost("LostRecords", float64(r.LostRecords), 0),
 		atMost("FailedChanges", float64(len(r.FailedChanges)), 0),
 	}
 	if r.WastedMessagesPerTask != nil {
 		checks = append(checks, atMost("WastedMessagesPerTask", *r.WastedMessagesPerTask, wastedBound))
 	}
+	if r.FailingWorkerShare != nil {
+		checks = append(checks, atMost("FailingWorkerShare", *r.FailingWorkerShare, failingWorkerBound))
+	}
+	if r.ShareError != nil {
+		checks = append(checks, atMost("ShareError", *r.ShareError, shareErrorBound))
+	}
 	if r.DrainWorkRatio != nil {
 		kept := *r.DrainWorkRatio >= drainWorkBound
 		checks = append(checks, Check{Name: "DrainWorkRatio", Value: *r.DrainWorkRatio, Bound: drainWorkBound, AtLeast: true, Kept: kept})
@@ -239,8 +262,8 @@
 		failures = append(failures, err)
 	}
 	add("%s, seed %d: %d jobs and %d requests in %.1f s on %d slots\n", r.Scenario, r.Seed, r.Jobs, r.Requests, r.Seconds, r.Slots)
-	add("complete %d, refused %d, failed %d, cancelled %d, unanswered %d; %d tasks started\n\n",
-		r.Complete, r.Refused, r.Failed, r.Cancelled, r.Unanswered, r.Started)
+	add("complete %d, refused %d, failed %d, cancelled %d, unanswered %d; %d tasks started, %d interrupted\n\n",
+		r.Complete, r.Refused, r.Failed, r.Cancelled, r.Unanswered, r.Started, r.AbortedRuns)
 	add("RESPONSE TIME (ms)\tMEAN\tP50\tP90\tP99\tP99.9\tMOST\n")
 	for _, phase := range r.Phases {
 		add("%s\t%s\n", phase.Name, phase.Measured)
--- a/internal/process/vwloadtest/scenario.go
+++ b/internal/process/vwloadtest/scenario.go
@@ -43,10 +43,12 @@
 	Targets    Targets
 }
 
-// Team sends a share of the load in proportion to its Weight.
+// Team sends a share of the load in proportion to its Weight. Share is the weight that the rules give
+// it under saturation; teams without one are not part of that check.
 type Team struct {
 	Name   vwid.Team
 	Weight float64
+	Share  float64
 }
 
 // Phase is a span of time with one kind of load. Arrivals are a Poisson process.
@@ -160,7 +162,7 @@
 		return trace.BadParameter("Phases is empty")
 	}
 	for _, team := range s.Teams {
-		if team.Name == "" || team.Weight <= 0 {
+		if team.Name == "" || team.Weight <= 0 || team.Share < 0 {
 			return trace.BadParameter("team %q needs a name and a Weight above 0", team.Name)
 		}
 	}
--- a/internal/process/vwloadtest/standin.go
+++ b/internal/process/vwloadtest/standin.go
@@ -27,13 +27,12 @@
 
 // Records implements StandIns.
 func (s *httpStandIns) Records(ctx context.Context) ([]vwstandin.Record, error) {
-	recorder := vwstandin.MakeRecorder()
-	for _, address := range s.scenario.Backends {
-		if err := recorder.Fetch(ctx, s.client, address); err != nil {
-			return nil, trace.Wrap(err)
-		}
+	records := make([]vwstandin.Record, len(s.scenario.Backends))
+	failures := make([]error, len(records))
+	for index, address := range s.scenario.Backends {
+		records[index], failures[index] = vwstandin.Fetch(ctx, s.client, address)
 	}
-	return recorder.Records(), nil
+	return records, trace.NewAggregate(failures...)
 }
 
 // Change implements StandIns.
--- a/internal/process/vwloadtest/tester_test.go
+++ b/internal/process/vwloadtest/tester_test.go
@@ -66,6 +66,11 @@
 		"silence":          {fault: faultSilent, broken: []string{"Unanswered", "ResponseRatioMean"}},
 		"slow dispatch":    {fault: faultSlow, broken: []string{"ResponseRatioMean"}},
 		"a failing change": {changes: []Change{{Action: ActionBehave, Mode: "Odd"}}, broken: []string{"FailedChanges"}},
+		// The test system goes on to use it and passes its failures on as results.
+		"a failing server": {changes: []Change{
+			{At: vwunit.Duration(2 * time.Second), Action: ActionBehave, Backend: 1, Mode: vwstandin.ModeFail},
+			{At: vwunit.Duration(8 * time.Second), Action: ActionBehave, Backend: 1, Mode: vwstandin.ModeNormal},
+		}, broken: []string{"FailingWorkerShare", "PartialAnswers", "InventedResults"}},
 		"a slower server":  {changes: []Change{{Action: ActionBehave, Mode: vwstandin.ModeSlow, ExtraMillis: 5}}},
 	}
 	for name, test := range cases {
@@ -96,6 +101,20 @@
 	require.Zero(t, report.SendLagP99Millis)
 }
 
+// A stand-in that was started anew has lost its record, so nothing that it did is checked.
+func TestLostRecordIsReported(t *testing.T) {
+	system := makeTestSystem(faultNone)
+	scenario := testScenario()
+	tester := system.tester(scenario)
+	tester.Log = slog.New(slog.DiscardHandler)
+	before, err := tester.StandIns.Records(t.Context())
+	require.NoError(t, err)
+	system.backends["b0"] = vwstandin.MakeBackend(vwstandin.Config{Worker: "w0"})
+	records, lost := tester.readRecords(t.Context(), before)
+	require.Equal(t, 1, lost)
+	require.Equal(t, before[0].Slots, records[0].Slots)
+}
+
 // All parts of a scenario must reach the report.
 func TestTesterDoesEverythingInAScenario(t *testing.T) {
 	scenario := testScenario()
--- a/internal/process/vwstandin/recorder.go
+++ b/internal/process/vwstandin/recorder.go
@@ -50,26 +50,23 @@
 	r.records[record.Incarnation] = record
 }
 
-// Fetch adds the record of the stand-in at address.
-func (r *Recorder) Fetch(ctx context.Context, client *http.Client, address string) error {
+// Fetch reads the record of the stand-in at address.
+func Fetch(ctx context.Context, client *http.Client, address string) (Record, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address+"/Starts", nil)
 	if err != nil {
-		return trace.Wrap(err)
+		return Record{}, trace.Wrap(err)
 	}
 	response, err := client.Do(request)
 	if err != nil {
-		return trace.Wrap(err)
+		return Record{}, trace.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return trace.Errorf("the stand-in at %s answered %s", address, response.Status)
+		return Record{}, trace.Errorf("the stand-in at %s answered %s", address, response.Status)
 	}
 	var record Record
-	if err := json.NewDecoder(response.Body).Decode(&record); err != nil {
-		return trace.Wrap(err, "reading the record of %s", address)
-	}
-	r.Add(record)
-	return nil
+	err = json.NewDecoder(response.Body).Decode(&record)
+	return record, trace.Wrap(err, "reading the record of %s", address)
 }
 
 // Records returns the records in the order of their workers.
--- a/internal/process/vwstandin/recorder_test.go
+++ b/internal/process/vwstandin/recorder_test.go
@@ -49,12 +49,14 @@
 }
 
 // A record read from outside must equal the one inside.
-func TestRecorderFetches(t *testing.T) {
+func TestFetch(t *testing.T) {
 	server, err := Serve(t.Context(), Config{Worker: "w1", DataCentre: "north", Service: "muotoilu"})
 	require.NoError(t, err)
 	post(t.Context(), server, "/Tasks/muotoilu", "")
 	recorder := MakeRecorder()
-	require.NoError(t, recorder.Fetch(t.Context(), http.DefaultClient, server.Address()))
+	record, err := Fetch(t.Context(), http.DefaultClient, server.Address())
+	require.NoError(t, err)
+	recorder.Add(record)
 	require.Len(t, recorder.Starts(), 1)
 	require.EqualValues(t, "north", recorder.Starts()[0].DataCentre)
 	require.NoError(t, server.Kill())
