--- a/internal/process/vwloadtest/tester_test.go
+++ b/internal/process/vwloadtest/tester_test.go
@@ -71,7 +71,7 @@
 			{At: vwunit.Duration(2 * time.Second), Action: ActionBehave, Backend: 1, Mode: vwstandin.ModeFail},
 			{At: vwunit.Duration(8 * time.Second), Action: ActionBehave, Backend: 1, Mode: vwstandin.ModeNormal},
 		}, broken: []string{"FailingWorkerShare", "PartialAnswers", "InventedResults"}},
-		"a slower server":  {changes: []Change{{Action: ActionBehave, Mode: vwstandin.ModeSlow, ExtraMillis: 5}}},
+		"a slower server": {changes: []Change{{Action: ActionBehave, Mode: vwstandin.ModeSlow, ExtraMillis: 5}}},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
