--- a/internal/process/vwloadtest/evaluation_test.go
+++ b/internal/process/vwloadtest/evaluation_test.go
@@ -38,8 +38,8 @@
 	}
 	lost := Reply{Err: http.ErrServerClosed}
 	cases := map[string]struct {
-		change func(*Outcome)
-		ends   []vwstandin.Outcome
+		change                           func(*Outcome)
+		ends                             []vwstandin.Outcome
 		falseNotRun, duplicates, aborted int
 	}{
 		"true refusal":             {change: replies(refused(vwverdict.NotRun))},
