--- a/internal/process/vwloadtest/evaluation.go
+++ b/internal/process/vwloadtest/evaluation.go
@@ -109,13 +109,19 @@
 		if !outcome.Final.complete() {
 			continue
 		}
-		for _, task := range outcome.Arrival.Tasks {
-			done := slices.ContainsFunc(e.starts[task.Tag], func(start vwstandin.Start) bool {
-				return start.Outcome == vwstandin.OutcomeDone
-			})
-			if !done {
-				count++
-			}
+		count += e.unfinishedTasks(outcome.Arrival)
+	}
+	return count
+}
+
+func (e *evaluation) unfinishedTasks(arrival Arrival) int {
+	count := 0
+	for _, task := range arrival.Tasks {
+		done := slices.ContainsFunc(e.starts[task.Tag], func(start vwstandin.Start) bool {
+			return start.Outcome == vwstandin.OutcomeDone
+		})
+		if !done {
+			count++
 		}
 	}
 	return count
@@ -240,7 +246,8 @@
 	return start.EndedAt
 }
 
-// responses holds the response times of the complete answers, measured and ideal.
+// responses holds the response times of the complete answers, measured and ideal. An answer with an
+// invented result has no ideal: a task that failed at once would make it nearly zero.
 type responses struct {
 	outcomes        []Outcome
 	measured, ideal []time.Duration
@@ -250,7 +257,7 @@
 func (e *evaluation) responses(best ideal) responses {
 	var found responses
 	for index, outcome := range e.outcomes {
-		if !outcome.Final.complete() || best.ends[index].IsZero() {
+		if !outcome.Final.complete() || best.ends[index].IsZero() || e.unfinishedTasks(outcome.Arrival) > 0 {
 			continue
 		}
 		measured := outcome.Answered.Sub(outcome.Planned)
