--- a/internal/process/vwagent/configlease.go
+++ b/internal/process/vwagent/configlease.go
@@ -3,49 +3,39 @@
 import (
 	"time"
 
-	"github.com/gravitational/trace"
-
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
+// maxLease is the longest lease that an agent accepts. The bound on starts after a data centre was taken
+// out rests on it.
+const maxLease = 2 * time.Second
+
 // configLease is a Lease.
 type configLease struct {
-	version vwid.ConfigVersion
-	rules   *vwrule.Rules
-	until   time.Time
+	holder *vwlease.Holder
 }
 
 // MakeConfigLease returns a lease that is not fresh. Version zero is the empty configuration.
 func MakeConfigLease() Lease {
-	return &configLease{rules: vwrule.Empty()}
+	return &configLease{holder: vwlease.Make(maxLease, renewInterval)}
 }
 
 // Renew implements Lease.
 func (l *configLease) Renew(sent time.Time, reply *vwmessage.LeaseReply) error {
-	if reply.Version < l.version {
-		return trace.BadParameter("version %d is below the held version %d", reply.Version, l.version)
-	}
-	if reply.Version > l.version {
-		rules, err := vwrule.Parse("rules", reply.Rules)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		l.version, l.rules = reply.Version, rules
-	}
-	if until := sent.Add(time.Duration(reply.RemainingMilliseconds) * time.Millisecond); until.After(l.until) {
-		l.until = until
-	}
-	return nil
+	_, err := l.holder.Renew(vwlease.Request{Held: l.holder.Version(), Sent: sent}, reply.Grant())
+	return err
 }
 
 // Held implements Lease.
 func (l *configLease) Held() vwid.ConfigVersion {
-	return l.version
+	return l.holder.Version()
 }
 
 // Rules implements Lease.
 func (l *configLease) Rules(now time.Time) (*vwrule.Rules, bool) {
-	return l.rules, now.Before(l.until)
+	current := l.holder.Current()
+	return current.Rules(), current.IsFresh(now)
 }
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -25,10 +25,15 @@
 	granter *vwdispatch.Granter
 	// dirty asks for a new decision about credits.
 	dirty bool
+	// weighed is the configuration version of which the granter has the shares of the teams.
+	weighed vwid.ConfigVersion
 
 	targets map[string]*target
-	// named are the entries of the newest lease reply that names any.
-	named map[string]namedEntry
+	// named are the entries that lease replies name, and namedAt is when one last named any.
+	named   map[string]namedEntry
+	namedAt time.Time
+	// reached tells to which entry an address led last.
+	reached map[string]vwid.Incarnation
 	// links holds the newest link to each entry incarnation.
 	links map[vwid.Incarnation]*link
 
@@ -59,10 +64,12 @@
 		}),
 		granter: vwdispatch.MakeGranter(vwdispatch.GranterSettings{
 			OverCommit: a.settings.OverCommit,
+			Standing:   a.settings.Standing,
 			DataCentre: a.settings.DataCentre,
 		}),
 		targets: map[string]*target{},
 		named:   map[string]namedEntry{},
+		reached: map[string]vwid.Incarnation{},
 		links:   map[vwid.Incarnation]*link{},
 		running: map[taskKey]*runningTask{},
 	}
@@ -112,6 +119,7 @@
 		return
 	}
 	r.dirty = false
+	r.weigh(now)
 	if r.gate(now) == "" {
 		r.granter.SetSlots(r.slots())
 	} else {
@@ -123,6 +131,16 @@
 	}
 }
 
+// weigh gives the granter the teams' shares and priorities once the rules have changed.
+func (r *registration) weigh(now time.Time) {
+	rules, fresh := r.lease.Rules(now)
+	if !fresh || r.weighed == r.lease.Held() {
+		return
+	}
+	r.weighed = r.lease.Held()
+	r.granter.SetPolicy(vwdispatch.MakePolicy(rules, r.agent.backend.service, 1))
+}
+
 func (r *registration) act(action vwdispatch.Action) {
 	l := r.links[action.Entry]
 	if l == nil {
@@ -139,7 +157,7 @@
 
 // attach makes l the newest link to its entry. It reports false when the link is of no use.
 func (r *registration) attach(l *link) bool {
-	if r != r.agent.current {
+	if r != r.agent.current || r.targets[l.target.address] != l.target {
 		return false
 	}
 	if older := r.links[l.entry]; older != nil {
@@ -147,23 +165,33 @@
 	}
 	l.target.link = l
 	r.links[l.entry] = l
+	r.reached[l.target.address] = l.entry
 	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
-	if r.agent.stopping || r.agent.backend.leaving {
-		l.send(&vwmessage.Leaving{})
-	}
+	l.setOffer()
 	return true
 }
 
-// admit lets the entry of a registered link have credits. Before that the entry would drop them, and
-// they would be lost to both ends.
-func (r *registration) admit(l *link) {
-	if l.retired {
+// open is called when the entry has registered the agent over l. Before that the entry drops credits.
+func (r *registration) open(l *link) {
+	if l.retired || r != r.agent.current {
+		return
+	}
+	if l.draining || r.ended || r.agent.stopping || r.agent.backend.leaving {
+		r.sayLeaving(l)
 		return
 	}
 	r.granter.AddEntry(l.entry, l.session.Peer().DataCentre)
 	r.dirty = true
 }
 
+// sayLeaving tells an entry that no more credits come. The entry gives up those that it holds.
+func (r *registration) sayLeaving(l *link) {
+	l.credits = 0
+	r.granter.RemoveEntry(l.entry)
+	r.dirty = true
+	l.send(&vwmessage.Leaving{})
+}
+
 // retire ends the processing of messages from a link. Starts that wait for a slot are dropped: the
 // entry learns by a fence on the next link that they have not started.
 func (r *registration) retire(l *link) {
--- a/internal/process/vwagent/settings.go
+++ b/internal/process/vwagent/settings.go
@@ -38,6 +38,9 @@
 	Slots int
 	// OverCommit is the number of credits beyond the slots. It is negative for none.
 	OverCommit int
+	// Standing is how many credits an entry without waiting tasks holds. Zero takes the default of the
+	// granting policy.
+	Standing int
 	// MaxRun bounds the run time of a task whose Start names no timeout. It finds a backend server
 	// that holds a connection open and never answers.
 	MaxRun time.Duration
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -18,11 +18,10 @@
 // worker is an agent incarnation as the entry sees it. Session is nil while no link to it is open.
 type worker struct {
 	vwdispatch.Worker
-	session  *vwlink.Session
-	heard    bool
-	leaving  bool
-	jobs     map[vwid.SubmissionID]*job
-	demanded demandReport
+	session *vwlink.Session
+	heard   bool
+	leaving bool
+	jobs    map[vwid.SubmissionID]*job
 }
 
 // HandleMessage implements vwlink.Handler for links with agents and other entries.
@@ -154,7 +153,6 @@
 		return
 	}
 	e.log.Info("link to agent open", "worker", string(w.Process), "incarnation", string(w.Incarnation))
-	w.demanded = demandReport{}
 	// The credits of the older link ended with it.
 	e.queue.RemoveWorker(w.Incarnation)
 	e.queue.AddWorker(w.Worker)
@@ -264,19 +262,26 @@
 	e.checkEnd(j)
 }
 
-// dispatch sends tasks while there are credits, with those of one job for one worker in one message.
+// dispatch sends tasks while there are credits, with those of one job for one worker in one message, and
+// then asks the agents for the credits that lack.
 func (e *Entry) dispatch() {
 	now := time.Now()
 	if !e.holder.Fresh(now) {
 		return
 	}
-	batches := e.collect(now)
-	for _, batch := range batches {
+	for _, batch := range e.collect(now) {
 		e.counters.Starts.Add(int64(len(batch.start.Tasks)))
 		e.send(batch.worker, batch.start)
 	}
-	if len(batches) > 0 {
-		e.reportDemand(now)
+	for {
+		incarnation, demand, ok := e.queue.NextDemand(now)
+		if !ok {
+			return
+		}
+		e.counters.Demands.Add(1)
+		if w := e.workers[incarnation]; w != nil {
+			e.send(w, &demand)
+		}
 	}
 }
 
--- a/internal/request/vwstart/error.go
+++ b/internal/request/vwstart/error.go
@@ -29,9 +29,8 @@
 	return errors.As(err, &target)
 }
 
-// IsFencedByLaterEpoch reports whether err refuses a start because another entry has taken the
-// submission over.
-func IsFencedByLaterEpoch(err error) bool {
+// IsOutdated reports whether err refuses an epoch because a later owner is known.
+func IsOutdated(err error) bool {
 	var target *ErrFenced
 	return errors.As(err, &target) && !target.Cancelled
 }
