--- a/internal/process/vwloadtest/evaluation.go
+++ b/internal/process/vwloadtest/evaluation.go
@@ -21,7 +21,11 @@
 	end      time.Time
 	outcomes []Outcome
 	outages  []vwstandin.Outage
-	records  []vwstandin.Record
+	failing  []failingSpan
+	// records are in the order of the scenario's Backends.
+	records []vwstandin.Record
+	// lost is the number of stand-ins whose record could not be read at the end.
+	lost int
 	// delay is the unavoidable network delay of one job.
 	delay time.Duration
 	// wasted is the number of wasted messages; nil when no metrics page told.
@@ -35,7 +39,8 @@
 	recorder *vwstandin.Recorder
 	// starts are the starts of this run by tag.
 	starts map[string][]vwstandin.Start
-	total  int
+	// all are the starts of this run in the order of their times.
+	all []vwstandin.Start
 }
 
 func evaluate(r run) *evaluation {
@@ -47,9 +52,9 @@
 		})
 		e.recorder.Add(record)
 	}
-	for _, start := range e.recorder.Starts() {
+	e.all = e.recorder.Starts()
+	for _, start := range e.all {
 		e.starts[start.Tag] = append(e.starts[start.Tag], start)
-		e.total++
 	}
 	return e
 }
@@ -104,13 +109,19 @@
 		if !outcome.Final.complete() {
 			continue
 		}
-		for _, task := range outcome.Arrival.Tasks {
-			done := slices.ContainsFunc(e.starts[task.Tag], func(start vwstandin.Start) bool {
-				return start.Outcome == vwstandin.OutcomeDone
-			})
-			if !done {
-				count++
-			}
+		count += e.unfinishedTasks(outcome.Arrival)
+	}
+	return count
+}
+
+func (e *evaluation) unfinishedTasks(arrival Arrival) int {
+	count := 0
+	for _, task := range arrival.Tasks {
+		done := slices.ContainsFunc(e.starts[task.Tag], func(start vwstandin.Start) bool {
+			return start.Outcome == vwstandin.OutcomeDone
+		})
+		if !done {
+			count++
 		}
 	}
 	return count
@@ -137,6 +148,31 @@
 	return count
 }
 
+// abortedRuns counts interrupted tasks, except those of callers that cancelled or gave up and of jobs
+// that failed because another of their tasks did.
+func (e *evaluation) abortedRuns() int {
+	count := 0
+	for _, outcome := range e.outcomes {
+		if outcome.cancelled() || outcome.Answered.IsZero() || e.endedAs(outcome.Arrival, vwstandin.OutcomeFailed) > 0 {
+			continue
+		}
+		count += e.endedAs(outcome.Arrival, vwstandin.OutcomeAborted)
+	}
+	return count
+}
+
+func (e *evaluation) endedAs(arrival Arrival, ended vwstandin.Outcome) int {
+	count := 0
+	for _, task := range arrival.Tasks {
+		for _, start := range e.starts[task.Tag] {
+			if start.Outcome == ended {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 func (e *evaluation) unanswered() int {
 	return e.count(func(outcome Outcome) bool { return outcome.Answered.IsZero() })
 }
@@ -210,7 +246,8 @@
 	return start.EndedAt
 }
 
-// responses holds the response times of the complete answers, measured and ideal.
+// responses holds the response times of the complete answers, measured and ideal. An answer with an
+// invented result has no ideal: a task that failed at once would make it nearly zero.
 type responses struct {
 	outcomes        []Outcome
 	measured, ideal []time.Duration
@@ -220,7 +257,7 @@
 func (e *evaluation) responses(best ideal) responses {
 	var found responses
 	for index, outcome := range e.outcomes {
-		if !outcome.Final.complete() || best.ends[index].IsZero() {
+		if !outcome.Final.complete() || best.ends[index].IsZero() || e.unfinishedTasks(outcome.Arrival) > 0 {
 			continue
 		}
 		measured := outcome.Answered.Sub(outcome.Planned)
@@ -249,7 +286,7 @@
 		window.End = later(window.End, earlier(end, e.end))
 	}
 	var done, possible time.Duration
-	for _, start := range e.recorder.Starts() {
+	for _, start := range e.all {
 		done += overlap(window, start.At, e.endOf(start))
 	}
 	for _, task := range best.served {
