Over-commit by one credit while many tasks wait

At saturation a slot waits a round trip for its next task. One credit is now granted above the slots while three tasks per slot wait, and none by a worker without slots.

--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -11,7 +11,7 @@
 type GranterSettings struct {
 	Slots int
 	// OverCommit is how many credits may exceed the slots, so that a task is already at the agent
-	// when a slot becomes free. Only waiting tasks get them.
+	// when a slot becomes free. They are granted only while many tasks wait.
 	OverCommit int
 	// Standing is how many credits an entry without waiting tasks holds at most; zero means
 	// DefaultStanding. The other idle slots stay with the agent, which can grant them to any entry
@@ -31,6 +31,13 @@
 // DefaultStanding is the default of GranterSettings.Standing.
 const DefaultStanding = 1
 
+// DefaultOverCommit is the over-commit that the policy benchmark supports.
+const DefaultOverCommit = 1
+
+// overCommitBacklog is how many tasks must wait per slot before credits may exceed the slots. With
+// fewer, the task that waits at the agent would often find a free slot at another worker.
+const overCommitBacklog = 3
+
 // Action is a decision of a Granter about one entry. One of Grant and Recall is zero.
 type Action struct {
 	Entry  vwid.Incarnation
@@ -152,14 +159,15 @@
 // Decide returns the credits to grant and to recall. The result is valid until the next call.
 func (g *Granter) Decide(now time.Time) []Action {
 	g.actions, g.now, g.retry = g.actions[:0], now, time.Time{}
-	slots, overCommit := g.settings.Slots, g.settings.OverCommit
-	if g.stopped {
-		slots, overCommit = 0, 0
-	}
+	slots, limit := g.limits()
 	for _, e := range g.order {
 		e.stamp(now)
 	}
-	g.meetDemand(slots + overCommit)
+	if g.unmet() >= overCommitBacklog*slots {
+		g.meetDemand(limit)
+	} else {
+		g.meetDemand(slots)
+	}
 	g.spread(slots)
 	for _, e := range g.order {
 		if e.grant > 0 {
@@ -167,10 +175,28 @@
 			e.grant = 0
 		}
 	}
-	g.recall(slots + overCommit)
+	g.recall(limit)
 	return g.actions
 }
 
+// limits returns how many tasks and credits there may be without and with over-commit. A worker
+// without slots, as in a data centre that is out of service, grants nothing.
+func (g *Granter) limits() (slots, limit int) {
+	if g.stopped || g.settings.Slots <= 0 {
+		return 0, 0
+	}
+	return g.settings.Slots, g.settings.Slots + g.settings.OverCommit
+}
+
+// unmet returns the number of tasks that wait for a credit of this worker.
+func (g *Granter) unmet() int {
+	sum := 0
+	for _, e := range g.order {
+		sum += e.unmet
+	}
+	return sum
+}
+
 // meetDemand grants credits for waiting tasks, by the shares of the teams over all entries and
 // within a team to the entry whose task waits longest.
 func (g *Granter) meetDemand(limit int) {
--- a/internal/process/vwdispatch/granter_test.go
+++ b/internal/process/vwdispatch/granter_test.go
@@ -37,6 +37,19 @@
 	require.Equal(t, []vwdispatch.Action{{Entry: "x", Recall: 3}, {Entry: "y", Recall: 1}}, g.Decide(start))
 }
 
+// Guards against tasks that are sent to a worker whose data centre is out of service.
+func TestNoSlotsNoCredits(t *testing.T) {
+	g := vwdispatch.MakeGranter(vwdispatch.GranterSettings{Slots: 8, OverCommit: 2})
+	g.AddEntry("x", "a")
+	g.SetSlots(0)
+	g.SetDemand("x", demandOf(100))
+	require.Empty(t, g.Decide(start))
+	g.SetSlots(8)
+	require.Equal(t, []vwdispatch.Action{{Entry: "x", Grant: 10}}, g.Decide(start))
+	g.SetSlots(0)
+	require.Equal(t, []vwdispatch.Action{{Entry: "x", Recall: 10}}, g.Decide(start))
+}
+
 // Guards against a team that gets a larger share because its callers use more entries.
 func TestGrantsFollowTeams(t *testing.T) {
 	g := vwdispatch.MakeGranter(vwdispatch.GranterSettings{Policy: vwdispatch.Policy{Teams: map[vwid.Team]vwdispatch.TeamPolicy{"t": {Weight: 3}}}})
--- a/internal/process/vwdispatch/health.go
+++ b/internal/process/vwdispatch/health.go
@@ -10,10 +10,10 @@
 	// ejectionMargin is how far the rate must exceed that of the other workers. When all fail, the
 	// tasks are the cause and not the workers.
 	ejectionMargin = 0.3
-	// The first ejection lasts ejectionMin; each further one that follows a failed return lasts
-	// twice as long, up to ejectionMax.
-	ejectionMin = time.Second
-	ejectionMax = 30 * time.Second
+	// The first ejection lasts firstEjection; each further one that follows a failed return lasts
+	// twice as long, up to longestEjection.
+	firstEjection   = time.Second
+	longestEjection = 30 * time.Second
 	// returnProbes is how many tasks must succeed, one at a time, before a worker is used in full.
 	returnProbes = 3
 )
@@ -63,7 +63,7 @@
 }
 
 func (h *health) eject(now time.Time) {
-	h.period = min(max(2*h.period, ejectionMin), ejectionMax)
+	h.period = min(max(2*h.period, firstEjection), longestEjection)
 	h.ejected, h.until, h.probes, h.probing = true, now.Add(h.period), 0, false
 }
 
--- a/internal/process/vwdispatch/policy_test.go
+++ b/internal/process/vwdispatch/policy_test.go
@@ -17,8 +17,8 @@
 }
 
 var simPolicies = map[string]simPolicy{
-	"credits":       {},
-	"over-commit-1": {overCommit: 1},
+	"credits":       {overCommit: DefaultOverCommit},
+	"over-commit-0": {},
 	"over-commit-2": {overCommit: 2},
 	"random":        {baseline: MakeRandom},
 	"round-robin":   {baseline: func(*rand.Rand) Baseline { return MakeRoundRobin() }},
