Guard the processes of the histories by locks

Cause: the race detector found unguarded fields that faults and their undoing share. Change: each process of the harness has a lock; stopping one takes it first.

--- a/internal/process/vwhistory/cluster_test.go
+++ b/internal/process/vwhistory/cluster_test.go
@@ -82,6 +82,13 @@
 	b.ctx, b.crash = context.WithCancel(context.Background())
 }
 
+// kill ends the running tasks and refuses new ones until revive.
+func (b *backendServer) kill() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crash()
+}
+
 func (b *backendServer) context() context.Context {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -115,20 +122,62 @@
 type entryProcess struct {
 	index   int
 	address string
+
+	mu      sync.Mutex
 	entry   *vwentry.Entry
 	control *vwcontroltest.Client
 	serving *vwgroup.Group
 }
 
+func (e *entryProcess) current() (*vwentry.Entry, *vwcontroltest.Client) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.entry, e.control
+}
+
+// take removes the running entry, so that only one caller stops it. With only set it takes no other one.
+func (e *entryProcess) take(only *vwentry.Entry) (*vwentry.Entry, *vwgroup.Group) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if only != nil && e.entry != only {
+		return nil, nil
+	}
+	entry := e.entry
+	e.entry = nil
+	return entry, e.serving
+}
+
 // agentProcess is one agent with its backend server. Agent is nil while it is dead.
 type agentProcess struct {
 	index      int
 	address    string
 	dataCentre vwid.DataCentre
-	agent      *vwagent.Agent
 	backend    *backendServer
-	running    *vwgroup.Group
-	left       bool
+
+	mu      sync.Mutex
+	agent   *vwagent.Agent
+	running *vwgroup.Group
+	left    bool
+}
+
+func (a *agentProcess) current() *vwagent.Agent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.agent
+}
+
+func (a *agentProcess) take() (*vwagent.Agent, *vwgroup.Group) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	agent := a.agent
+	a.agent = nil
+	return agent, a.running
+}
+
+func (a *agentProcess) hasLeft() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.left
 }
 
 // cluster is a set of processes on one in-memory network.
@@ -174,12 +223,14 @@
 	endpoint := c.network.MakeEndpoint(e.address, hello)
 	settings := vwentry.DefaultSettings()
 	settings.Process, settings.DataCentre, settings.LinkAddress = hello.Process, hello.DataCentre, e.address
-	e.control = c.control.Client()
-	e.entry = vwentry.Make(settings, hello.Incarnation, e.control, endpoint, c.log)
-	e.entry.Start()
-	e.serving = vwgroup.Make(context.Background())
-	entry := e.entry
-	e.serving.Run(func(ctx context.Context) { _ = vwlink.Serve(ctx, endpoint, entry) })
+	control := c.control.Client()
+	entry := vwentry.Make(settings, hello.Incarnation, control, endpoint, c.log)
+	entry.Start()
+	serving := vwgroup.Make(context.Background())
+	serving.Run(func(ctx context.Context) { _ = vwlink.Serve(ctx, endpoint, entry) })
+	e.mu.Lock()
+	e.entry, e.control, e.serving = entry, control, serving
+	e.mu.Unlock()
 	c.supervisors.Run(func(ctx context.Context) { c.replaceLost(ctx, e, entry) })
 }
 
@@ -191,20 +242,20 @@
 	case <-entry.Lost():
 	}
 	time.Sleep(time.Second)
-	if e.entry == entry {
-		c.killEntry(e)
+	if c.killEntry(e, entry) {
 		c.startEntry(e)
 	}
 }
 
-func (c *cluster) killEntry(e *entryProcess) {
-	if e.entry == nil {
-		return
+func (c *cluster) killEntry(e *entryProcess, only *vwentry.Entry) bool {
+	entry, serving := e.take(only)
+	if entry == nil {
+		return false
 	}
 	c.network.Kill(e.address)
-	e.entry.Kill()
-	_ = e.serving.Stop()
-	e.entry = nil
+	entry.Kill()
+	_ = serving.Stop()
+	return true
 }
 
 func (c *cluster) startAgent(a *agentProcess) {
@@ -225,10 +276,12 @@
 	if err != nil {
 		panic(err)
 	}
-	a.agent = agent
-	a.running = vwgroup.Make(context.Background())
-	a.running.Run(func(ctx context.Context) { _ = agent.Run(ctx) })
-	a.running.Run(func(ctx context.Context) { c.announce(ctx, a, agent) })
+	running := vwgroup.Make(context.Background())
+	running.Run(func(ctx context.Context) { _ = agent.Run(ctx) })
+	running.Run(func(ctx context.Context) { c.announce(ctx, a, agent) })
+	a.mu.Lock()
+	a.agent, a.running = agent, running
+	a.mu.Unlock()
 }
 
 // announce keeps announcing the backend server while it lives and has not left.
@@ -236,10 +289,7 @@
 	ticker := time.NewTicker(time.Second)
 	defer ticker.Stop()
 	for {
-		a.backend.mu.Lock()
-		active := a.backend.ctx.Err() == nil && !a.left
-		a.backend.mu.Unlock()
-		if active {
+		if a.backend.context().Err() == nil && !a.hasLeft() {
 			_ = agent.Announce(ctx, vwagent.Announcement{Service: service, Address: "http://127.0.0.1:9", Slots: 4})
 		}
 		select {
@@ -251,28 +301,29 @@
 }
 
 func (c *cluster) setLeft(a *agentProcess, left bool) {
-	a.backend.mu.Lock()
+	a.mu.Lock()
 	a.left = left
-	a.backend.mu.Unlock()
-	if left && a.agent != nil {
-		_ = a.agent.Leave(context.Background())
+	agent := a.agent
+	a.mu.Unlock()
+	if left && agent != nil {
+		_ = agent.Leave(context.Background())
 	}
 }
 
 func (c *cluster) killAgent(a *agentProcess) {
-	if a.agent == nil {
+	agent, running := a.take()
+	if agent == nil {
 		return
 	}
 	c.network.Kill(a.address)
-	a.backend.crash()
-	_ = a.running.Stop()
-	a.agent = nil
+	a.backend.kill()
+	_ = running.Stop()
 }
 
 func (c *cluster) stop() {
 	_ = c.supervisors.Stop()
 	for _, e := range c.entries {
-		c.killEntry(e)
+		c.killEntry(e, nil)
 	}
 	for _, a := range c.agents {
 		c.killAgent(a)
@@ -287,7 +338,7 @@
 		panic(err)
 	}
 	answer := httptest.NewRecorder()
-	entry := e.entry
+	entry, _ := e.current()
 	if entry == nil {
 		return nil
 	}
--- a/internal/process/vwhistory/history_test.go
+++ b/internal/process/vwhistory/history_test.go
@@ -122,13 +122,13 @@
 	duration := time.Duration(200+h.random.IntN(7000)) * time.Millisecond
 	switch h.random.IntN(10) {
 	case 0:
-		h.cluster.killEntry(e)
+		h.cluster.killEntry(e, nil)
 		h.later(duration, func() { h.reviveEntry(e) })
 	case 1:
 		h.cluster.killAgent(a)
 		h.later(duration, func() { h.reviveAgent(a) })
 	case 2:
-		a.backend.crash()
+		a.backend.kill()
 		h.later(duration, a.backend.revive)
 	case 3:
 		h.cluster.network.Isolate(e.address, true)
@@ -139,11 +139,11 @@
 	case 5:
 		h.cluster.network.SilenceOpen(e.address, a.address)
 	case 6:
-		control := e.control
+		_, control := e.current()
 		control.Cut(true)
 		h.later(duration, func() { control.Cut(false) })
 	case 7:
-		control := e.control
+		_, control := e.current()
 		control.LoseAnswers(true)
 		h.later(duration, func() { control.LoseAnswers(false) })
 	case 8:
@@ -163,24 +163,24 @@
 }
 
 func (h *history) reviveEntry(e *entryProcess) {
-	if e.entry == nil {
+	if entry, _ := e.current(); entry == nil {
 		h.cluster.startEntry(e)
 	}
 }
 
 func (h *history) reviveAgent(a *agentProcess) {
-	if a.agent == nil {
+	if a.current() == nil {
 		h.cluster.startAgent(a)
 	}
 }
 
 func (h *history) toggleBackend(a *agentProcess) {
-	if a.left {
+	if a.hasLeft() {
 		h.closeOutage(outage{worker: a.index})
 		h.cluster.setLeft(a, false)
 		return
 	}
-	if a.agent == nil {
+	if a.current() == nil {
 		return
 	}
 	h.cluster.setLeft(a, true)
@@ -252,7 +252,7 @@
 		}
 	}
 	for _, a := range h.cluster.agents {
-		if a.left {
+		if a.hasLeft() {
 			h.toggleBackend(a)
 		}
 	}
@@ -296,8 +296,8 @@
 		h.cluster.log.Info("record", "submission", string(id), "record", view.Submission, "error", err, "started or answered", seen[id])
 	}
 	for _, e := range h.cluster.entries {
-		if e.entry != nil {
-			h.cluster.log.Info("entry", "index", e.index, "incarnation", string(e.entry.Incarnation()))
+		if entry, _ := e.current(); entry != nil {
+			h.cluster.log.Info("entry", "index", e.index, "incarnation", string(entry.Incarnation()))
 		}
 	}
 }
