Add the commands of callers and of operators' changes

submit, job, cancel, rules apply and show, datacentre out, in and list, workers and status call entries through pkg/vwclient. Exit codes 4 and 5 tell a call that may have run from one that ran and failed, so that a script can follow the verdict. A missing required flag is now an error of usage (2): cobra checked it after the command had counted as started.

--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -11,7 +11,13 @@
 
 // commands are the constructors of all subcommands of the root command.
 var commands = []func() *cobra.Command{
+	makeSubmit,
+	makeJob,
+	makeCancel,
 	makeRules,
+	makeDataCentre,
+	makeWorkers,
+	makeStatus,
 	makeSettings,
 }
 
@@ -26,13 +32,25 @@
   0  fine
   1  failed, for example because a file or a server could not be reached
   2  wrong usage of the command line
-  3  input was refused; nothing has changed`
+  3  input was refused; nothing has run or changed (verdict NotRun)
+  4  a call failed and may have run, wholly or in part (verdict MayHaveRun)
+  5  a call ran and failed (verdict Ran)
+
+After 3 it is safe to try again. After 4, try again only with the same submission id and body, or with
+the same change id: no task starts twice and no change is made twice.`
 
 // execute runs one command line. An error before the command itself runs is one of usage.
 func execute(ctx context.Context, args []string, stdout, stderr io.Writer) error {
 	started := false
 	root := makeRoot()
-	root.PersistentPreRun = func(*cobra.Command, []string) { started = true }
+	root.PersistentPreRunE = func(cmd *cobra.Command, _ []string) error {
+		// cobra would check these after this function, and a missing flag is an error of usage.
+		if err := cmd.ValidateRequiredFlags(); err != nil {
+			return err
+		}
+		started = true
+		return nil
+	}
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- a/cmd/vanillawind/rules.go
+++ b/cmd/vanillawind/rules.go
@@ -12,5 +12,5 @@
 kind of rule.`
 
 func makeRules() *cobra.Command {
-	return makeGroup("rules", "Work with the rules file", rulesHelp, makeRulesCheck(), makeRulesDiff())
+	return makeGroup("rules", "Work with the rules file", rulesHelp, makeRulesCheck(), makeRulesDiff(), makeRulesApply(), makeRulesShow())
 }
--- a/internal/process/vwcommand/exit.go
+++ b/internal/process/vwcommand/exit.go
@@ -9,6 +9,7 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/pkg/vwclient"
 )
 
 // The exit codes of all commands. Scripts rely on them.
@@ -19,8 +20,12 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line was wrong.
 	ExitUsage = 2
-	// ExitRefused means that a file or request was read and refused. Nothing has changed.
+	// ExitRefused means that a file or request was read and refused. Nothing has run or changed.
 	ExitRefused = 3
+	// ExitMayHaveRun means that a call failed and that nobody can tell what it has done.
+	ExitMayHaveRun = 4
+	// ExitRan means that a call ran and failed.
+	ExitRan = 5
 )
 
 // ErrUsage is returned for a wrong command line.
@@ -47,7 +52,8 @@
 // IsErrRefused reports whether err says that input was refused.
 func IsErrRefused(err error) bool {
 	var refused ErrRefused
-	return errors.As(err, &refused) || vwrule.IsErrRules(err) || vwsettings.IsErrSettings(err)
+	return errors.As(err, &refused) || vwrule.IsErrRules(err) || vwsettings.IsErrSettings(err) ||
+		(vwclient.IsRefused(err) && vwclient.IsNotRun(err))
 }
 
 // ExitCode returns the exit code for the outcome of a command.
@@ -59,11 +65,24 @@
 		return ExitUsage
 	case IsErrRefused(err):
 		return ExitRefused
+	case vwclient.IsRefused(err), vwclient.IsUnanswered(err):
+		return exitOfCall(err)
 	default:
 		return ExitFailed
 	}
 }
 
+// exitOfCall returns the exit code for a call of an entry. One that reached no entry has failed.
+func exitOfCall(err error) int {
+	switch {
+	case vwclient.IsRan(err):
+		return ExitRan
+	case vwclient.IsMayHaveRun(err):
+		return ExitMayHaveRun
+	}
+	return ExitFailed
+}
+
 // Message returns err without the trace of the places that it passed.
 func Message(err error) string {
 	return trace.UserMessage(err)
