Undo only the acceptance that did not run

A cancelled job whose tasks had been sent was begun anew by a second call of the same entry, because its resent acceptance looked accepted and any failed job was replaced. A late Forget could also have removed the record of a later acceptance. Ruled out: the agents' start records, since the two starts were at different workers and at the same epoch. Change: each call's acceptance has an id of its own; a record answers as accepted only to that one, and Forget removes only the acceptance it names. Another call joins or takes over, which fences the agents. An entry releases a submission once at a time, and not after it was lost.

--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -89,6 +89,7 @@
 	jobs       map[vwid.SubmissionID]*job
 	// accepting counts the calls that ask control to accept a submission.
 	accepting  map[vwid.SubmissionID]int
+	releasing  map[vwid.SubmissionID]bool
 	workers    map[vwid.Incarnation]*worker
 	ended      endedJobs
 	budgets    map[vwid.Team]*retryBudget
@@ -114,6 +115,7 @@
 		queue:       vwdispatch.MakeQueue(vwdispatch.QueueSettings{DataCentre: settings.DataCentre}),
 		jobs:        map[vwid.SubmissionID]*job{},
 		accepting:   map[vwid.SubmissionID]int{},
+		releasing:   map[vwid.SubmissionID]bool{},
 		workers:     map[vwid.Incarnation]*worker{},
 		budgets:     map[vwid.Team]*retryBudget{},
 	}
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -26,10 +26,12 @@
 	digest string
 	// accepted tells that control has a record of the job.
 	accepted bool
-	done     chan struct{}
-	expiry   *time.Timer
-	endedAt  time.Time
-	bytes    int
+	// acceptance is the call that control accepted; empty after a takeover.
+	acceptance vwid.Acceptance
+	done       chan struct{}
+	expiry     *time.Timer
+	endedAt    time.Time
+	bytes      int
 	// settlement is set while start records are collected after a takeover.
 	settlement *settlement
 }
@@ -172,7 +174,9 @@
 		return
 	}
 	command := &vwstate.Finish{SubmissionID: j.SubmissionID, Epoch: j.Epoch(), Owner: e.incarnation, Failed: j.Failure() != nil}
-	command.Forget = j.Failure() != nil && j.Failure().Verdict == vwverdict.NotRun
+	if j.hasNotRun() {
+		command.Forget = j.acceptance
+	}
 	e.active++
 	e.group.Run(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, proposeTimeout)
@@ -225,10 +229,19 @@
 // unacceptedRetention is above the longest time that a message can wait in a link.
 const unacceptedRetention = 5 * time.Second
 
+// hasNotRun reports whether the job failed before any task of it started.
+func (j *job) hasNotRun() bool {
+	return j.Failure() != nil && j.Failure().Verdict == vwverdict.NotRun
+}
+
 func (e *Entry) forgetJob(j *job) {
 	if e.jobs[j.SubmissionID] == j {
 		delete(e.jobs, j.SubmissionID)
 	}
+	if j.hasNotRun() {
+		// Agents have no records of it, and an acknowledgement would make them refuse a later acceptance.
+		return
+	}
 	for _, w := range e.workers {
 		if w.jobs[j.SubmissionID] == j {
 			e.acknowledge(w, j)
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -119,10 +119,8 @@
 // loseOwnership handles the end of the entry's own registration, for example after a long partition.
 // Other entries may have taken its jobs over, so it must answer for none of them.
 func (e *Entry) loseOwnership() {
-	select {
-	case <-e.lost:
+	if e.isLost() {
 		return
-	default:
 	}
 	e.log.Error("registration has ended; the entry gives up its jobs")
 	e.stopping = true
@@ -134,6 +132,15 @@
 	close(e.lost)
 }
 
+func (e *Entry) isLost() bool {
+	select {
+	case <-e.lost:
+		return true
+	default:
+		return false
+	}
+}
+
 func (e *Entry) applyRules() {
 	changed := e.holder.Version() != e.applied
 	e.applied, e.appliedFor = e.holder.Version(), len(e.entries)
--- a/internal/process/vwentry/peer.go
+++ b/internal/process/vwentry/peer.go
@@ -50,9 +50,10 @@
 // release gives up a submission that control believes to be here. The record got into the log after
 // this entry had given up waiting, or the answer was dropped; another entry may take it over.
 func (e *Entry) release(request *vwmessage.AwaitAnswer) {
-	if e.accepting[request.SubmissionID] > 0 {
+	if e.accepting[request.SubmissionID] > 0 || e.releasing[request.SubmissionID] || e.isLost() {
 		return
 	}
+	e.releasing[request.SubmissionID] = true
 	command := vwstate.Command{Release: &vwstate.Release{SubmissionID: request.SubmissionID, Epoch: request.Epoch, Owner: e.incarnation}}
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
@@ -60,5 +61,6 @@
 		if _, err := e.control.Propose(ctx, command); err != nil {
 			e.log.Warn("submission not released", "submission", string(request.SubmissionID), "error", err)
 		}
+		e.post(func() { delete(e.releasing, request.SubmissionID) })
 	})
 }
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -64,6 +64,7 @@
 	outcome, err := e.control.Propose(ctx, vwstate.Command{Accept: &vwstate.Accept{
 		SubmissionID: s.spec.SubmissionID,
 		Owner:        e.incarnation,
+		Acceptance:   vwid.MakeAcceptance(),
 		Service:      s.spec.Service,
 		Digest:       []byte(s.digest),
 	}})
@@ -98,7 +99,7 @@
 	if j.digest != s.digest {
 		return nil, e.explain(vwstate.RefusalConflict)
 	}
-	if j.Failure() != nil && j.Failure().Verdict == vwverdict.NotRun {
+	if j.hasNotRun() {
 		// Nothing of it ran, so it may be tried anew.
 		return nil, nil
 	}
@@ -163,10 +164,7 @@
 		return nil, err
 	}
 	return askError(ctx, e, func() (*reply, error) {
-		// Another call of the same entry may have begun it: its resent proposal gets the same outcome.
-		if known := e.jobs[j.SubmissionID]; known != nil && known.Failure() == nil {
-			return &reply{job: known}, nil
-		}
+		j.acceptance = record.Acceptance
 		e.applyDefaultDeadline(j)
 		e.adopt(j)
 		if err := e.enqueue(time.Now(), j); err != nil {
--- a/internal/process/vwhistory/caller_test.go
+++ b/internal/process/vwhistory/caller_test.go
@@ -56,6 +56,9 @@
 // killed, is recorded as nothing.
 func (c *cluster) submit(ctx context.Context, l *ledger, e *entryProcess, submission vwapi.Submission) (ended bool) {
 	answer := e.call(ctx, false, http.MethodPost, "/Jobs", submission)
+	if answer != nil {
+		c.log.Info("answer", "submission", string(submission.ID), "status", answer.Code, "body", answer.Body.String())
+	}
 	if answer == nil || ctx.Err() != nil || answer.Body.Len() == 0 || answer.Code == http.StatusAccepted {
 		return false
 	}
--- a/internal/process/vwhistory/history_test.go
+++ b/internal/process/vwhistory/history_test.go
@@ -95,6 +95,7 @@
 			time.Sleep(wait)
 			limited, cancel := context.WithTimeout(ctx, 5*time.Second)
 			defer cancel()
+			h.cluster.log.Info("cancel", "submission", string(submission.ID), "entry", second)
 			h.cluster.entries[second].call(limited, false, http.MethodDelete, "/Jobs/"+string(submission.ID), nil)
 		})
 	}
--- a/internal/version/vwstate/command.go
+++ b/internal/version/vwstate/command.go
@@ -13,6 +13,7 @@
 //msgp:replace vwid.Service with:string
 //msgp:replace vwid.SubmissionID with:string
 //msgp:replace vwid.ChangeID with:string
+//msgp:replace vwid.Acceptance with:string
 //msgp:replace vwid.Epoch with:uint64
 //msgp:replace vwid.ConfigVersion with:uint64
 //msgp:replace Role with:string
@@ -56,7 +57,9 @@
 type Accept struct {
 	SubmissionID vwid.SubmissionID
 	Owner        vwid.Incarnation
-	Service      vwid.Service
+	// Acceptance is unique to the call that proposes the command. A resend carries the same one.
+	Acceptance vwid.Acceptance
+	Service    vwid.Service
 	// Digest is the hash of the submission's body.
 	Digest []byte
 }
@@ -76,13 +79,14 @@
 }
 
 // Finish records the end of a submission. With Forget it removes the record, which only an owner that
-// has started nothing may ask for: the submission may then be accepted anew.
+// has started nothing may ask for: the submission may then be accepted anew. Forget names the acceptance
+// that it undoes, because it may reach the log after a later acceptance of the same submission.
 type Finish struct {
 	SubmissionID vwid.SubmissionID
 	Epoch        vwid.Epoch
 	Owner        vwid.Incarnation
 	Failed       bool
-	Forget       bool `msg:",omitempty"`
+	Forget       vwid.Acceptance `msg:",omitempty"`
 }
 
 // Register adds a process. It is idempotent for one incarnation; an ended one cannot return.
@@ -167,6 +171,7 @@
 	SubmissionID   vwid.SubmissionID
 	Owner          vwid.Incarnation
 	Epoch          vwid.Epoch
+	Acceptance     vwid.Acceptance
 	Service        vwid.Service
 	Digest         []byte
 	AcceptedMillis int64
--- a/internal/version/vwstate/command_gen.go
+++ b/internal/version/vwstate/command_gen.go
@@ -10,13 +10,16 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Accept) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
+	// map header, size 5
 	// string "SubmissionID"
-	o = append(o, 0x84, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
+	o = append(o, 0x85, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
 	o = msgp.AppendString(o, string(z.SubmissionID))
 	// string "Owner"
 	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
 	o = msgp.AppendString(o, string(z.Owner))
+	// string "Acceptance"
+	o = append(o, 0xaa, 0x41, 0x63, 0x63, 0x65, 0x70, 0x74, 0x61, 0x6e, 0x63, 0x65)
+	o = msgp.AppendString(o, string(z.Acceptance))
 	// string "Service"
 	o = append(o, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, string(z.Service))
@@ -64,15 +67,25 @@
 				}
 				z.Owner = vwid.Incarnation(zb0003)
 			}
-		case "Service":
+		case "Acceptance":
 			{
 				var zb0004 string
 				zb0004, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Acceptance")
+					return
+				}
+				z.Acceptance = vwid.Acceptance(zb0004)
+			}
+		case "Service":
+			{
+				var zb0005 string
+				zb0005, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Service")
 					return
 				}
-				z.Service = vwid.Service(zb0004)
+				z.Service = vwid.Service(zb0005)
 			}
 		case "Digest":
 			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
@@ -94,7 +107,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Accept) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 8 + msgp.StringPrefixSize + len(string(z.Service)) + 7 + msgp.BytesPrefixSize + len(z.Digest)
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 11 + msgp.StringPrefixSize + len(string(z.Acceptance)) + 8 + msgp.StringPrefixSize + len(string(z.Service)) + 7 + msgp.BytesPrefixSize + len(z.Digest)
 	return
 }
 
@@ -953,7 +966,7 @@
 	zb0001Len := uint32(5)
 	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
-	if z.Forget == false {
+	if z.Forget == "" {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
@@ -977,7 +990,7 @@
 		if (zb0001Mask & 0x10) == 0 { // if not omitted
 			// string "Forget"
 			o = append(o, 0xa6, 0x46, 0x6f, 0x72, 0x67, 0x65, 0x74)
-			o = msgp.AppendBool(o, z.Forget)
+			o = msgp.AppendString(o, string(z.Forget))
 		}
 	}
 	return
@@ -1038,10 +1051,14 @@
 				return
 			}
 		case "Forget":
-			z.Forget, bts, err = msgp.ReadBoolBytes(bts)
-			if err != nil {
-				err = msgp.WrapError(err, "Forget")
-				return
+			{
+				var zb0005 string
+				zb0005, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Forget")
+					return
+				}
+				z.Forget = vwid.Acceptance(zb0005)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -1057,7 +1074,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Finish) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 7 + msgp.BoolSize + 7 + msgp.BoolSize
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.Uint64Size + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 7 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(string(z.Forget))
 	return
 }
 
@@ -1903,9 +1920,9 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Submission) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 8
+	// map header, size 9
 	// string "SubmissionID"
-	o = append(o, 0x88, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
+	o = append(o, 0x89, 0xac, 0x53, 0x75, 0x62, 0x6d, 0x69, 0x73, 0x73, 0x69, 0x6f, 0x6e, 0x49, 0x44)
 	o = msgp.AppendString(o, string(z.SubmissionID))
 	// string "Owner"
 	o = append(o, 0xa5, 0x4f, 0x77, 0x6e, 0x65, 0x72)
@@ -1913,6 +1930,9 @@
 	// string "Epoch"
 	o = append(o, 0xa5, 0x45, 0x70, 0x6f, 0x63, 0x68)
 	o = msgp.AppendUint64(o, uint64(z.Epoch))
+	// string "Acceptance"
+	o = append(o, 0xaa, 0x41, 0x63, 0x63, 0x65, 0x70, 0x74, 0x61, 0x6e, 0x63, 0x65)
+	o = msgp.AppendString(o, string(z.Acceptance))
 	// string "Service"
 	o = append(o, 0xa7, 0x53, 0x65, 0x72, 0x76, 0x69, 0x63, 0x65)
 	o = msgp.AppendString(o, string(z.Service))
@@ -1979,15 +1999,25 @@
 				}
 				z.Epoch = vwid.Epoch(zb0004)
 			}
-		case "Service":
+		case "Acceptance":
 			{
 				var zb0005 string
 				zb0005, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Acceptance")
+					return
+				}
+				z.Acceptance = vwid.Acceptance(zb0005)
+			}
+		case "Service":
+			{
+				var zb0006 string
+				zb0006, bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Service")
 					return
 				}
-				z.Service = vwid.Service(zb0005)
+				z.Service = vwid.Service(zb0006)
 			}
 		case "Digest":
 			z.Digest, bts, err = msgp.ReadBytesBytes(bts, z.Digest)
@@ -2009,13 +2039,13 @@
 			}
 		case "Phase":
 			{
-				var zb0006 uint8
-				zb0006, bts, err = msgp.ReadUint8Bytes(bts)
+				var zb0007 uint8
+				zb0007, bts, err = msgp.ReadUint8Bytes(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Phase")
 					return
 				}
-				z.Phase = Phase(zb0006)
+				z.Phase = Phase(zb0007)
 			}
 		default:
 			bts, err = msgp.Skip(bts)
@@ -2031,7 +2061,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Submission) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 6 + msgp.Uint64Size + 8 + msgp.StringPrefixSize + len(string(z.Service)) + 7 + msgp.BytesPrefixSize + len(z.Digest) + 15 + msgp.Int64Size + 15 + msgp.Int64Size + 6 + msgp.Uint8Size
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 6 + msgp.StringPrefixSize + len(string(z.Owner)) + 6 + msgp.Uint64Size + 11 + msgp.StringPrefixSize + len(string(z.Acceptance)) + 8 + msgp.StringPrefixSize + len(string(z.Service)) + 7 + msgp.BytesPrefixSize + len(z.Digest) + 15 + msgp.Int64Size + 15 + msgp.Int64Size + 6 + msgp.Uint8Size
 	return
 }
 
--- a/internal/version/vwstate/state.go
+++ b/internal/version/vwstate/state.go
@@ -93,8 +93,9 @@
 		if !bytes.Equal(found.Digest, command.Digest) {
 			return Outcome{Refusal: RefusalConflict, Submission: &copied}
 		}
-		// A resent proposal of the owner itself must see its first outcome, not a foreign owner.
-		if found.Owner == command.Owner && found.Epoch == 1 && found.Phase == PhaseRunning {
+		// A resent proposal must see its first outcome. Another call of the same owner must not, because the
+		// owner may have ended the first one already.
+		if found.Acceptance == command.Acceptance && found.Owner == command.Owner && found.Epoch == 1 && found.Phase == PhaseRunning {
 			return Outcome{Submission: &copied}
 		}
 		return Outcome{Refusal: RefusalExists, Submission: &copied}
@@ -116,6 +117,7 @@
 		SubmissionID:   command.SubmissionID,
 		Owner:          command.Owner,
 		Epoch:          1,
+		Acceptance:     command.Acceptance,
 		Service:        command.Service,
 		Digest:         command.Digest,
 		AcceptedMillis: s.nowMillis,
@@ -188,7 +190,10 @@
 	if found.Owner != command.Owner || found.Epoch != command.Epoch {
 		return Outcome{Refusal: RefusalNotOwner, Submission: &copied}
 	}
-	if command.Forget && found.Epoch == 1 {
+	if command.Forget != "" && (found.Epoch != 1 || found.Acceptance != command.Forget) {
+		return Outcome{Refusal: RefusalNotOwner, Submission: &copied}
+	}
+	if command.Forget != "" {
 		delete(s.submissions, command.SubmissionID)
 		return Outcome{Submission: &copied}
 	}
--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -29,6 +29,8 @@
 	TaskID string
 	// ChangeID identifies an operator's change across resends.
 	ChangeID string
+	// Acceptance identifies one call that asks control to accept a submission, across resends.
+	Acceptance string
 	// Member identifies a replica of the control log; it lasts as long as the replica's data folder.
 	Member string
 )
@@ -50,6 +52,11 @@
 	return Member(uuid.NewString())
 }
 
+// MakeAcceptance returns a new random acceptance.
+func MakeAcceptance() Acceptance {
+	return Acceptance(uuid.NewString())
+}
+
 // MakeSubmissionID returns a new id that carries the current time.
 func MakeSubmissionID() SubmissionID {
 	return SubmissionID(uuid.Must(uuid.NewV7()).String())
