Make the tests of the log and of control find planted faults

The schedules of vwraft now keep elections, conflicts and crashes frequent, and direct tests cover each of these rules.

TestVerdicts waited for an entry at a place that nothing filled when its two commands were appended in the other order; it now fills both.

--- a/internal/process/vwcontrol/lease_test.go
+++ b/internal/process/vwcontrol/lease_test.go
@@ -136,7 +136,11 @@
 			open <- err
 		})
 		require.Equal(t, vwverdict.MayHaveRun, vwverdict.Of(<-open))
-		c.leader()
+		// The new leader fills the places of both commands.
+		for _, id := range []vwid.ChangeID{"first", "second"} {
+			_, err := proposeWithin(c.member(c.leader()), vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: id}})
+			require.NoError(t, err)
+		}
 		c.network.heal()
 		err := <-replaced
 		_, notLeader := IsNotLeader(err)
@@ -148,3 +152,77 @@
 		require.Equal(t, vwverdict.NotRun, vwverdict.Of(err))
 	})
 }
+
+// Guards against a leader that was stalled by its disk, was replaced, and then answers the requests
+// that have waited as if no time had passed.
+func TestStalledLeaderGrantsNothing(t *testing.T) {
+	bubble(t, 3, 5, func(t *testing.T, c *cluster) {
+		c.register("entry", vwstate.RoleEntry)
+		old := c.leader()
+		c.disks[old].SetSyncDelay(3 * time.Second)
+		c.group.Run(func(context.Context) {
+			_, _ = proposeWithin(c.member(old), vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "slow", Base: 99}})
+		})
+		time.Sleep(100 * time.Millisecond)
+		c.isolate(old, false, true)
+		replies := make(chan vwmessage.Body, 1)
+		c.member(old).Serve(&vwmessage.LeaseRequest{Incarnation: "entry"}, func(reply vwmessage.Body, _ error) { replies <- reply })
+		time.Sleep(2 * time.Second)
+		other := c.leader()
+		require.NotEqual(t, old, other)
+		change := &vwstate.ChangeRules{ChangeID: "change", Text: []byte("rules")}
+		_, err := proposeWithin(c.member(other), vwstate.Command{ChangeRules: change})
+		require.NoError(t, err)
+		require.Nil(t, <-replies)
+	})
+}
+
+// Guards against an acknowledgement that precedes the syncs of a majority.
+func TestAcknowledgementWaitsForSyncs(t *testing.T) {
+	bubble(t, 3, 7, func(t *testing.T, c *cluster) {
+		leader := c.leader()
+		time.Sleep(time.Second)
+		for at := range c.disks {
+			if at != leader {
+				c.disks[at].SetSyncDelay(300 * time.Millisecond)
+			}
+		}
+		before := time.Now()
+		_, err := proposeWithin(c.member(leader), vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "change"}})
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, time.Since(before), 300*time.Millisecond)
+	})
+}
+
+// Guards against a NotRun answer for a command that a crash overtook and that is committed all the same.
+func TestCrashDuringPropose(t *testing.T) {
+	bubble(t, 3, 6, func(t *testing.T, c *cluster) {
+		uncertain := 0
+		for round := range 40 {
+			leader := c.leader()
+			id := vwid.ChangeID(rune('A' + round))
+			client := MakeClient(c.member(leader))
+			answered := make(chan error, 1)
+			c.group.Run(func(context.Context) {
+				command := vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: id, Base: 99}}
+				_, err := client.Propose(context.Background(), command)
+				answered <- err
+			})
+			time.Sleep(time.Duration(round) * 200 * time.Microsecond)
+			c.crash(leader)
+			err := <-answered
+			c.start(leader)
+			view, readErr := readWithin(c.member(c.leader()), vwstate.Query{Change: id})
+			require.NoError(t, readErr)
+			switch vwverdict.Of(err) {
+			case vwverdict.NotRun:
+				require.Nil(t, view.Change)
+			case vwverdict.Ran:
+				require.NotNil(t, view.Change)
+			default:
+				uncertain++
+			}
+		}
+		require.Positive(t, uncertain, "no crash has hit a command in progress")
+	})
+}
--- a/internal/process/vwcontrol/member_test.go
+++ b/internal/process/vwcontrol/member_test.go
@@ -152,9 +152,11 @@
 		}
 		time.Sleep(time.Second)
 		for at := range c.disks {
+			term := c.member(at).Status().Log.Term
 			c.crash(at)
 			store, loaded, err := vwstore.Open(c.disks[at], 4096)
 			require.NoError(t, err)
+			require.Equal(t, term, loaded.HardState.Term, "a lost term would permit a second vote in it")
 			require.Greater(t, loaded.Snapshot.Index, vwraft.Index(100))
 			require.Less(t, len(loaded.Entries), 500)
 			require.NoError(t, store.Close())
--- a/internal/process/vwraft/checker_test.go
+++ b/internal/process/vwraft/checker_test.go
@@ -40,6 +40,16 @@
 	return nil
 }
 
+// complete fails when an entry that some member has committed lies beyond what all apply in the end.
+func (c *checker) complete(applied vwraft.Index) error {
+	for index := range c.log {
+		if index > applied {
+			return fmt.Errorf("entry %d was committed but the final log ends with entry %d", index, applied)
+		}
+	}
+	return nil
+}
+
 // A checker that cannot fail would prove nothing: each planted fault must be found.
 func TestCheckerFindsPlantedFaults(t *testing.T) {
 	faults := map[string]struct {
@@ -47,7 +57,8 @@
 		want  string
 	}{
 		"second leader": {func(c *checker) error { return c.leads("m1", 1) }, "term 1 has the leaders m0 and m1"},
-		"lost entry":    {func(c *checker) error { return c.committed(vwraft.Entry{Index: 1, Term: 2, Data: []byte("b")}) }, "entry 1 was committed"},
+		"replaced":      {func(c *checker) error { return c.committed(vwraft.Entry{Index: 1, Term: 2, Data: []byte("b")}) }, "entry 1 was committed"},
+		"lost":          {func(c *checker) error { return c.complete(0) }, "the final log ends"},
 		"reordered":     {func(c *checker) error { return c.committed(vwraft.Entry{Index: 1, Term: 1, Data: []byte("b")}) }, "entry 1 was committed"},
 	}
 	for name, fault := range faults {
--- a/internal/process/vwraft/harness_test.go
+++ b/internal/process/vwraft/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -105,6 +106,9 @@
 		if !ok {
 			break
 		}
+		for _, m := range ready.Messages {
+			require.Equal(c.t, c.disks[member].hard.Term, m.Term, "a message of kind %d precedes the sync of its term", m.Kind)
+		}
 		c.transmit(ready.Messages)
 		if lose && ready.MustSync() {
 			c.crash(member)
@@ -219,6 +223,16 @@
 	d.entries = slices.DeleteFunc(d.entries, func(e vwraft.Entry) bool { return e.Index <= snapshot.Index })
 }
 
+// heal starts all members that do not run and ends all faults of the network.
+func (c *cluster) heal() {
+	clear(c.cut)
+	for _, member := range slices.Sorted(maps.Keys(c.disks)) {
+		if c.nodes[member] == nil {
+			c.start(member)
+		}
+	}
+}
+
 // seeds runs a test with a few seeds, each as a subtest.
 func seeds(t *testing.T, f func(t *testing.T, seed uint64)) {
 	for seed := range uint64(5) {
--- a/internal/process/vwraft/node_test.go
+++ b/internal/process/vwraft/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -72,18 +74,14 @@
 				}
 			},
 		})
-		c.recover(size)
+		c.recover()
 	})
 }
 
-// recover heals everything and requires progress: no reachable state may block the cluster for good.
-func (c *cluster) recover(size int) {
-	clear(c.cut)
-	for at := range size {
-		if member := voter(at).Member; c.nodes[member] == nil {
-			c.start(member)
-		}
-	}
+// recover heals everything and requires progress: no reachable state may block the cluster for good,
+// and everything that was ever committed is applied everywhere.
+func (c *cluster) recover() {
+	c.heal()
 	// An unfinished transfer ends within one election timeout.
 	c.run(40)
 	leader := c.leader()
@@ -95,6 +93,74 @@
 	for _, member := range c.members() {
 		require.Equal(c.t, c.nodes[leader].Status().Commit, c.applied[member], "member %s", member)
 	}
+	require.NoError(c.t, c.check.complete(c.applied[leader]))
+}
+
+// Guards against the same faults as TestSafety by long schedules of single steps, with weights that
+// keep elections, conflicts and crashes frequent.
+func TestSchedules(t *testing.T) {
+	for _, size := range []int{3, 5} {
+		for seed := range uint64(scheduleCount) {
+			t.Run(fmt.Sprintf("size %d seed %d", size, seed), func(t *testing.T) {
+				c := makeCluster(t, size, seed)
+				c.tune = func(s *vwraft.Settings) {
+					s.Trailing, s.CaughtUp, s.ElectionTicks, s.HeartbeatTicks, s.MaxInflight = 4, 4, 4, 1, 3
+				}
+				for _, member := range c.members() {
+					c.start(member)
+				}
+				random := rand.New(rand.NewPCG(seed, uint64(size)))
+				for range 4000 {
+					c.randomStep(random, size)
+				}
+				t.Logf("terms %d, committed %d", len(c.check.leaders), len(c.check.log))
+				c.recover()
+			})
+		}
+	}
+}
+
+func (c *cluster) randomStep(random *rand.Rand, size int) {
+	member := voter(random.IntN(size)).Member
+	node := c.nodes[member]
+	switch roll := random.IntN(1000); {
+	case roll < 600 && len(c.network) > 0:
+		c.deliverAny(random)
+	case roll < 850 && node != nil:
+		node.Tick()
+		c.settle(member, random.IntN(30) == 0)
+	case roll < 930 && node != nil:
+		_, _, _ = node.Propose(fmt.Append(nil, random.Uint32()))
+		c.settle(member, random.IntN(10) == 0)
+	case roll < 940:
+		c.network = c.network[:random.IntN(len(c.network)+1)]
+	case roll < 945:
+		c.crash(member)
+	case roll < 950:
+		c.isolate(member, true)
+	case roll < 960:
+		clear(c.cut)
+	case roll < 965 && node != nil:
+		c.compact(member)
+	case node == nil:
+		c.start(member)
+	}
+}
+
+// deliverAny delivers an early message or, seldom, a late one; some are repeated, some lead into a crash.
+func (c *cluster) deliverAny(random *rand.Rand) {
+	at := random.IntN(min(len(c.network), 4))
+	if random.IntN(10) == 0 {
+		at = random.IntN(len(c.network))
+	}
+	m := c.network[at]
+	if random.IntN(20) > 0 {
+		c.network = slices.Delete(c.network, at, at+1)
+	}
+	if node := c.nodes[m.To]; node != nil {
+		node.Step(m)
+		c.settle(m.To, random.IntN(60) == 0)
+	}
 }
 
 // Guards against a member that was cut off raising the term, and so deposing a healthy leader, on return.
@@ -113,6 +179,22 @@
 	})
 }
 
+// Guards against a member that hears nothing but is heard: its election attempts must not depose the leader.
+func TestDeafMemberDoesNotDisturb(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		c := makeCluster(t, 3, seed)
+		leader := c.leader()
+		term := c.nodes[leader].Status().Term
+		deaf := c.other(leader)
+		for _, member := range c.members() {
+			c.cut[string(member)+">"+string(deaf)] = true
+		}
+		c.run(500)
+		require.True(t, c.nodes[leader].IsLeader())
+		require.Equal(t, term, c.nodes[leader].Status().Term)
+	})
+}
+
 // Guards against a cut-off leader that keeps its lease or its role beyond the time at which another may lead.
 func TestIsolatedLeaderLosesLeaseFirst(t *testing.T) {
 	seeds(t, func(t *testing.T, seed uint64) {
