--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -11,14 +11,33 @@
 type GranterSettings struct {
 	Slots int
 	// OverCommit is how many credits may exceed the slots, so that a task is already at the agent
-	// when a slot becomes free. Only waiting tasks get them.
+	// when a slot becomes free. They are granted only while many tasks wait.
 	OverCommit int
+	// Standing is how many credits an entry without waiting tasks holds at most; zero means
+	// DefaultStanding. The other idle slots stay with the agent, which can grant them to any entry
+	// without a recall.
+	Standing int
 	// DataCentre is the agent's own data centre.
 	DataCentre vwid.DataCentre
-	// Weights are the shares of the teams. A team that is not named has the weight 1.
-	Weights map[vwid.Team]float64
+	// Policy gives the shares and priorities of the teams.
+	Policy Policy
 }
 
+// standing is how long an entry must hold a credit before it is recalled for another entry. A credit
+// that was just granted is usually used already. This is the hysteresis of the push thresholds in
+// "Peer-to-Peer Caching Schemes to Address Flash Crowds", applied to the recall of credits.
+const standing = 10 * time.Millisecond
+
+// DefaultStanding is the default of GranterSettings.Standing.
+const DefaultStanding = 1
+
+// DefaultOverCommit is the over-commit that the policy benchmark supports.
+const DefaultOverCommit = 1
+
+// overCommitBacklog is how many tasks must wait per slot before credits may exceed the slots. With
+// fewer, the task that waits at the agent would often find a free slot at another worker.
+const overCommitBacklog = 3
+
 // Action is a decision of a Granter about one entry. One of Grant and Recall is zero.
 type Action struct {
 	Entry  vwid.Incarnation
@@ -28,9 +47,15 @@
 
 // Granter divides the slots of one worker as credits among the entries.
 type Granter struct {
-	settings    GranterSettings
-	entries     map[vwid.Incarnation]*entryState
-	order       []*entryState
+	settings GranterSettings
+	entries  map[vwid.Incarnation]*entryState
+	order    []*entryState
+	teams    map[vwid.Team]*teamShare
+	// ranking lists teams by first use, so that decisions do not depend on the order of a map.
+	ranking []*teamShare
+	now     time.Time
+	// retry is when a credit that is too young to recall will be old enough, zero when there is none.
+	retry       time.Time
 	running     int
 	outstanding int
 	virtual     float64
@@ -38,27 +63,12 @@
 	actions     []Action
 }
 
-// entryState is an entry as an agent sees it.
-type entryState struct {
-	incarnation vwid.Incarnation
-	dataCentre  vwid.DataCentre
-	demand      []vwmessage.TeamDemand
-	// unmet is the number of waiting tasks for which no credit is granted yet.
-	unmet int
-	// outstanding is the number of credits that the entry holds, and recalling how many of them
-	// are asked back.
-	outstanding int
-	recalling   int
-	// share is the entry's weight by the teams that wait at it, and virtual the credits that it
-	// got divided by that weight.
-	share   float64
-	virtual float64
-	grant   int
-}
-
 // MakeGranter returns a Granter that knows no entries.
 func MakeGranter(settings GranterSettings) *Granter {
-	return &Granter{settings: settings, entries: map[vwid.Incarnation]*entryState{}}
+	if settings.Standing <= 0 {
+		settings.Standing = DefaultStanding
+	}
+	return &Granter{settings: settings, entries: map[vwid.Incarnation]*entryState{}, teams: map[vwid.Team]*teamShare{}}
 }
 
 // AddEntry makes an entry known. A known one is left as it is.
@@ -66,7 +76,7 @@
 	if g.entries[entry] != nil {
 		return
 	}
-	e := &entryState{incarnation: entry, dataCentre: dataCentre, virtual: g.virtual}
+	e := &entryState{incarnation: entry, dataCentre: dataCentre}
 	g.entries[entry] = e
 	g.order = append(g.order, e)
 }
@@ -78,6 +88,7 @@
 	if e == nil {
 		return
 	}
+	e.clear()
 	g.outstanding -= e.outstanding
 	delete(g.entries, entry)
 	for i, other := range g.order {
@@ -86,7 +97,6 @@
 			break
 		}
 	}
-	g.weigh()
 }
 
 // SetDemand records what waits at an entry.
@@ -95,25 +105,16 @@
 	if e == nil {
 		return
 	}
-	e.demand = append(e.demand[:0], demand.Teams...)
-	waiting := 0
-	for _, team := range e.demand {
-		waiting += team.Waiting
-	}
-	// An entry uses the credits that it holds before it reports demand, so those that are still
-	// outstanding are on the way to it and will meet a part of the demand.
-	idle := e.unmet == 0
-	e.unmet = max(0, waiting-e.outstanding)
-	if idle && e.unmet > 0 {
-		e.virtual = max(e.virtual, g.virtual)
-	}
-	g.weigh()
+	e.clear()
+	e.set(demand.Teams, g.share)
 }
 
-// SetWeights replaces the shares of the teams.
-func (g *Granter) SetWeights(weights map[vwid.Team]float64) {
-	g.settings.Weights = weights
-	g.weigh()
+// SetPolicy replaces the shares and priorities of the teams.
+func (g *Granter) SetPolicy(policy Policy) {
+	g.settings.Policy = policy
+	for _, team := range g.ranking {
+		team.policy = policy.team(team.name)
+	}
 }
 
 // Started records that an entry used n credits.
@@ -156,13 +157,17 @@
 }
 
 // Decide returns the credits to grant and to recall. The result is valid until the next call.
-func (g *Granter) Decide(_ time.Time) []Action {
-	g.actions = g.actions[:0]
-	slots, overCommit := g.settings.Slots, g.settings.OverCommit
-	if g.stopped {
-		slots, overCommit = 0, 0
+func (g *Granter) Decide(now time.Time) []Action {
+	g.actions, g.now, g.retry = g.actions[:0], now, time.Time{}
+	slots, limit := g.limits()
+	for _, e := range g.order {
+		e.stamp(now)
+	}
+	if g.unmet() >= overCommitBacklog*slots {
+		g.meetDemand(limit)
+	} else {
+		g.meetDemand(slots)
 	}
-	g.meetDemand(slots + overCommit)
 	g.spread(slots)
 	for _, e := range g.order {
 		if e.grant > 0 {
@@ -170,29 +175,61 @@
 			e.grant = 0
 		}
 	}
-	g.recall(slots + overCommit)
+	g.recall(limit)
 	return g.actions
 }
 
-// meetDemand grants credits to entries with waiting tasks, by their shares.
+// limits returns how many tasks and credits there may be without and with over-commit. A worker
+// without slots, as in a data centre that is out of service, grants nothing.
+func (g *Granter) limits() (slots, limit int) {
+	if g.stopped || g.settings.Slots <= 0 {
+		return 0, 0
+	}
+	return g.settings.Slots, g.settings.Slots + g.settings.OverCommit
+}
+
+// unmet returns the number of tasks that wait for a credit of this worker.
+func (g *Granter) unmet() int {
+	sum := 0
+	for _, e := range g.order {
+		sum += e.unmet
+	}
+	return sum
+}
+
+// meetDemand grants credits for waiting tasks, by the shares of the teams over all entries and
+// within a team to the entry whose task waits longest.
 func (g *Granter) meetDemand(limit int) {
 	for g.running+g.outstanding < limit {
-		var best *entryState
-		for _, e := range g.order {
-			if e.unmet > 0 && (best == nil || e.virtual < best.virtual) {
-				best = e
+		var team *teamShare
+		for _, other := range g.ranking {
+			if other.unmet > 0 && other.ahead(team) {
+				team = other
 			}
 		}
-		if best == nil {
+		if team == nil {
 			return
 		}
-		g.virtual = max(g.virtual, best.virtual)
-		best.virtual += 1 / best.share
-		best.unmet--
-		g.give(best)
+		g.virtual = max(g.virtual, team.virtual)
+		e, row := g.oldest(team)
+		row.meet()
+		e.unmet--
+		g.give(e)
 	}
 }
 
+// oldest returns the entry at which the first task of the team arrived earliest.
+func (g *Granter) oldest(team *teamShare) (*entryState, *demandRow) {
+	var best *entryState
+	var first *demandRow
+	for _, e := range g.order {
+		if row := e.row(team); row != nil && (first == nil || row.since.Before(first.since)) {
+			best, first = e, row
+		}
+	}
+	return best, first
+}
+
 // spread grants the credits of idle slots to the entries with the fewest, so that a task that
 // arrives at any of them can leave at once.
 func (g *Granter) spread(limit int) {
@@ -206,6 +243,9 @@
 				best = e
 			}
 		}
+		if best.outstanding >= g.settings.Standing {
+			return
+		}
 		g.give(best)
 	}
 }
@@ -220,6 +260,7 @@
 
 func (g *Granter) give(e *entryState) {
 	e.grant++
+	e.granted = g.now
 	e.outstanding++
 	g.outstanding++
 }
@@ -235,9 +276,9 @@
 	for _, e := range g.order {
 		need -= e.recalling
 	}
-	for {
+	for need > 0 || excess > 0 {
 		best := g.richest(excess > 0)
-		if best == nil || (need <= 0 && excess <= 0) {
+		if best == nil {
 			return
 		}
 		count := min(best.outstanding, max(need, excess))
@@ -248,6 +289,12 @@
 	}
 }
 
+// Retry returns when Decide is to be called again although nothing happens, and false when that is
+// not needed.
+func (g *Granter) Retry() (time.Time, bool) {
+	return g.retry, !g.retry.IsZero()
+}
+
 // richest returns the entry with the most credits that can be recalled, or nil.
 func (g *Granter) richest(anyEntry bool) *entryState {
 	var best *entryState
@@ -255,6 +302,10 @@
 		if e.recalling > 0 || e.outstanding == 0 || (e.unmet > 0 && !anyEntry) {
 			continue
 		}
+		if age := g.now.Sub(e.granted); !anyEntry && age < standing {
+			g.postpone(e.granted.Add(standing))
+			continue
+		}
 		if best == nil || e.outstanding > best.outstanding {
 			best = e
 		}
@@ -262,6 +313,12 @@
 	return best
 }
 
+func (g *Granter) postpone(until time.Time) {
+	if g.retry.IsZero() || until.Before(g.retry) {
+		g.retry = until
+	}
+}
+
 func (g *Granter) release(entry vwid.Incarnation, n int) {
 	if e := g.entries[entry]; e != nil {
 		n = min(n, e.outstanding)
@@ -270,37 +327,16 @@
 	}
 }
 
-// weigh divides the weight of each team over the entries at which it waits, by the number of its
-// tasks there. The entries' shares follow the teams' shares, wherever their callers connect.
-func (g *Granter) weigh() {
-	for _, e := range g.order {
-		e.share = 0
-		for _, d := range e.demand {
-			if d.Waiting > 0 {
-				e.share += g.weight(d.Team) * float64(d.Waiting) / float64(g.waiting(d.Team))
-			}
-		}
-		if e.share <= 0 {
-			e.share = 1
-		}
+// share returns the team's state. Unused share is not saved up while nothing of the team waits.
+func (g *Granter) share(name vwid.Team) *teamShare {
+	found, ok := g.teams[name]
+	if !ok {
+		found = &teamShare{name: name, policy: g.settings.Policy.team(name)}
+		g.teams[name] = found
+		g.ranking = append(g.ranking, found)
 	}
-}
-
-func (g *Granter) weight(team vwid.Team) float64 {
-	if weight := g.settings.Weights[team]; weight > 0 {
-		return weight
+	if found.unmet == 0 {
+		found.virtual = max(found.virtual, g.virtual)
 	}
-	return 1
-}
-
-func (g *Granter) waiting(team vwid.Team) int {
-	sum := 0
-	for _, e := range g.order {
-		for _, d := range e.demand {
-			if d.Team == team {
-				sum += d.Waiting
-			}
-		}
-	}
-	return sum
+	return found
 }
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -17,11 +17,20 @@
 	slots   int
 	near    workerRing
 	far     workerRing
-	// workers lists all workers, and stale those whose agents may need a new report of demand.
 	workers []*workerState
-	stale   []*workerState
-	// reviewed is the number of waiting tasks at the last report to all workers.
-	reviewed int
+	// told is the number of credits that agents are asked for and have not granted.
+	told       int
+	throughput throughput
+	// ejected counts the workers that are ejected because of their failures.
+	ejected int
+	// dry tells that an agent may know of no waiting task. While many wait, each is to know of some,
+	// or its slots stay idle.
+	dry bool
+	// starved is the last time at which a task was sent or none waited.
+	starved time.Time
+	// mistaken lists workers whose agents may grant credits for tasks that are gone.
+	mistaken []*workerState
+	ranked   []*teamQueue
 }
 
 func (s *serviceQueue) team(state *teamState) *teamQueue {
@@ -61,3 +70,34 @@
 	}
 	return 0
 }
+
+// outlier reports whether w fails much more often than the other workers, and few enough workers
+// are ejected that the others can take its work.
+func (s *serviceQueue) outlier(w *workerState) bool {
+	if 2*(s.ejected+1) > len(s.workers) {
+		return false
+	}
+	sum := 0.0
+	for _, other := range s.workers {
+		if other != w && !other.health.ejected {
+			sum += other.health.rate
+		}
+	}
+	return w.health.rate-sum/float64(len(s.workers)-1-s.ejected) > ejectionMargin || w.health.probes > 0
+}
+
+// wait returns how long a team's waiting tasks and work more are likely to take until all are sent.
+func (s *serviceQueue) wait(now time.Time, team *teamQueue, work time.Duration) time.Duration {
+	rate := s.throughput.rate(now)
+	if s.unserved() == 0 || rate <= 0 {
+		return 0
+	}
+	weights := team.team.policy.Weight
+	for _, other := range s.order {
+		if other != team && other.waiting > 0 {
+			weights += other.team.policy.Weight
+		}
+	}
+	backlog := team.learned.Seconds()*float64(team.waiting) + work.Seconds()
+	return time.Duration(backlog * weights / (rate * team.team.policy.Weight) * float64(time.Second))
+}
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -13,6 +13,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
@@ -74,15 +75,18 @@
 	group       *vwgroup.Group
 	mailbox     chan func()
 	counters    Counters
+	lost        chan struct{}
 
 	// The fields below belong to the loop.
-	holder  holder
+	holder  *vwlease.Holder
 	rules   *vwrule.Rules
 	applied vwid.ConfigVersion
-	entries []vwmessage.EntryAddress
-	expired map[vwid.Incarnation]bool
-	queue   *vwdispatch.Queue
-	jobs    map[vwid.SubmissionID]*job
+	// appliedFor is the number of entries that the applied policy was divided among.
+	appliedFor int
+	entries    []vwmessage.EntryAddress
+	expired    map[vwid.Incarnation]bool
+	queue      *vwdispatch.Queue
+	jobs       map[vwid.SubmissionID]*job
 	// accepting counts the calls that ask control to accept a submission.
 	accepting  map[vwid.SubmissionID]int
 	workers    map[vwid.Incarnation]*worker
@@ -92,7 +96,7 @@
 	settling   int
 	registered bool
 	stopping   bool
-	idle       chan struct{}
+	idle       []chan struct{}
 }
 
 // Make returns an entry that is not running. The dialer reaches other entries.
@@ -103,7 +107,9 @@
 		control:     control,
 		log:         log,
 		mailbox:     make(chan func(), mailboxSize),
+		holder:      vwlease.Make(leaseDuration, renewInterval),
 		rules:       vwrule.Empty(),
+		lost:        make(chan struct{}),
 		expired:     map[vwid.Incarnation]bool{},
 		queue:       vwdispatch.MakeQueue(vwdispatch.QueueSettings{DataCentre: settings.DataCentre}),
 		jobs:        map[vwid.SubmissionID]*job{},
@@ -121,6 +127,12 @@
 	return e.incarnation
 }
 
+// Lost is closed when the registration of the entry has ended against its will, for example after a long
+// partition. Its jobs have been given up; the owner of the entry starts another one under a new incarnation.
+func (e *Entry) Lost() <-chan struct{} {
+	return e.lost
+}
+
 // Start begins the work of the entry. It registers with control in the background; Ready tells when
 // the entry can accept submissions.
 func (e *Entry) Start() {
@@ -129,28 +141,35 @@
 	e.group.Run(e.refreshRegistrations)
 }
 
-// Stop is the graceful shutdown: it refuses new submissions, waits for the running ones to end, or for
-// ctx, ends the registration and stops.
-func (e *Entry) Stop(ctx context.Context) error {
+// Drain refuses new submissions and waits for the running ones to end, or for ctx.
+func (e *Entry) Drain(ctx context.Context) error {
 	idle, err := ask(ctx, e, func() chan struct{} {
 		e.stopping = true
-		e.idle = make(chan struct{})
+		idle := make(chan struct{})
+		e.idle = append(e.idle, idle)
 		e.signalIdle()
-		return e.idle
+		return idle
 	})
-	if err == nil {
-		select {
-		case <-idle:
-		case <-ctx.Done():
-			err = ctx.Err()
-		}
+	if err != nil {
+		return err
 	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
+
+// Stop ends the registration, so that other entries need not wait for its lease to run out, and stops.
+// Drain comes before it in a graceful shutdown.
+func (e *Entry) Stop(ctx context.Context) error {
 	expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{e.incarnation}}}
-	if _, proposeErr := e.control.Propose(ctx, expire); proposeErr != nil {
-		e.log.Warn("registration not ended; it expires with its lease", "error", proposeErr)
+	if _, err := e.control.Propose(ctx, expire); err != nil {
+		e.log.Warn("registration not ended; it expires with its lease", "error", err)
 	}
 	e.Kill()
-	return trace.Wrap(err)
+	return nil
 }
 
 // Kill stops at once, as a crash would.
@@ -160,10 +179,13 @@
 }
 
 func (e *Entry) signalIdle() {
-	if e.stopping && e.active == 0 && e.idle != nil {
-		close(e.idle)
-		e.idle = nil
+	if !e.stopping || e.active > 0 {
+		return
+	}
+	for _, idle := range e.idle {
+		close(idle)
 	}
+	e.idle = nil
 }
 
 func (e *Entry) loop(ctx context.Context) {
@@ -202,7 +224,6 @@
 		}
 	}
 	e.forgetAnswers(now)
-	e.reportDemand(now)
 }
 
 // post hands an event to the loop. It reports false after the entry stopped.
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -18,11 +18,10 @@
 // worker is an agent incarnation as the entry sees it. Session is nil while no link to it is open.
 type worker struct {
 	vwdispatch.Worker
-	session  *vwlink.Session
-	heard    bool
-	leaving  bool
-	jobs     map[vwid.SubmissionID]*job
-	demanded demandReport
+	session *vwlink.Session
+	heard   bool
+	leaving bool
+	jobs    map[vwid.SubmissionID]*job
 }
 
 // HandleMessage implements vwlink.Handler for links with agents and other entries.
@@ -68,13 +67,29 @@
 	case *vwmessage.Result:
 		e.takeResult(w, message)
 	case *vwmessage.Leaving:
-		w.leaving = true
-		e.queue.RemoveWorker(w.Incarnation)
+		e.takeLeaving(w)
 	default:
 		reply(nil, vwverdict.Wrap(vwverdict.NotRun, trace.BadParameter("message kind %d is not for an entry", body.MessageKind())))
 	}
 }
 
+// takeLeaving stops the use of a worker. Its agent waits until nobody needs its records, so those of
+// ended jobs, whose answers are here, are acknowledged at once.
+func (e *Entry) takeLeaving(w *worker) {
+	w.leaving = true
+	e.queue.RemoveWorker(w.Incarnation)
+	for _, j := range w.jobs {
+		if j.Ended() {
+			e.acknowledge(w, j)
+		}
+	}
+}
+
+func (e *Entry) acknowledge(w *worker, j *job) {
+	delete(w.jobs, j.SubmissionID)
+	e.send(w, &vwmessage.Acknowledge{SubmissionID: j.SubmissionID, Epoch: j.Epoch()})
+}
+
 func (e *Entry) send(w *worker, body vwmessage.Body) {
 	if w.session == nil {
 		return
@@ -138,7 +153,6 @@
 		return
 	}
 	e.log.Info("link to agent open", "worker", string(w.Process), "incarnation", string(w.Incarnation))
-	w.demanded = demandReport{}
 	// The credits of the older link ended with it.
 	e.queue.RemoveWorker(w.Incarnation)
 	e.queue.AddWorker(w.Worker)
@@ -248,19 +262,26 @@
 	e.checkEnd(j)
 }
 
-// dispatch sends tasks while there are credits, with those of one job for one worker in one message.
+// dispatch sends tasks while there are credits, with those of one job for one worker in one message, and
+// then asks the agents for the credits that lack.
 func (e *Entry) dispatch() {
 	now := time.Now()
 	if !e.holder.Fresh(now) {
 		return
 	}
-	batches := e.collect(now)
-	for _, batch := range batches {
+	for _, batch := range e.collect(now) {
 		e.counters.Starts.Add(int64(len(batch.start.Tasks)))
 		e.send(batch.worker, batch.start)
 	}
-	if len(batches) > 0 {
-		e.reportDemand(now)
+	for {
+		incarnation, demand, ok := e.queue.NextDemand(now)
+		if !ok {
+			return
+		}
+		e.counters.Demands.Add(1)
+		if w := e.workers[incarnation]; w != nil {
+			e.send(w, &demand)
+		}
 	}
 }
 
@@ -304,3 +325,20 @@
 		w.jobs[j.SubmissionID] = j
 	}
 }
+
+// WorkerCount returns the number of agents with an open link.
+func (e *Entry) WorkerCount(ctx context.Context) int {
+	count, err := ask(ctx, e, func() int {
+		open := 0
+		for _, w := range e.workers {
+			if w.session != nil {
+				open++
+			}
+		}
+		return open
+	})
+	if err != nil {
+		return 0
+	}
+	return count
+}
--- a/internal/version/vwrule/parse.go
+++ b/internal/version/vwrule/parse.go
@@ -9,11 +9,12 @@
 	"github.com/gravitational/trace"
 
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwsuggest"
 	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
 // MaxText bounds the size of a rules file. The text crosses the network to each process at each change;
-// 33 teams with a rule of every kind at four services need about 60 KiB.
+// 33 teams with a rule of every kind at four services need 55 KiB (BenchmarkParse).
 const MaxText = 256 * vwunit.KiB
 
 // Parse reads and checks a rules file. File is the name that faults show. When the text has faults it
@@ -148,7 +149,7 @@
 		for _, d := range slices.Sorted(maps.Keys(declared)) {
 			known = append(known, string(d))
 		}
-		suggestion = suggestName(n.text, known) + ", or " + suggestion
+		suggestion = vwsuggest.Name(n.text, known) + ", or " + suggestion
 	}
 	c.report(r, n.column, fmt.Sprintf("no line declares %s.%s", kind, n.text), suggestion)
 }
