Refuse malformed calls strictly and with problem documents

encoding/json takes the last of repeated fields and ignores the case of names, unknown parameters were ignored (?wait=false waited), two spellings of one UUID were two submissions, a task id could exceed what a message between processes holds, and unknown paths and methods got plain text. pkg/vwjson reads bodies strictly; vwentry refuses each of these with its own code; paths with a trailing slash are no longer redirected, because a client would send the body again. The titles and statuses of codes moved to pkg/vwapi. A resubmission with Wait=false at another entry no longer waits for the owner's answer, and the answer to an idempotent request carries the caller's id.

Measured: the tests of vwentry's users (vwhistory, vwagent, vwdemo) pass.

--- a/internal/process/vwagent/server.go
+++ b/internal/process/vwagent/server.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -13,6 +13,7 @@
 
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwjson"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -33,32 +34,27 @@
 func Handler(target BackendServer) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
+	engine.RedirectTrailingSlash = false
 	engine.HandleMethodNotAllowed = true
 	engine.POST("/Announce", func(c *gin.Context) { announce(c, target) })
 	engine.POST("/Leave", func(c *gin.Context) { answer(c, target.Leave(c.Request.Context())) })
-	engine.NoRoute(func(c *gin.Context) {
-		writeProblem(c, http.StatusNotFound, vwapi.CodeInvalid, "there is no "+c.Request.URL.Path)
-	})
-	engine.NoMethod(func(c *gin.Context) {
-		writeProblem(c, http.StatusMethodNotAllowed, vwapi.CodeInvalid, c.Request.URL.Path+" takes POST")
-	})
+	engine.NoRoute(func(c *gin.Context) { writeProblem(c, vwapi.CodeUnknownRoute, "there is no "+c.Request.URL.Path) })
+	engine.NoMethod(func(c *gin.Context) { writeProblem(c, vwapi.CodeUnknownMethod, c.Request.URL.Path+" takes POST") })
 	return engine
 }
 
 func announce(c *gin.Context, target BackendServer) {
 	var announcement Announcement
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Writer, c.Request.Body, maxAnnouncement))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&announcement); err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			writeProblem(c, http.StatusRequestEntityTooLarge, vwapi.CodeTooLarge, err.Error())
-			return
-		}
-		writeProblem(c, http.StatusBadRequest, vwapi.CodeMalformed, err.Error())
-		return
+	var tooLarge *http.MaxBytesError
+	err := vwjson.Decode(http.MaxBytesReader(c.Writer, c.Request.Body, maxAnnouncement), &announcement)
+	switch {
+	case errors.As(err, &tooLarge):
+		writeProblem(c, vwapi.CodeTooLarge, fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit))
+	case err != nil:
+		writeProblem(c, vwapi.CodeMalformed, err.Error())
+	default:
+		answer(c, target.Announce(c.Request.Context(), announcement))
 	}
-	answer(c, target.Announce(c.Request.Context(), announcement))
 }
 
 func answer(c *gin.Context, err error) {
@@ -66,19 +62,19 @@
 	case err == nil:
 		c.Status(http.StatusNoContent)
 	case trace.IsBadParameter(err):
-		writeProblem(c, http.StatusUnprocessableEntity, vwapi.CodeInvalid, err.Error())
+		writeProblem(c, vwapi.CodeInvalid, err.Error())
 	default:
-		writeProblem(c, http.StatusServiceUnavailable, vwapi.CodeStopping, err.Error())
+		writeProblem(c, vwapi.CodeStopping, err.Error())
 	}
 }
 
-func writeProblem(c *gin.Context, status int, code, detail string) {
+func writeProblem(c *gin.Context, code, detail string) {
 	problem := &vwapi.Problem{
-		Type: "about:blank", Title: http.StatusText(status), Status: status,
+		Type: "about:blank", Title: vwapi.TitleOf(code), Status: vwapi.StatusOf(code),
 		Detail: detail, Code: code, Verdict: vwverdict.NotRun,
 	}
 	c.Header("Content-Type", vwapi.ProblemType)
-	c.AbortWithStatusJSON(status, problem)
+	c.AbortWithStatusJSON(problem.Status, problem)
 }
 
 // Serve serves the HTTP interface for the backend server on listener until ctx ends.
--- a/internal/process/vwentry/answer.go
+++ b/internal/process/vwentry/answer.go
@@ -19,52 +19,6 @@
 	body   []byte
 }
 
-// titles are the titles of problem documents by code.
-var titles = map[string]string{
-	vwapi.CodeMalformed:    "The body is malformed",
-	vwapi.CodeTooLarge:     "The body is too large",
-	vwapi.CodeInvalid:      "The request is invalid",
-	vwapi.CodeNeverRuns:    "No worker can ever run this",
-	vwapi.CodeConflict:     "The submission id belongs to another body",
-	vwapi.CodeTooOld:       "The submission id is too old",
-	vwapi.CodeTooNew:       "The submission id is from the future",
-	vwapi.CodeUnknownJob:   "There is no record of the job",
-	vwapi.CodeQueueFull:    "The queue is full",
-	vwapi.CodeRateLimited:  "The team's rate is exceeded",
-	vwapi.CodeDeadline:     "The deadline cannot be met",
-	vwapi.CodeTaskFailed:   "A task failed",
-	vwapi.CodeWorkerLost:   "A worker was lost",
-	vwapi.CodeOwnerLost:    "The entry that owned the job was lost",
-	vwapi.CodeAnswerGone:   "The answer is no longer kept",
-	vwapi.CodeCancelled:    "The job was cancelled",
-	vwapi.CodeUnavailable:  "The entry cannot serve this now",
-	vwapi.CodeStopping:     "The entry is stopping",
-	vwapi.CodeStillRunning: "The job is still running",
-}
-
-// statuses are the HTTP statuses of problem documents by code.
-var statuses = map[string]int{
-	vwapi.CodeMalformed:    http.StatusBadRequest,
-	vwapi.CodeTooLarge:     http.StatusRequestEntityTooLarge,
-	vwapi.CodeInvalid:      http.StatusUnprocessableEntity,
-	vwapi.CodeNeverRuns:    http.StatusUnprocessableEntity,
-	vwapi.CodeConflict:     http.StatusConflict,
-	vwapi.CodeTooOld:       http.StatusGone,
-	vwapi.CodeTooNew:       http.StatusUnprocessableEntity,
-	vwapi.CodeUnknownJob:   http.StatusNotFound,
-	vwapi.CodeQueueFull:    http.StatusTooManyRequests,
-	vwapi.CodeRateLimited:  http.StatusTooManyRequests,
-	vwapi.CodeDeadline:     http.StatusGatewayTimeout,
-	vwapi.CodeTaskFailed:   http.StatusBadGateway,
-	vwapi.CodeWorkerLost:   http.StatusBadGateway,
-	vwapi.CodeOwnerLost:    http.StatusBadGateway,
-	vwapi.CodeAnswerGone:   http.StatusGone,
-	vwapi.CodeCancelled:    http.StatusConflict,
-	vwapi.CodeUnavailable:  http.StatusServiceUnavailable,
-	vwapi.CodeStopping:     http.StatusServiceUnavailable,
-	vwapi.CodeStillRunning: http.StatusAccepted,
-}
-
 // retryAfterMillis is suggested with refusals under load. It is about the time in which a full queue
 // of short tasks drains.
 const retryAfterMillis = 500
@@ -82,8 +36,8 @@
 
 func completeProblem(problem *vwapi.Problem, id vwid.SubmissionID) *vwapi.Problem {
 	problem.Type = "about:blank"
-	problem.Title = titles[problem.Code]
-	problem.Status = statuses[problem.Code]
+	problem.Title = vwapi.TitleOf(problem.Code)
+	problem.Status = vwapi.StatusOf(problem.Code)
 	problem.ID = id
 	switch problem.Status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/process/vwentry/decode.go
+++ b/internal/process/vwentry/decode.go
@@ -8,11 +8,13 @@
 	"fmt"
 	"hash"
 	"io"
+	"net/http"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwjson"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -26,21 +28,27 @@
 // in memory once.
 func decodeSubmission(reader io.Reader, bounds limits, now time.Time) (submission, error) {
 	var parsed vwapi.Submission
-	decoder := json.NewDecoder(reader)
-	decoder.DisallowUnknownFields()
-	fields := fieldReader{decoder: decoder, seen: map[string]bool{}}
 	var tasks []vwjob.TaskSpec
-	err := fields.read(map[string]func() error{
-		"ID":            func() error { return decoder.Decode(&parsed.ID) },
-		"Service":       func() error { return decoder.Decode(&parsed.Service) },
-		"Team":          func() error { return decoder.Decode(&parsed.Team) },
-		"TimeoutMillis": func() error { return decoder.Decode(&parsed.TimeoutMillis) },
-		"Tasks": func() error {
-			var err error
+	decoder := json.NewDecoder(reader)
+	err := vwjson.Object(decoder, func(name string) (err error) {
+		switch name {
+		case "ID":
+			return vwjson.Value(decoder, &parsed.ID)
+		case "Service":
+			return vwjson.Value(decoder, &parsed.Service)
+		case "Team":
+			return vwjson.Value(decoder, &parsed.Team)
+		case "TimeoutMillis":
+			return vwjson.Value(decoder, &parsed.TimeoutMillis)
+		case "Tasks":
 			tasks, err = decodeTasks(decoder, bounds)
 			return err
-		},
+		}
+		return vwjson.ErrUnknownField{Name: name}
 	})
+	if err == nil {
+		err = vwjson.End(decoder)
+	}
 	if err != nil {
 		return submission{}, malformed(err)
 	}
@@ -54,7 +62,7 @@
 // decodeRequest reads a single request.
 func decodeRequest(reader io.Reader, bounds limits, now time.Time) (submission, bool, error) {
 	var parsed vwapi.Request
-	if err := decodeStrict(reader, &parsed); err != nil {
+	if err := vwjson.Decode(reader, &parsed); err != nil {
 		return submission{}, false, malformed(err)
 	}
 	task := vwapi.Task{ID: requestTask, Payload: parsed.Payload, DeclaredRunMillis: parsed.DeclaredRunMillis}
@@ -74,6 +82,8 @@
 		return submission{}, invalid("Service is missing")
 	case spec.Team == "":
 		return submission{}, invalid("Team is missing")
+	case len(spec.Service) > maxName || len(spec.Team) > maxName:
+		return submission{}, invalid(fmt.Sprintf("Service and Team must not have more than %d bytes", maxName))
 	case timeoutMillis < 0 || timeoutMillis > maxTimeoutMillis:
 		return submission{}, invalid(fmt.Sprintf("TimeoutMillis is %d; it must be from 0 to %d", timeoutMillis, maxTimeoutMillis))
 	}
@@ -91,108 +101,46 @@
 // maxTimeoutMillis keeps a job from outliving its record in control.
 const maxTimeoutMillis = 5 * 60 * 1000
 
-// fieldReader reads the fields of one JSON object, each at most once, as a stream.
-type fieldReader struct {
-	decoder *json.Decoder
-	seen    map[string]bool
-}
-
-func (f *fieldReader) read(fields map[string]func() error) error {
-	if err := expectToken(f.decoder, json.Delim('{')); err != nil {
-		return err
-	}
-	for f.decoder.More() {
-		token, err := f.decoder.Token()
-		if err != nil {
-			return err
-		}
-		name, _ := token.(string)
-		decode, known := fields[name]
-		switch {
-		case !known:
-			return fmt.Errorf("unknown field %q", name)
-		case f.seen[name]:
-			return fmt.Errorf("field %q stands twice", name)
-		}
-		f.seen[name] = true
-		if err := decode(); err != nil {
-			return fmt.Errorf("field %q: %w", name, err)
-		}
-	}
-	if err := expectToken(f.decoder, json.Delim('}')); err != nil {
-		return err
-	}
-	return expectEnd(f.decoder)
-}
-
-func expectToken(decoder *json.Decoder, want json.Delim) error {
-	token, err := decoder.Token()
-	if err != nil {
-		return err
-	}
-	if token != want {
-		return fmt.Errorf("found %v where %v must stand", token, want)
-	}
-	return nil
-}
-
-func expectEnd(decoder *json.Decoder) error {
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("something follows the end of the document")
-	}
-	return nil
-}
-
-// decodeStrict reads one JSON document without unknown fields.
-func decodeStrict(reader io.Reader, into any) error {
-	decoder := json.NewDecoder(reader)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(into); err != nil {
-		return err
-	}
-	return expectEnd(decoder)
-}
-
 func decodeTasks(decoder *json.Decoder, bounds limits) ([]vwjob.TaskSpec, error) {
-	if err := expectToken(decoder, json.Delim('[')); err != nil {
-		return nil, err
-	}
 	var tasks []vwjob.TaskSpec
 	seen := map[vwid.TaskID]bool{}
-	for decoder.More() {
-		var task vwapi.Task
-		if err := decoder.Decode(&task); err != nil {
-			return nil, fmt.Errorf("task %d: %w", len(tasks), err)
-		}
+	err := vwjson.Array(decoder, func() error {
 		if len(tasks) == bounds.tasks {
-			return nil, &errTooLarge{message: fmt.Sprintf("the job has more than %d tasks", bounds.tasks)}
+			return tooLarge("the job has more than %d tasks", bounds.tasks)
 		}
-		if task.ID == "" {
-			return nil, fmt.Errorf("task %d has no ID", len(tasks))
+		var task vwapi.Task
+		if err := vwjson.Struct(decoder, &task); err != nil {
+			return fmt.Errorf("task %d: %w", len(tasks), err)
 		}
-		if seen[task.ID] {
-			return nil, fmt.Errorf("task ID %q stands twice", task.ID)
+		switch {
+		case task.ID == "":
+			return invalid(fmt.Sprintf("task %d has no ID", len(tasks)))
+		case len(task.ID) > maxName:
+			return invalid(fmt.Sprintf("task %d has an ID of %d bytes; the limit is %d", len(tasks), len(task.ID), maxName))
+		case seen[task.ID]:
+			return invalid(fmt.Sprintf("task ID %q stands twice", task.ID))
 		}
 		seen[task.ID] = true
 		spec, err := makeTask(task, bounds)
-		if err != nil {
-			return nil, fmt.Errorf("task %q: %w", task.ID, err)
-		}
 		tasks = append(tasks, spec)
-	}
-	return tasks, expectToken(decoder, json.Delim(']'))
+		return err
+	})
+	return tasks, err
 }
 
+// maxName bounds the names that callers choose. A message between processes has room for many of them.
+const maxName = 256
+
 func makeTask(task vwapi.Task, bounds limits) (vwjob.TaskSpec, error) {
 	switch {
 	case len(task.Payload) == 0:
-		return vwjob.TaskSpec{}, errors.New("Payload is missing")
+		return vwjob.TaskSpec{}, invalid(fmt.Sprintf("task %q has no Payload", task.ID))
 	case len(task.Payload) > bounds.payload:
-		return vwjob.TaskSpec{}, &errTooLarge{message: fmt.Sprintf("the payload has %d bytes; the limit is %d", len(task.Payload), bounds.payload)}
+		return vwjob.TaskSpec{}, tooLarge("the payload of task %q has %d bytes; the limit is %d", task.ID, len(task.Payload), bounds.payload)
 	case task.DeclaredRunMillis < 0 || task.DeclaredRunMillis > maxTimeoutMillis:
-		return vwjob.TaskSpec{}, fmt.Errorf("DeclaredRunMillis is %d; it must be from 0 to %d", task.DeclaredRunMillis, maxTimeoutMillis)
+		return vwjob.TaskSpec{}, invalid(fmt.Sprintf("DeclaredRunMillis of task %q is %d; it must be from 0 to %d", task.ID, task.DeclaredRunMillis, maxTimeoutMillis))
 	case task.TimeoutMillis < 0 || task.TimeoutMillis > maxTimeoutMillis:
-		return vwjob.TaskSpec{}, fmt.Errorf("TimeoutMillis is %d; it must be from 0 to %d", task.TimeoutMillis, maxTimeoutMillis)
+		return vwjob.TaskSpec{}, invalid(fmt.Sprintf("TimeoutMillis of task %q is %d; it must be from 0 to %d", task.ID, task.TimeoutMillis, maxTimeoutMillis))
 	}
 	return vwjob.TaskSpec{
 		ID:       task.ID,
@@ -202,21 +150,21 @@
 	}, nil
 }
 
-// errTooLarge refuses a body that exceeds a limit.
-type errTooLarge struct{ message string }
-
-// Error implements error.
-func (e *errTooLarge) Error() string {
-	return e.message
-}
-
+// malformed returns the refusal for a body that cannot be read. A more precise one inside err wins.
 func malformed(err error) error {
-	code := vwapi.CodeMalformed
-	var large *errTooLarge
-	if errors.As(err, &large) || isBodyLimit(err) {
-		code = vwapi.CodeTooLarge
+	var known *vwapi.Problem
+	var limit *http.MaxBytesError
+	switch {
+	case errors.As(err, &known):
+		return refuse(known.Code, known.Verdict, known.Detail)
+	case errors.As(err, &limit):
+		return tooLarge("the body has more than %d bytes", limit.Limit)
 	}
-	return refuse(code, vwverdict.NotRun, err.Error())
+	return refuse(vwapi.CodeMalformed, vwverdict.NotRun, err.Error())
+}
+
+func tooLarge(format string, args ...any) error {
+	return refuse(vwapi.CodeTooLarge, vwverdict.NotRun, fmt.Sprintf(format, args...))
 }
 
 func invalid(message string) error {
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -31,33 +30,31 @@
 	return router
 }
 
-func makeRouter() *gin.Engine {
-	gin.SetMode(gin.ReleaseMode)
-	router := gin.New()
-	router.HandleMethodNotAllowed = true
-	return router
-}
-
 func (e *Entry) limits() limits {
 	return limits{payload: int(e.settings.MaxPayload), tasks: e.settings.MaxTasks}
 }
 
-func isBodyLimit(err error) bool {
-	var limit *http.MaxBytesError
-	return errors.As(err, &limit)
-}
-
 func (e *Entry) postJob(c *gin.Context) {
-	body := http.MaxBytesReader(c.Writer, c.Request.Body, int64(e.settings.MaxBody))
+	wait, err := parseWaitFlag(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	body, err := e.openBody(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
 	s, err := decodeSubmission(body, e.limits(), time.Now())
 	if err != nil {
 		writeProblem(c, err, "")
 		return
 	}
-	e.serveJob(c, s, c.Query("Wait") != "false")
+	s.start = !wait
+	e.serveJob(c, s)
 }
 
-func (e *Entry) serveJob(c *gin.Context, s submission, wait bool) {
+func (e *Entry) serveJob(c *gin.Context, s submission) {
 	if s.spec.SubmissionID == "" {
 		s.spec.SubmissionID = vwid.MakeSubmissionID()
 	}
@@ -67,7 +64,7 @@
 		return
 	}
 	ctx := c.Request.Context()
-	if !wait {
+	if s.start {
 		limited, cancel := context.WithTimeout(ctx, 0)
 		defer cancel()
 		ctx = limited
@@ -119,7 +116,11 @@
 }
 
 func (e *Entry) postRequest(c *gin.Context) {
-	body := http.MaxBytesReader(c.Writer, c.Request.Body, int64(e.settings.MaxBody))
+	body, err := e.openBody(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
 	s, idempotent, err := decodeRequest(body, e.limits(), time.Now())
 	if err != nil {
 		writeProblem(c, err, "")
@@ -149,11 +150,16 @@
 	if !waitFor(c.Request.Context(), j) {
 		return
 	}
+	if id == "" {
+		id = j.SubmissionID
+	}
 	if j.Failure() != nil {
-		writeDocument(c, problemOfJob(j))
+		problem := problemOfJob(j)
+		problem.ID = id
+		writeDocument(c, problem)
 		return
 	}
-	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: j.SubmissionID, Result: resultJSON(j.Result(0))})
+	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: id, Result: resultJSON(j.Result(0))})
 }
 
 // writeRemoteRequestReply turns the owner's answer for a job of one task into that for a request.
@@ -191,26 +197,6 @@
 	e.writeReply(ctx, c, id, found)
 }
 
-func parseID(c *gin.Context) (vwid.SubmissionID, error) {
-	id := vwid.SubmissionID(c.Param("ID"))
-	if _, err := vwid.SubmissionTime(id); err != nil {
-		return "", invalid("the job id must be a UUID of version 7: " + err.Error())
-	}
-	return id, nil
-}
-
-func parseWait(c *gin.Context) (time.Duration, error) {
-	text := c.Query("WaitSeconds")
-	if text == "" {
-		return 0, nil
-	}
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || seconds < 0 || seconds > maxWait.Seconds() {
-		return 0, invalid("WaitSeconds must be a number from 0 to " + strconv.Itoa(int(maxWait.Seconds())))
-	}
-	return time.Duration(seconds * float64(time.Second)), nil
-}
-
 // find returns where the answer of a job comes from. It waits for another owner as long as waiting
 // allows.
 func (e *Entry) find(ctx, waiting context.Context, id vwid.SubmissionID) (*reply, error) {
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/http/pprof"
 	"strings"
@@ -82,12 +83,12 @@
 
 func (e *Entry) putRules(c *gin.Context) {
 	var change vwapi.RulesChange
-	if err := decodeStrict(http.MaxBytesReader(c.Writer, c.Request.Body, 2*maxRules), &change); err != nil {
-		writeProblem(c, malformed(err), "")
+	if err := readBody(c, 2*maxRules, &change); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
-	if change.ChangeID == "" || change.By == "" {
-		writeProblem(c, invalid("ChangeID and By must be given"), "")
+	if err := checkChange(change.ChangeID, change.By); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
 	changed, err := e.changeRules(c.Request.Context(), change)
@@ -98,9 +99,23 @@
 	c.JSON(http.StatusOK, changed)
 }
 
+// checkChange bounds what control keeps of each change.
+func checkChange(id vwid.ChangeID, by string) error {
+	switch {
+	case id == "" || by == "":
+		return invalid("ChangeID and By must be given")
+	case len(id) > maxName || len(by) > maxName:
+		return invalid(fmt.Sprintf("ChangeID and By must not have more than %d bytes", maxName))
+	}
+	return nil
+}
+
 // changeRules proposes a change. A resend with the same ChangeID gets the first outcome, even when the
 // rules have changed since.
 func (e *Entry) changeRules(ctx context.Context, change vwapi.RulesChange) (*vwapi.RulesChanged, error) {
+	if len(change.Text) > maxRules {
+		return nil, tooLarge("the rules have %d bytes; the limit is %d", len(change.Text), maxRules)
+	}
 	if _, err := vwrule.Parse("rules", []byte(change.Text)); err != nil {
 		return nil, refuse(vwapi.CodeInvalid, vwverdict.NotRun, err.Error())
 	}
@@ -191,12 +206,12 @@
 
 func (e *Entry) postDataCentre(c *gin.Context) {
 	var order vwapi.DataCentreOrder
-	if err := decodeStrict(http.MaxBytesReader(c.Writer, c.Request.Body, maxRules), &order); err != nil {
-		writeProblem(c, malformed(err), "")
+	if err := readBody(c, maxRules, &order); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
-	if order.By == "" || order.ChangeID == "" {
-		writeProblem(c, invalid("By and ChangeID must be given"), "")
+	if err := checkChange(order.ChangeID, order.By); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
 	name := vwid.DataCentre(c.Param("Name"))
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
+	"net/http"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
@@ -24,11 +26,13 @@
 type submission struct {
 	spec   vwjob.Spec
 	digest string
+	// start tells that the caller does not wait for the answer.
+	start bool
 }
 
 // refuse returns an error that becomes a problem document.
 func refuse(code string, verdict vwverdict.Verdict, message string) error {
-	return vwverdict.Wrap(verdict, &vwapi.Problem{Code: code, Title: titles[code], Detail: message, Verdict: verdict})
+	return vwverdict.Wrap(verdict, &vwapi.Problem{Code: code, Title: vwapi.TitleOf(code), Detail: message, Verdict: verdict})
 }
 
 // submit accepts a submission, joins the job that already has its id, or takes that job over.
@@ -238,6 +242,10 @@
 	if owner == nil {
 		return e.takeOver(ctx, s, record)
 	}
+	if s.start {
+		body, err := json.Marshal(vwapi.Answer{ID: record.SubmissionID, State: vwapi.StateRunning})
+		return &reply{status: http.StatusAccepted, body: body}, err
+	}
 	return e.awaitOwner(ctx, owner, record)
 }
 
--- a/pkg/vwapi/api.go
+++ b/pkg/vwapi/api.go
@@ -110,27 +110,3 @@
 	}
 	return p.Title
 }
-
-// Codes of problems.
-const (
-	CodeMalformed     = "Malformed"
-	CodeTooLarge      = "TooLarge"
-	CodeInvalid       = "Invalid"
-	CodeNeverRuns     = "NeverRuns"
-	CodeConflict      = "Conflict"
-	CodeTooOld        = "TooOld"
-	CodeTooNew        = "TooNew"
-	CodeUnknownJob    = "UnknownJob"
-	CodeQueueFull     = "QueueFull"
-	CodeRateLimited   = "RateLimited"
-	CodeDeadline      = "Deadline"
-	CodeTaskFailed    = "TaskFailed"
-	CodeWorkerLost    = "WorkerLost"
-	CodeOwnerLost     = "OwnerLost"
-	CodeAnswerGone    = "AnswerGone"
-	CodeCancelled     = "Cancelled"
-	CodeUnavailable   = "Unavailable"
-	CodeStopping      = "Stopping"
-	CodeStillRunning  = "StillRunning"
-	CodeNotAcceptable = "NotAcceptable"
-)
--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -73,6 +73,10 @@
 	if err != nil {
 		return time.Time{}, trace.BadParameter("submission id %q is not a UUID", id)
 	}
+	if parsed.String() != string(id) {
+		// Two spellings of one UUID would be two submissions, and their tasks would run twice.
+		return time.Time{}, trace.BadParameter("submission id %q must be written as %q", id, parsed)
+	}
 	if parsed.Version() != 7 {
 		return time.Time{}, trace.BadParameter("submission id %q is a UUID of version %d; want version 7", id, parsed.Version())
 	}
