--- a/internal/process/vwentry/answer.go
+++ b/internal/process/vwentry/answer.go
@@ -1,6 +1,7 @@
 package vwentry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -27,25 +28,42 @@
 // gets the verdict that the error carries.
 func problemOf(err error, id vwid.SubmissionID) *vwapi.Problem {
 	var known *vwapi.Problem
-	problem := vwapi.Problem{Code: vwapi.CodeUnavailable, Detail: err.Error(), Verdict: vwverdict.Of(err)}
+	problem := vwapi.Problem{Code: vwapi.CodeUnavailable, Detail: reasonOf(err), Verdict: vwverdict.Of(err)}
 	if errors.As(err, &known) {
 		problem = *known
 	}
 	return completeProblem(&problem, id)
 }
 
+// reasonOf returns the text of err without its verdict, which says nothing about the caller's request
+// when err comes from a call that the entry made for it.
+func reasonOf(err error) string {
+	var marked *vwverdict.Error
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return "no answer in time"
+	case errors.As(err, &marked):
+		return reasonOf(marked.Err)
+	}
+	return err.Error()
+}
+
 func completeProblem(problem *vwapi.Problem, id vwid.SubmissionID) *vwapi.Problem {
 	problem.Type = "about:blank"
 	problem.Title = vwapi.TitleOf(problem.Code)
 	problem.Status = vwapi.StatusOf(problem.Code)
 	problem.ID = id
-	switch problem.Status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	if isBusy(problem.Status) {
 		problem.RetryAfterMillis = retryAfterMillis
 	}
 	return problem
 }
 
+// isBusy reports whether a status refuses what may be accepted a little later.
+func isBusy(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 func problemOfJob(j *job) *vwapi.Problem {
 	failure := j.Failure()
 	problem := &vwapi.Problem{Code: failure.Code, Detail: failure.Message, Verdict: failure.Verdict}
@@ -55,14 +73,6 @@
 	return completeProblem(problem, j.SubmissionID)
 }
 
-// statusOf returns the HTTP status of an ended job.
-func statusOf(j *job) int {
-	if j.Failure() == nil {
-		return http.StatusOK
-	}
-	return problemOfJob(j).Status
-}
-
 // writeAnswer writes the whole answer of an ended job, or its problem document, as a stream.
 func writeAnswer(writer io.Writer, j *job) (int, error) {
 	encoder := json.NewEncoder(writer)
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -230,6 +230,9 @@
 
 // post hands an event to the loop. It reports false after the entry stopped.
 func (e *Entry) post(event func()) bool {
+	if e.group.Context().Err() != nil {
+		return false
+	}
 	select {
 	case e.mailbox <- event:
 		return true
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -79,6 +79,7 @@
 		contentType := gin.MIMEJSON
 		if found.status >= http.StatusBadRequest {
 			contentType = vwapi.ProblemType
+			setRetryAfter(c, found.status)
 		}
 		c.Data(found.status, contentType, found.body)
 		return
@@ -88,11 +89,11 @@
 		return
 	}
 	if found.job.Failure() != nil {
-		c.Header("Content-Type", vwapi.ProblemType)
-	} else {
-		c.Header("Content-Type", gin.MIMEJSON)
+		writeDocument(c, problemOfJob(found.job))
+		return
 	}
-	c.Status(statusOf(found.job))
+	c.Header("Content-Type", gin.MIMEJSON)
+	c.Status(http.StatusOK)
 	if _, err := writeAnswer(c.Writer, found.job); err != nil {
 		// The status is out already. Cutting the connection tells the caller that the answer is not whole.
 		e.log.Warn("answer not written", "submission", string(id), "error", err)
@@ -165,6 +166,7 @@
 // writeRemoteRequestReply turns the owner's answer for a job of one task into that for a request.
 func (e *Entry) writeRemoteRequestReply(c *gin.Context, id vwid.SubmissionID, found *reply) {
 	if found.status != http.StatusOK {
+		setRetryAfter(c, found.status)
 		c.Data(found.status, vwapi.ProblemType, found.body)
 		return
 	}
@@ -226,7 +228,7 @@
 	defer cancel()
 	view, err := e.control.Read(ctx, vwstate.Query{SubmissionID: id, Registrations: true})
 	if err != nil {
-		return nil, nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "control cannot be read: "+err.Error())
+		return nil, nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "control cannot be read: "+reasonOf(err))
 	}
 	if view.Submission == nil {
 		// A submission with this id may be under way, so the verdict cannot be that it never runs.
@@ -277,7 +279,7 @@
 		_, err = vwlink.Call[*vwmessage.Ping](ctx, session, &vwmessage.Cancel{SubmissionID: id, Epoch: record.Epoch})
 	}
 	if err != nil {
-		return refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the job's owner did not confirm the cancellation: "+err.Error())
+		return refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the job's owner did not confirm the cancellation: "+reasonOf(err))
 	}
 	return nil
 }
@@ -287,9 +289,14 @@
 }
 
 func writeDocument(c *gin.Context, problem *vwapi.Problem) {
-	if problem.RetryAfterMillis > 0 {
-		c.Header("Retry-After", strconv.FormatInt((problem.RetryAfterMillis+999)/1000, 10))
-	}
+	setRetryAfter(c, problem.Status)
 	c.Header("Content-Type", vwapi.ProblemType)
 	c.JSON(problem.Status, problem)
 }
+
+// setRetryAfter suggests in whole seconds what RetryAfterMillis of the document says.
+func setRetryAfter(c *gin.Context, status int) {
+	if isBusy(status) {
+		c.Header("Retry-After", strconv.Itoa((retryAfterMillis+999)/1000))
+	}
+}
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -1,11 +1,13 @@
 package vwentry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net/http"
 	"net/http/pprof"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,7 +67,7 @@
 	defer cancel()
 	view, err := e.control.Read(ctx, vwstate.Query{Config: true})
 	if err != nil {
-		return vwstate.Config{}, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+err.Error())
+		return vwstate.Config{}, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err))
 	}
 	return *view.Config, nil
 }
@@ -125,7 +127,7 @@
 		ChangeID: change.ChangeID, Base: change.Base, Text: []byte(change.Text), By: change.By,
 	}})
 	if err != nil {
-		return nil, refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+err.Error())
+		return nil, refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+reasonOf(err))
 	}
 	if outcome.Refusal == vwstate.RefusalVersion {
 		return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "another change came first; read the rules again and apply the change to that version")
@@ -159,7 +161,7 @@
 func (e *Entry) getWorkers(c *gin.Context) {
 	view, err := e.readRegistrations(c.Request.Context())
 	if err != nil {
-		writeProblem(c, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+err.Error()), "")
+		writeProblem(c, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err)), "")
 		return
 	}
 	workers := []vwapi.Worker{}
@@ -173,6 +175,9 @@
 			Service: r.Service, Slots: r.Slots, SinceMillis: r.SinceMillis,
 		})
 	}
+	slices.SortFunc(workers, func(a, b vwapi.Worker) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Process, b.Process), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 	c.JSON(http.StatusOK, workers)
 }
 
--- a/internal/process/vwentry/request.go
+++ b/internal/process/vwentry/request.go
@@ -58,7 +58,7 @@
 		e.adopt(j)
 		e.budget(j.Service, j.Team).deposit()
 		if err := e.enqueue(time.Now(), j); err != nil {
-			e.failJob(j, limitCode(err), err.Error())
+			e.failJob(j, limitCode(err), reasonOf(err))
 		}
 		return j, nil
 	})
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -4,11 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
+	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -75,7 +77,7 @@
 	if err != nil {
 		// Even when the record gets into the log later, nothing has started and this entry starts nothing
 		// for it; a resubmission takes the empty job over.
-		return outcome, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control did not accept the submission: "+err.Error())
+		return outcome, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control did not accept the submission: "+reasonOf(err))
 	}
 	return outcome, nil
 }
@@ -135,12 +137,25 @@
 		return refuse(vwapi.CodeNeverRuns, vwverdict.NotRun, "no worker offers service "+quote(spec.Service))
 	}
 	policy := e.rules.Team(spec.Service, spec.Team)
+	if most := mostTasks(policy); most > 0 && len(spec.Tasks) > most {
+		return refuse(vwapi.CodeNeverRuns, vwverdict.NotRun, fmt.Sprintf("the job has %d tasks; the rules allow the team at most %d at a time", len(spec.Tasks), most))
+	}
 	if timeout := time.Until(spec.Deadline); !spec.Deadline.IsZero() && policy.Deadlines.Maximum > 0 && timeout > policy.Deadlines.Maximum {
 		return refuse(vwapi.CodeInvalid, vwverdict.NotRun, "the timeout exceeds the maximum of "+policy.Deadlines.Maximum.String()+" for the team")
 	}
 	return nil
 }
 
+// mostTasks returns how many tasks the rules allow a team in the whole cluster, 0 without a bound. A
+// larger job would be refused by every full and every empty queue.
+func mostTasks(policy vwrule.TeamPolicy) int {
+	most := policy.Limits.QueueLength
+	if inFlight := policy.Limits.InFlight; inFlight > 0 && (most == 0 || inFlight < most) {
+		most = inFlight
+	}
+	return most
+}
+
 // removeAccepting ends the time in which a record of control without a job here is no sign of a loss.
 func (e *Entry) removeAccepting(id vwid.SubmissionID) {
 	if e.accepting[id]--; e.accepting[id] <= 0 {
@@ -172,7 +187,7 @@
 		e.applyDefaultDeadline(j)
 		e.adopt(j)
 		if err := e.enqueue(time.Now(), j); err != nil {
-			code, message := limitCode(err), err.Error()
+			code, message := limitCode(err), reasonOf(err)
 			e.failJob(j, code, message)
 		}
 		return &reply{job: j}, nil
--- a/internal/process/vwentry/takeover.go
+++ b/internal/process/vwentry/takeover.go
@@ -34,7 +34,7 @@
 		Owner:        e.incarnation,
 	}})
 	if err != nil {
-		return nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the submission could not be taken over: "+err.Error())
+		return nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the submission could not be taken over: "+reasonOf(err))
 	}
 	switch outcome.Refusal {
 	case vwstate.RefusalNone:
--- a/internal/process/vwhistory/cluster_test.go
+++ b/internal/process/vwhistory/cluster_test.go
@@ -22,6 +22,7 @@
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -221,7 +222,7 @@
 		Role: "Entry", DataCentre: dataCentres[e.index%len(dataCentres)],
 	}
 	endpoint := c.network.MakeEndpoint(e.address, hello)
-	settings := vwentry.DefaultSettings()
+	settings := makeSettings()
 	settings.Process, settings.DataCentre, settings.LinkAddress = hello.Process, hello.DataCentre, e.address
 	control := c.control.Client()
 	entry := vwentry.Make(settings, hello.Incarnation, control, endpoint, c.log)
@@ -234,6 +235,13 @@
 	c.supervisors.Run(func(ctx context.Context) { c.replaceLost(ctx, e, entry) })
 }
 
+// makeSettings returns settings with limits that a test can exceed quickly.
+func makeSettings() vwentry.Settings {
+	settings := vwentry.DefaultSettings()
+	settings.MaxBody, settings.MaxTasks = 4*vwunit.MiB, 1000
+	return settings
+}
+
 // replaceLost starts a new incarnation of an entry that has lost its registration, as its process does.
 func (c *cluster) replaceLost(ctx context.Context, e *entryProcess, entry *vwentry.Entry) {
 	select {
--- a/pkg/vwjson/strict.go
+++ b/pkg/vwjson/strict.go
@@ -107,10 +107,13 @@
 	if err != nil {
 		return explain(err)
 	}
-	if token != want {
-		return fmt.Errorf("found %v where %v must stand", token, want)
+	switch token {
+	case want:
+		return nil
+	case nil:
+		token = "null"
 	}
-	return nil
+	return fmt.Errorf("found %v where %v must stand", token, want)
 }
 
 func isSyntax(err error) bool {
