--- a/internal/connection/vwmessage/envelope.go
+++ b/internal/connection/vwmessage/envelope.go
@@ -70,6 +70,10 @@
 	if !known {
 		return nil, ErrUnknownKind{Kind: e.Kind}
 	}
+	// Decoding allocates for as many elements as a header claims. Skip makes sure that the bytes are there.
+	if _, err := msgp.Skip(e.Body); err != nil {
+		return nil, trace.BadParameter("message kind %d is malformed: %v", e.Kind, err)
+	}
 	body := construct()
 	rest, err := body.UnmarshalMsg(e.Body)
 	if err != nil {
--- a/internal/process/vwagent/server.go
+++ b/internal/process/vwagent/server.go
@@ -64,12 +64,7 @@
 	case trace.IsBadParameter(err):
 		writeProblem(c, vwapi.CodeInvalid, err.Error())
 	default:
-		// The verdict has a field of its own.
-		var marked *vwverdict.Error
-		if errors.As(err, &marked) {
-			err = marked.Err
-		}
-		writeProblem(c, vwapi.CodeStopping, err.Error())
+		writeProblem(c, vwapi.CodeStopping, vwverdict.Reason(err))
 	}
 }
 
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -129,7 +129,7 @@
 		RunMilliseconds: time.Since(begun).Milliseconds(),
 	}}
 	if err != nil {
-		f.result.Failed, f.result.Message = true, err.Error()
+		f.result.Failed, f.result.Message = true, vwverdict.Reason(err)
 	}
 	r.agent.post(f)
 }
@@ -180,7 +180,7 @@
 		r.agent.counters.Refused.Add(1)
 		w.link.send(&vwmessage.Result{
 			SubmissionID: w.key.submission, Epoch: w.epoch, TaskID: w.key.task,
-			Verdict: vwverdict.Of(err), Fenced: vwstart.IsOutdated(err), Failed: true, Message: err.Error(),
+			Verdict: vwverdict.Of(err), Fenced: vwstart.IsOutdated(err), Failed: true, Message: vwverdict.Reason(err),
 		})
 		return
 	}
--- a/internal/process/vwentry/answer.go
+++ b/internal/process/vwentry/answer.go
@@ -35,17 +35,12 @@
 	return completeProblem(&problem, id)
 }
 
-// reasonOf returns the text of err without its verdict, which says nothing about the caller's request
-// when err comes from a call that the entry made for it.
+// reasonOf returns why a call that the entry made failed.
 func reasonOf(err error) string {
-	var marked *vwverdict.Error
-	switch {
-	case errors.Is(err, context.DeadlineExceeded):
+	if errors.Is(err, context.DeadlineExceeded) {
 		return "no answer in time"
-	case errors.As(err, &marked):
-		return reasonOf(marked.Err)
 	}
-	return err.Error()
+	return vwverdict.Reason(err)
 }
 
 func completeProblem(problem *vwapi.Problem, id vwid.SubmissionID) *vwapi.Problem {
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -213,6 +213,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if record.Phase != vwstate.PhaseRunning {
+		return e.askEnded(ctx, owner, record)
+	}
 	found, err := e.awaitOwner(waiting, owner, record)
 	if err != nil {
 		return nil, err
--- a/internal/process/vwentry/peer.go
+++ b/internal/process/vwentry/peer.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -15,18 +17,40 @@
 
 // awaitOwner waits at the owning entry for the answer. Nil without an error means to look again.
 func (e *Entry) awaitOwner(ctx context.Context, owner *vwstate.Registration, record *vwstate.Submission) (*reply, error) {
-	session, err := e.peers.Get(ctx, owner.Address)
+	found, err := e.askOwner(ctx, owner, record)
 	if err != nil {
 		return nil, nil
 	}
+	return found, nil
+}
+
+func (e *Entry) askOwner(ctx context.Context, owner *vwstate.Registration, record *vwstate.Submission) (*reply, error) {
+	session, err := e.peers.Get(ctx, owner.Address)
+	if err != nil {
+		return nil, err
+	}
 	request := &vwmessage.AwaitAnswer{SubmissionID: record.SubmissionID, Epoch: record.Epoch}
 	answer, err := vwlink.Call[*vwmessage.Answer](ctx, session, request)
 	if err != nil {
-		return nil, nil
+		return nil, err
 	}
 	return &reply{status: answer.Status, body: answer.Body}, nil
 }
 
+// askEnded gets the answer of a job that control knows to have ended.
+func (e *Entry) askEnded(ctx context.Context, owner *vwstate.Registration, record *vwstate.Submission) (*reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	found, err := e.askOwner(ctx, owner, record)
+	switch {
+	case err == nil:
+		return found, nil
+	case vwlink.IsRemote(err, codeUnknownJob):
+		return nil, refuse(vwapi.CodeAnswerGone, verdictOf(record.Phase), "the job has ended and its answer is no longer kept")
+	}
+	return nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the job has ended, and the entry that has its answer does not answer: "+reasonOf(err))
+}
+
 // awaitAnswer serves another entry that joins a job of this one.
 func (e *Entry) awaitAnswer(request *vwmessage.AwaitAnswer, answer vwlink.Reply) {
 	j := e.jobs[request.SubmissionID]
@@ -43,10 +67,25 @@
 		}
 		var body bytes.Buffer
 		status, err := writeAnswer(&body, j)
+		if body.Len() > maxForwarded {
+			status, body = writeTooLong(j)
+		}
 		answer(&vwmessage.Answer{SubmissionID: j.SubmissionID, Status: status, Body: body.Bytes()}, err)
 	})
 }
 
+// maxForwarded bounds an answer that another entry forwards. It leaves room in a message for the other fields.
+const maxForwarded = vwmessage.MaxEnvelope - 64<<10
+
+// writeTooLong returns the document in place of an answer that no message can hold. The caller has to
+// reach this entry, which writes answers of any length.
+func writeTooLong(j *job) (int, bytes.Buffer) {
+	var body bytes.Buffer
+	problem := problemOf(refuse(vwapi.CodeUnavailable, vwverdict.Ran, "the answer is too long to come through another entry; ask again at the other entries"), j.SubmissionID)
+	_ = json.NewEncoder(&body).Encode(problem)
+	return problem.Status, body
+}
+
 // release gives up a submission that control believes to be here. The record got into the log after
 // this entry had given up waiting, or the answer was dropped; another entry may take it over.
 func (e *Entry) release(request *vwmessage.AwaitAnswer) {
--- a/internal/process/vwentry/request.go
+++ b/internal/process/vwentry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/request/vwjob"
@@ -49,6 +50,8 @@
 // cannot answer it.
 func (e *Entry) attempt(ctx context.Context, s submission) (*job, error) {
 	s.spec.SubmissionID = vwid.MakeSubmissionID()
+	// A job drops its payloads when it ends, and another attempt needs them.
+	s.spec.Tasks = slices.Clone(s.spec.Tasks)
 	j, err := makeJob(s.spec, 1, s.digest, false)
 	if err != nil {
 		return nil, err
--- a/internal/process/vwhistory/page_test.go
+++ b/internal/process/vwhistory/page_test.go
@@ -133,7 +133,9 @@
 }
 
 // hasTag reports whether an operation belongs to one of the interfaces.
-func hasTag(operation *openapi3.Operation, tag string) bool { return slices.Contains(operation.Tags, tag) }
+func hasTag(operation *openapi3.Operation, tag string) bool {
+	return slices.Contains(operation.Tags, tag)
+}
 
 // statusesOf returns the statuses that the codes of an operation have.
 func statusesOf(operation *openapi3.Operation) map[string]bool {
--- a/internal/process/vwhistory/session_test.go
+++ b/internal/process/vwhistory/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
@@ -40,6 +41,48 @@
 	return strings.Replace(makeManyTasks(count), "{", `{"ID":"<`+name+`>",`, 1)
 }
 
+// loseWorkerDuring makes a request whose first worker is lost while it runs, and checks the status and
+// the number of starts.
+func (s *site) loseWorkerDuring(body string, status, starts int) {
+	killing := s.killLater()
+	before := len(s.cluster.record.all())
+	require.Equal(s.t, status, s.send("callers", "POST /Requests", body))
+	_ = killing.Wait()
+	require.Len(s.t, s.cluster.record.all(), before+starts)
+	s.reviveAll()
+}
+
+// loseWorkerQuietly is loseWorkerDuring without a transcript. It returns the number of starts.
+func (s *site) loseWorkerQuietly(body string) int {
+	killing := s.killLater()
+	before := len(s.cluster.record.all())
+	s.cluster.entries[0].call(s.t.Context(), false, http.MethodPost, "/Requests", json.RawMessage(body))
+	_ = killing.Wait()
+	defer s.reviveAll()
+	return len(s.cluster.record.all()) - before
+}
+
+// killLater kills the backend server of the next start.
+func (s *site) killLater() *vwgroup.Group {
+	killing := vwgroup.Make(context.Background())
+	before := len(s.cluster.record.all())
+	killing.Run(func(context.Context) {
+		time.Sleep(time.Second)
+		if starts := s.cluster.record.all(); len(starts) > before {
+			s.cluster.agents[starts[before].worker].backend.kill()
+		}
+	})
+	return killing
+}
+
+func (s *site) reviveAll() {
+	for _, a := range s.cluster.agents {
+		a.backend.kill()
+		a.backend.revive()
+	}
+	time.Sleep(5 * time.Second)
+}
+
 // sessions are whole sessions on one cluster. Their transcripts are golden files.
 var sessions = map[string]func(*site){
 	"caller": func(s *site) {
@@ -135,6 +178,35 @@
 		}
 		s.expect(vwapi.CodeWorkerLost, "callers", "GET /Jobs/<LONG>?WaitSeconds=5", "")
 	},
+	"partly_failed": func(s *site) {
+		body := `{"Service":"pedidos","Team":"Stands","Tasks":[{"ID":"a","Payload":20},{"ID":"b","Payload":"no number"},{"ID":"c","Payload":20000}]}`
+		s.expect(vwapi.CodeTaskFailed, "callers", "POST /Jobs", body)
+	},
+	"retention": func(s *site) {
+		s.send("callers", "POST /Jobs", longJob("DONE", "20"))
+		s.send("callers", "POST /Requests", `{"ID":"<ONCE>","Service":"pedidos","Team":"Stands","Payload":20}`)
+		time.Sleep(4 * time.Minute)
+		require.Equal(s.t, http.StatusOK, s.get("callers 1", "GET /Jobs/<DONE>"+"?WaitSeconds=1"))
+		time.Sleep(2 * time.Minute)
+		s.expect(vwapi.CodeAnswerGone, "callers", "GET /Jobs/<DONE>", "")
+		time.Sleep(time.Second)
+		s.expect(vwapi.CodeUnknownJob, "callers", "GET /Jobs/<DONE>", "")
+		s.expect(vwapi.CodeUnknownJob, "callers 1", "DELETE /Jobs/<DONE>", "")
+		s.expect(vwapi.CodeTooOld, "callers", "POST /Jobs", longJob("DONE", "20"))
+		s.expect(vwapi.CodeTooOld, "callers 1", "POST /Requests", `{"ID":"<ONCE>","Service":"pedidos","Team":"Stands","Payload":20}`)
+		require.Len(s.t, s.cluster.record.all(), 2, "something ran again after the retention")
+	},
+	"retry_budget": func(s *site) {
+		s.loseWorkerDuring(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`, http.StatusOK, 2)
+		s.loseWorkerDuring(`{"Service":"pedidos","Team":"Stands","Payload":3000}`, http.StatusBadGateway, 1)
+		s.send("operators", "PUT /Rules", rulesWith("none", `RetryBudget.pedidos.Stands = { Ratio = 0, PerSecond = 0 } # Ana, platform`))
+		time.Sleep(2 * time.Second)
+		used := 0
+		for ; used < 200 && s.loseWorkerQuietly(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`) == 2; used++ {
+		}
+		require.LessOrEqual(s.t, used, 100, "the budget has no end")
+		s.loseWorkerDuring(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`, http.StatusBadGateway, 1)
+	},
 	"lost_entry": func(s *site) {
 		s.send("callers 1", "POST /Jobs?Wait=false", longJob("LONG", "20000"))
 		time.Sleep(time.Second)
@@ -186,4 +258,3 @@
 		s.expect(vwapi.CodeUnavailable, "operators", "GET /Status", "")
 	},
 }
-
--- a/internal/request/vwjob/job.go
+++ b/internal/request/vwjob/job.go
@@ -179,7 +179,12 @@
 	if result.Verdict == vwverdict.MayHaveRun {
 		code, message = CodeWorkerLost, fmt.Sprintf("the outcome of task %q is not known: %s", result.TaskID, result.Message)
 	}
+	last := j.unfinished == 1
 	j.fail(Failure{Code: code, Message: message, Tasks: []TaskFailure{failure}})
+	if last && result.Verdict == vwverdict.Ran {
+		// Every other task is done, so the whole job has run.
+		j.failure.Verdict = vwverdict.Ran
+	}
 }
 
 // Codes of failures. They are the codes of the callers' problem documents.
--- a/internal/version/vwstate/state.go
+++ b/internal/version/vwstate/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/tinylib/msgp/msgp"
 
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
@@ -54,7 +55,7 @@
 // Decode returns the command of a log entry.
 func Decode(data []byte) (Command, error) {
 	var command Command
-	rest, err := command.UnmarshalMsg(data)
+	rest, err := unmarshal(data, &command)
 	if err != nil {
 		return Command{}, trace.BadParameter("malformed command: %v", err)
 	}
@@ -64,6 +65,15 @@
 	return command, nil
 }
 
+// unmarshal decodes data and returns what follows. Decoding allocates for as many elements as a header
+// claims; Skip makes sure first that the bytes are there.
+func unmarshal(data []byte, into msgp.Unmarshaler) ([]byte, error) {
+	if _, err := msgp.Skip(data); err != nil {
+		return nil, err
+	}
+	return into.UnmarshalMsg(data)
+}
+
 // Apply carries out one command.
 func (s *State) Apply(command Command) Outcome {
 	s.nowMillis = max(s.nowMillis, command.At)
@@ -377,7 +387,7 @@
 // Restore returns the state of a snapshot.
 func Restore(data []byte) (*State, error) {
 	var snapshot Snapshot
-	rest, err := snapshot.UnmarshalMsg(data)
+	rest, err := unmarshal(data, &snapshot)
 	if err != nil {
 		return nil, trace.BadParameter("malformed snapshot: %v", err)
 	}
--- a/pkg/vwverdict/verdict.go
+++ b/pkg/vwverdict/verdict.go
@@ -97,6 +97,16 @@
 	return MayHaveRun
 }
 
+// Reason returns the text of err without its verdict, for messages that carry the verdict in a field of
+// its own or that are about another call than the one the verdict is about.
+func Reason(err error) string {
+	var marked *Error
+	if errors.As(err, &marked) {
+		return Reason(marked.Err)
+	}
+	return err.Error()
+}
+
 // IsNotRun reports whether err permits a free retry.
 func IsNotRun(err error) bool {
 	return err != nil && Of(err) == NotRun
--- a/pkg/vwverdict/verdict_test.go
+++ b/pkg/vwverdict/verdict_test.go
@@ -36,3 +36,10 @@
 		})
 	}
 }
+
+// A text that repeats the verdict of an inner call contradicts the verdict beside it.
+func TestReason(t *testing.T) {
+	inner := vwverdict.Errorf(vwverdict.MayHaveRun, "no answer")
+	require.Equal(t, "no answer", vwverdict.Reason(trace.Wrap(vwverdict.Wrap(vwverdict.NotRun, inner))))
+	require.Equal(t, "plain", vwverdict.Reason(errors.New("plain")))
+}
