--- a/internal/process/vwentry/decode.go
+++ b/internal/process/vwentry/decode.go
@@ -104,12 +104,13 @@
 func decodeTasks(decoder *json.Decoder, bounds limits) ([]vwjob.TaskSpec, error) {
 	var tasks []vwjob.TaskSpec
 	seen := map[vwid.TaskID]bool{}
+	var scratch json.RawMessage
 	err := vwjson.Array(decoder, func() error {
 		if len(tasks) == bounds.tasks {
 			return tooLarge("the job has more than %d tasks", bounds.tasks)
 		}
 		var task vwapi.Task
-		if err := vwjson.Struct(decoder, &task); err != nil {
+		if err := vwjson.Struct(decoder, &scratch, &task); err != nil {
 			return fmt.Errorf("task %d: %w", len(tasks), err)
 		}
 		switch {
--- a/internal/process/vwentry/text_test.go
+++ b/internal/process/vwentry/text_test.go
@@ -37,7 +37,7 @@
 }
 
 var (
-	verbs   = regexp.MustCompile(`%(\.\*)?[a-z+]`)
+	verbs   = regexp.MustCompile(`%[.*0-9]*[a-z+]`)
 	gaps    = regexp.MustCompile(`(…[ ]?)+…`)
 	listed  = regexp.MustCompile("(?m)^\\| `([^`]+)` \\|")
 	letters = regexp.MustCompile(`[a-z]{2}`)
--- a/internal/process/vwhistory/site_test.go
+++ b/internal/process/vwhistory/site_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/process/vwagent"
@@ -46,19 +45,11 @@
 func (s *site) id(name string) vwid.SubmissionID {
 	if _, known := s.ids[name]; !known {
 		age := map[string]time.Duration{"OLD": 10 * time.Minute, "FUTURE": -5 * time.Minute}[name]
-		s.ids[name] = makeIDAt(time.Now().Add(-age))
+		s.ids[name] = vwid.MakeSubmissionIDAt(time.Now().Add(-age))
 	}
 	return s.ids[name]
 }
 
-func makeIDAt(at time.Time) vwid.SubmissionID {
-	id := uuid.Must(uuid.NewV7())
-	for i := range 6 {
-		id[i] = byte(at.UnixMilli() >> (8 * (5 - i)))
-	}
-	return vwid.SubmissionID(id.String())
-}
-
 var (
 	named   = regexp.MustCompile(`<([A-Z]+)>`)
 	uuids   = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -59,7 +59,18 @@
 
 // MakeSubmissionID returns a new id that carries the current time.
 func MakeSubmissionID() SubmissionID {
-	return SubmissionID(uuid.Must(uuid.NewV7()).String())
+	return MakeSubmissionIDAt(time.Now())
+}
+
+// MakeSubmissionIDAt returns a new id that carries a time. uuid.NewV7 is not used: it never goes behind
+// the last id of the process, so that after a clock was set back its ids would be from the future and refused.
+func MakeSubmissionIDAt(at time.Time) SubmissionID {
+	id := uuid.New()
+	for i := range 6 {
+		id[i] = byte(at.UnixMilli() >> (8 * (5 - i)))
+	}
+	id[6] = id[6]&0x0f | 0x70
+	return SubmissionID(id.String())
 }
 
 // MakeChangeID returns a new random change id.
--- a/pkg/vwid/id_test.go
+++ b/pkg/vwid/id_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -33,3 +34,15 @@
 		})
 	}
 }
+
+// After a clock was set back, ids must carry the time of now, or control refuses them as from the future.
+func TestMakeSubmissionIDAt(t *testing.T) {
+	at := time.UnixMilli(1_700_000_000_123).UTC()
+	for _, want := range []time.Time{at.Add(time.Hour), at} {
+		id := vwid.MakeSubmissionIDAt(want)
+		got, err := vwid.SubmissionTime(id)
+		require.NoError(t, err)
+		require.Equal(t, want, got)
+		require.NotEqual(t, id, vwid.MakeSubmissionIDAt(want))
+	}
+}
--- a/pkg/vwjson/strict.go
+++ b/pkg/vwjson/strict.go
@@ -27,23 +27,27 @@
 // Decode reads one document into the struct that target points to, and expects the end after it.
 func Decode(reader io.Reader, target any) error {
 	decoder := json.NewDecoder(reader)
-	if err := Struct(decoder, target); err != nil {
+	var scratch json.RawMessage
+	if err := Struct(decoder, &scratch, target); err != nil {
 		return err
 	}
 	return End(decoder)
 }
 
 // Struct reads the next value, an object, into the struct that target points to. The names are those of
-// the struct's exported fields.
-func Struct(decoder *json.Decoder, target any) error {
-	value := reflect.ValueOf(target).Elem()
-	return Object(decoder, func(name string) error {
-		field := value.FieldByName(name)
-		if !field.IsValid() || !field.CanSet() {
-			return ErrUnknownField{Name: name}
-		}
-		return Value(decoder, field.Addr().Interface())
-	})
+// the struct's exported fields. The text of the object goes through scratch, which the next call can use again.
+func Struct(decoder *json.Decoder, scratch *json.RawMessage, target any) error {
+	if err := Value(decoder, scratch); err != nil {
+		return err
+	}
+	text := *scratch
+	if text[0] != '{' {
+		return fmt.Errorf("found %.20s where { must stand", text)
+	}
+	if err := checkNames(text, namesOf(reflect.TypeOf(target).Elem())); err != nil {
+		return err
+	}
+	return explain(json.Unmarshal(text, target))
 }
 
 // Object reads the next value, an object. It calls read for each field, which reads the field's value.
@@ -127,6 +131,8 @@
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return errors.New("the body ends early")
+	case errors.As(err, &kind) && kind.Field != "":
+		return fmt.Errorf("field %q: must be %s, not %s", kind.Field, nameOf(kind.Type.Kind()), kind.Value)
 	case errors.As(err, &kind):
 		return fmt.Errorf("must be %s, not %s", nameOf(kind.Type.Kind()), kind.Value)
 	}
