Do not refuse early by the throughput of an idle time

After an idle time the measured throughput is only the demand of that time, and a second job was refused although the slots were free.

--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -267,6 +267,9 @@
 	queue := q.service(job.Service).team(q.team(job.Team))
 	queued := &queuedJob{Job: job, queue: queue, enqueued: now, sequence: q.sequence, bytes: bytes}
 	q.jobs[job.SubmissionID] = queued
+	if queue.service.waiting == 0 {
+		queue.service.saturated = now
+	}
 	queue.add(queued)
 	q.count(queue, len(job.Tasks), bytes)
 }
--- a/internal/process/vwdispatch/queue_test.go
+++ b/internal/process/vwdispatch/queue_test.go
@@ -140,6 +140,22 @@
 	require.NoError(t, q.Enqueue(now, job))
 }
 
+// Guards against refusals after an idle time, when the last throughput says nothing of the capacity.
+func TestNoEarlyRefusalAfterIdleTime(t *testing.T) {
+	q := makeQueue(vwdispatch.Policy{}, "a")
+	require.NoError(t, q.Enqueue(start, makeJob("idle", "t", 1, 100*time.Millisecond)))
+	q.Grant("worker-a", 1)
+	_, ok := q.Next(start)
+	require.True(t, ok)
+	q.Finish(start, "worker-a", "t", vwdispatch.FinishInfo{RunTime: 100 * time.Millisecond})
+	now := start.Add(3 * time.Second)
+	for _, id := range []string{"first", "second"} {
+		job := makeJob(id, "t", 20, 100*time.Millisecond)
+		job.Deadline = now.Add(time.Second)
+		require.NoError(t, q.Enqueue(now, job))
+	}
+}
+
 // Guards against a quota or a priority that the order of arrival overrides.
 func TestQuotaAndPriority(t *testing.T) {
 	q := makeQueue(vwdispatch.Policy{Teams: map[vwid.Team]vwdispatch.TeamPolicy{"first": {Priority: 1, Quota: 1}}}, "a")
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -19,7 +19,9 @@
 	far     workerRing
 	workers []*workerState
 	// told is the number of credits that agents are asked for and have not granted.
-	told       int
+	told int
+	// saturated is when tasks began to wait, and throughput what the service gives to the entry.
+	saturated  time.Time
 	throughput throughput
 	// ejected counts the workers that are ejected because of their failures.
 	ejected int
@@ -88,7 +90,7 @@
 
 // wait returns how long a team's waiting tasks and work more are likely to take until all are sent.
 func (s *serviceQueue) wait(now time.Time, team *teamQueue, work time.Duration) time.Duration {
-	rate := s.throughput.rate(now)
+	rate := s.rate(now)
 	if s.unserved() == 0 || rate <= 0 {
 		return 0
 	}
@@ -101,3 +103,13 @@
 	backlog := team.learned.Seconds()*float64(team.waiting) + work.Seconds()
 	return time.Duration(backlog * weights / (rate * team.team.policy.Weight) * float64(time.Second))
 }
+
+// rate returns the slot seconds per second to expect from the service. Until tasks have waited for
+// a whole window, the measured throughput is only the demand of that time and not the capacity.
+func (s *serviceQueue) rate(now time.Time) float64 {
+	rate := s.throughput.rate(now)
+	if now.Sub(s.saturated) < throughputWindow {
+		return max(rate, float64(s.slots))
+	}
+	return rate
+}
