--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -83,7 +83,7 @@
 	// A credit that leaves together with a result rides in its packet.
 	messages, useful int
 	riding, rode     int
-	starts           int
+	starts, refusals int
 	busy             []span
 }
 
@@ -255,6 +255,7 @@
 
 // refuse ends a job that was not accepted. The caller retries as often as the scenario says.
 func (e *simEntry) refuse(job *simJob) {
+	e.c.refusals++
 	if job.retries > 0 {
 		job.retries--
 		e.c.after(100*time.Millisecond+2*e.c.client, func() { e.submit(job) })
--- a/internal/process/vwdispatch/policy_test.go
+++ b/internal/process/vwdispatch/policy_test.go
@@ -42,6 +42,7 @@
 	jobs := drawJobs(s, d, seed)
 	c.run(jobs)
 	metrics := map[string]float64{"waste": float64(c.messages-c.useful) / float64(max(1, c.starts))}
+	metrics["refusals"] = float64(c.refusals) / float64(len(jobs))
 	metrics["packets"] = float64(c.messages-c.useful-(c.riding-c.rode)) / float64(max(1, c.starts))
 	measureRatios(metrics, jobs, idealEnds(d, jobs))
 	if s.late {
--- a/internal/process/vwdispatch/scenario_test.go
+++ b/internal/process/vwdispatch/scenario_test.go
@@ -214,7 +214,7 @@
 		events: []scenarioEvent{{3 * time.Second, setOut(true)}, {8 * time.Second, setOut(false)}},
 	},
 	"retry-storm": {
-		length: 20 * time.Second, policy: Policy{QueueTasks: 400},
+		length: 20 * time.Second, policy: Policy{QueueTasks: 60},
 		jobs:   workload{load: 0.75, teams: 8, size: burstSize, runTime: shortTask, retries: 20}.draw,
 		events: []scenarioEvent{{5 * time.Second, setAllOut(true)}, {7 * time.Second, setAllOut(false)}},
 	},
