Try a limit on the expected wait in the queue

Policy.QueueWait refuses a job whose expected end is too far away, by the throughput that the service gives to the entry.

--- a/internal/process/vwdispatch/policy.go
+++ b/internal/process/vwdispatch/policy.go
@@ -1,6 +1,10 @@
 package vwdispatch
 
-import "vanillawind.example/vanillawind/pkg/vwid"
+import (
+	"time"
+
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
 
 // Policy holds the rules that the queue follows, as they apply to one entry.
 type Policy struct {
@@ -10,6 +14,8 @@
 	// QueueTasks and QueueBytes bound the whole queue.
 	QueueTasks int
 	QueueBytes int
+	// QueueWait bounds the expected time until a job ends, by the throughput that the service gives.
+	QueueWait time.Duration
 	// Out lists the data centres that are out of service.
 	Out map[vwid.DataCentre]bool
 }
