--- a/internal/process/vwdispatch/errors.go
+++ b/internal/process/vwdispatch/errors.go
@@ -16,7 +16,6 @@
 const (
 	LimitQueueTasks Limit = "queue tasks"
 	LimitQueueBytes Limit = "queue bytes"
-	LimitQueueWait  Limit = "queue wait in seconds"
 	LimitTeamTasks  Limit = "team tasks"
 	LimitTeamBytes  Limit = "team bytes"
 	LimitTeamRate   Limit = "team rate"
--- a/internal/process/vwdispatch/policy.go
+++ b/internal/process/vwdispatch/policy.go
@@ -1,10 +1,6 @@
 package vwdispatch
 
-import (
-	"time"
-
-	"vanillawind.example/vanillawind/pkg/vwid"
-)
+import "vanillawind.example/vanillawind/pkg/vwid"
 
 // Policy holds the rules that the queue follows, as they apply to one entry.
 type Policy struct {
@@ -14,8 +10,6 @@
 	// QueueTasks and QueueBytes bound the whole queue.
 	QueueTasks int
 	QueueBytes int
-	// QueueWait bounds the expected time until a job ends, by the throughput that the service gives.
-	QueueWait time.Duration
 	// Out lists the data centres that are out of service.
 	Out map[vwid.DataCentre]bool
 }
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -241,9 +241,6 @@
 	if expected := q.expectedEnd(now, job); !job.Deadline.IsZero() && expected.After(job.Deadline) {
 		return ErrDeadline{SubmissionID: job.SubmissionID, Deadline: job.Deadline, Expected: expected}
 	}
-	if wait := q.policy.QueueWait; wait > 0 && q.expectedEnd(now, job).Sub(now) > wait {
-		return ErrLimit{Team: job.Team, Limit: LimitQueueWait, Max: wait.Seconds()}
-	}
 	return team.admit(now, count, bytes)
 }
 
