Keep entry and agent agreed on the credits to come

A report lists no more tasks than wait, but the queue expected a credit for each that it had asked for. The difference was waited for in vain, and with no standing credits tasks waited for ever beside idle slots. The time since which tasks wait was also unset before the first one, so that the first report asked for a credit per 20 ms since year one. The queue now expects what the report lists, asks again after 200 ms even when much is asked for, and counts from the time when tasks begin to wait.

--- a/internal/process/vwdispatch/cluster_test.go
+++ b/internal/process/vwdispatch/cluster_test.go
@@ -154,7 +154,7 @@
 	if c.dataCentres == 3 && i >= 9 {
 		w.dc = simDataCentre(i - 9) // the fourth rack holds two workers in two data centres
 	}
-	w.granter = MakeGranter(GranterSettings{Slots: simSlots, OverCommit: c.policy.overCommit, DataCentre: w.dc})
+	w.granter = MakeGranter(GranterSettings{Slots: simSlots, OverCommit: c.policy.overCommit, Standing: c.policy.standing, DataCentre: w.dc})
 	for _, e := range c.entries {
 		w.granter.AddEntry(vwid.Incarnation(fmt.Sprint(e.index)), e.dc)
 		e.queue.AddWorker(Worker{Incarnation: vwid.Incarnation(fmt.Sprint(i)), Service: simService, DataCentre: w.dc, Slots: simSlots})
@@ -198,6 +198,9 @@
 	}
 }
 
+// simEnd bounds a run in which tasks are never served.
+const simEnd = time.Hour
+
 // run plays the scenario's jobs and events to the end.
 func (c *cluster) run(jobs []*simJob) {
 	for _, job := range jobs {
@@ -215,7 +218,7 @@
 	for _, event := range c.scenario.events {
 		c.after(event.at, func() { event.run(c) })
 	}
-	for len(c.events.items) > 0 {
+	for len(c.events.items) > 0 && c.now < simEnd {
 		event := c.events.pop()
 		c.now = event.at
 		event.run()
--- a/internal/process/vwdispatch/demand.go
+++ b/internal/process/vwdispatch/demand.go
@@ -46,15 +46,22 @@
 		missing = max(missing, unserved)
 	}
 	s.dry = idle && w.told == 0
-	return w, w.told + max(1, (missing+len(s.workers)-1)/len(s.workers))
+	// The report can only list tasks that wait, and told must not exceed what the agent knows of:
+	// the difference would be waited for in vain.
+	count := min(unserved, w.told+max(1, (missing+len(s.workers)-1)/len(s.workers)))
+	if count <= w.told {
+		return nil, 0
+	}
+	return w, count
 }
 
 // hedge returns how many credits to ask for per waiting task.
 func (s *serviceQueue) hedge(now time.Time) int {
-	if s.told > s.slots {
+	waited := now.Sub(s.starved)
+	if s.told > s.slots && waited < 10*patience {
 		return 1
 	}
-	return 1 + int(now.Sub(s.starved)/patience)
+	return 1 + min(int(waited/patience), len(s.workers))
 }
 
 // covered reports whether the agents need no further report. While all of them have enough to
@@ -106,7 +113,7 @@
 	return sum
 }
 
-// demand lists the teams of the next count tasks, those that no agent knows of first.
+// demand lists the teams of count waiting tasks, those that no agent knows of first.
 func (s *serviceQueue) demand(now time.Time, count int) []vwmessage.TeamDemand {
 	s.ranked = s.ranked[:0]
 	for _, team := range s.order {
@@ -120,17 +127,19 @@
 		}
 		return cmp.Compare(boolRank(!a.ahead(b)), boolRank(!b.ahead(a)))
 	})
-	var teams []vwmessage.TeamDemand
+	teams := make([]vwmessage.TeamDemand, len(s.ranked))
 	for i, team := range s.ranked {
 		part := min(team.sendable(), (count+len(s.ranked)-i-1)/(len(s.ranked)-i))
-		if part <= 0 {
-			break
-		}
 		count -= part
-		team.reported = true
-		teams = append(teams, vwmessage.TeamDemand{Team: team.team.name, Waiting: part, OldestMilliseconds: team.oldest(now).Milliseconds()})
+		team.reported = team.reported || part > 0
+		teams[i] = vwmessage.TeamDemand{Team: team.team.name, Waiting: part, OldestMilliseconds: team.oldest(now).Milliseconds()}
+	}
+	for i, team := range s.ranked {
+		more := min(count, team.sendable()-teams[i].Waiting)
+		teams[i].Waiting += more
+		count -= more
 	}
-	return teams
+	return slices.DeleteFunc(teams, func(d vwmessage.TeamDemand) bool { return d.Waiting == 0 })
 }
 
 func boolRank(b bool) int {
--- a/internal/process/vwdispatch/granter.go
+++ b/internal/process/vwdispatch/granter.go
@@ -14,7 +14,7 @@
 	// when a slot becomes free. They are granted only while many tasks wait.
 	OverCommit int
 	// Standing is how many credits an entry without waiting tasks holds at most; zero means
-	// DefaultStanding. The other idle slots stay with the agent, which can grant them to any entry
+	// DefaultStanding, and a negative number none. The other idle slots stay with the agent, which can grant them to any entry
 	// without a recall.
 	Standing int
 	// DataCentre is the agent's own data centre.
@@ -65,7 +65,7 @@
 
 // MakeGranter returns a Granter that knows no entries.
 func MakeGranter(settings GranterSettings) *Granter {
-	if settings.Standing <= 0 {
+	if settings.Standing == 0 {
 		settings.Standing = DefaultStanding
 	}
 	return &Granter{settings: settings, entries: map[vwid.Incarnation]*entryState{}, teams: map[vwid.Team]*teamShare{}}
--- a/internal/process/vwdispatch/policy_test.go
+++ b/internal/process/vwdispatch/policy_test.go
@@ -14,6 +14,7 @@
 type simPolicy struct {
 	baseline   func(*rand.Rand) Baseline
 	overCommit int
+	standing   int
 }
 
 var simPolicies = map[string]simPolicy{
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -268,7 +268,7 @@
 	queued := &queuedJob{Job: job, queue: queue, enqueued: now, sequence: q.sequence, bytes: bytes}
 	q.jobs[job.SubmissionID] = queued
 	if queue.service.waiting == 0 {
-		queue.service.saturated = now
+		queue.service.saturated, queue.service.starved = now, now
 	}
 	queue.add(queued)
 	q.count(queue, len(job.Tasks), bytes)
