End the wait for a probe that did not run

A returning worker got no further task when the one that tried it was put back with Requeue, which names no worker. The wait now ends after 10 s.

--- a/internal/process/vwdispatch/health.go
+++ b/internal/process/vwdispatch/health.go
@@ -14,6 +14,8 @@
 	// twice as long, up to longestEjection.
 	firstEjection   = time.Second
 	longestEjection = 30 * time.Second
+	// probePatience bounds the wait for the result of such a task, which may never have run.
+	probePatience = 10 * time.Second
 	// returnProbes is how many tasks must succeed, one at a time, before a worker is used in full.
 	returnProbes = 3
 )
@@ -24,19 +26,26 @@
 	ejected bool
 	until   time.Time
 	period  time.Duration
-	// probes counts the tasks that are still to succeed after an ejection, and probing tells that
-	// one of them is at the worker.
+	// probes counts the tasks that are still to succeed after an ejection. While probing, one of
+	// them is at the worker, until the time in until at most.
 	probes  int
 	probing bool
 }
 
+// impaired reports whether the worker is ejected or on its way back.
+func (h *health) impaired() bool {
+	return h.ejected || h.probes > 0
+}
+
 // blocked reports whether the worker gets no task now.
 func (h *health) blocked() bool {
 	return h.ejected || h.probing
 }
 
-func (h *health) sent() {
-	h.probing = h.probes > 0
+func (h *health) sent(now time.Time) {
+	if h.probes > 0 {
+		h.probing, h.until = true, now.Add(probePatience)
+	}
 }
 
 // finished records a result. It reports whether the worker fails so often that it may be ejected.
@@ -67,11 +76,14 @@
 	h.ejected, h.until, h.probes, h.probing = true, now.Add(h.period), 0, false
 }
 
-// comeBack ends an ejection whose time is over.
+// comeBack ends an ejection, or the wait for a probe, whose time is over.
 func (h *health) comeBack(now time.Time) bool {
-	if !h.ejected || now.Before(h.until) {
+	if !h.blocked() || now.Before(h.until) {
 		return false
 	}
-	h.ejected, h.probes = false, returnProbes
+	if h.ejected {
+		h.probes = returnProbes
+	}
+	h.ejected, h.probing = false, false
 	return true
 }
--- a/internal/process/vwdispatch/health_test.go
+++ b/internal/process/vwdispatch/health_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// Guards against a worker that is never used again because the task that tried it did not run.
+func TestReturnAfterRequeue(t *testing.T) {
+	q := makeQueue(vwdispatch.Policy{}, "a", "b", "c")
+	require.NoError(t, q.Enqueue(start, makeJob("j", "t", 100, 0)))
+	for range 4 {
+		sendOne(t, q, start, map[vwid.Incarnation]bool{"worker-a": true})
+	}
+	now := start.Add(time.Second)
+	q.Grant("worker-a", 2)
+	probe, ok := q.Next(now)
+	require.True(t, ok)
+	q.Requeue(now, probe.Task)
+	_, ok = q.Next(now)
+	require.False(t, ok)
+	probe, ok = q.Next(now.Add(10 * time.Second))
+	require.True(t, ok)
+	require.Equal(t, vwid.Incarnation("worker-a"), probe.Worker)
+}
+
 // Guards against the ejection of healthy workers when the tasks are the cause of the failures.
 func TestNoEjectionWhenAllFail(t *testing.T) {
 	q := makeQueue(vwdispatch.Policy{}, "a", "b", "c")
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -87,7 +87,8 @@
 	return q.drop(job)
 }
 
-// AddWorker makes a worker known. A known incarnation is updated and keeps its credits.
+// AddWorker makes a worker known. A known incarnation is updated; it keeps its credits and its
+// failure rate, and its agent is told again what waits.
 func (q *Queue) AddWorker(worker Worker) {
 	credits, old := 0, health{}
 	if known := q.workers[worker.Incarnation]; known != nil {
@@ -95,9 +96,8 @@
 		q.RemoveWorker(worker.Incarnation)
 	}
 	w := &workerState{Worker: worker, service: q.service(worker.Service), credits: credits, out: q.policy.Out[worker.DataCentre], near: worker.DataCentre == q.settings.DataCentre}
-	if w.health = old; old.ejected {
-		w.service.ejected++
-	}
+	w.health = old
+	w.service.countImpaired(false, old.impaired())
 	w.service.slots += worker.Slots
 	w.service.workers = append(w.service.workers, w)
 	q.workers[worker.Incarnation] = w
@@ -115,9 +115,8 @@
 	q.place(w)
 	w.service.slots -= w.Slots
 	w.service.told -= w.told
-	if w.told = 0; w.health.ejected {
-		w.service.ejected--
-	}
+	w.told = 0
+	w.service.countImpaired(w.health.impaired(), false)
 	w.service.workers = slices.DeleteFunc(w.service.workers, func(other *workerState) bool { return other == w })
 	delete(q.workers, worker)
 }
@@ -164,22 +163,22 @@
 	state.sent = max(0, state.sent-1)
 	if w := q.workers[worker]; w != nil {
 		w.service.team(state).settle(info.RunTime)
+		was := w.health.impaired()
 		if w.health.finished(info.Failed) && w.service.outlier(w) {
 			w.health.eject(now)
-			w.service.ejected++
 		}
+		w.service.countImpaired(was, w.health.impaired())
 		q.place(w)
 	}
 }
 
 // comeBack lets ejected workers have tasks again when their time is over.
 func (q *Queue) comeBack(now time.Time, service *serviceQueue) {
-	if service.ejected == 0 {
+	if service.impaired == 0 {
 		return
 	}
 	for _, w := range service.workers {
 		if w.health.comeBack(now) {
-			service.ejected--
 			q.place(w)
 		}
 	}
@@ -219,9 +218,11 @@
 		team.policy = policy.team(team.name)
 		team.tokens = min(team.tokens, team.policy.Burst)
 	}
-	for _, w := range q.workers {
-		w.out = policy.Out[w.DataCentre]
-		q.place(w)
+	for _, service := range q.order {
+		for _, w := range service.workers {
+			w.out = policy.Out[w.DataCentre]
+			q.place(w)
+		}
 	}
 }
 
@@ -329,7 +330,7 @@
 	}
 	team.charge(expected)
 	w.credits--
-	w.health.sent()
+	w.health.sent(now)
 	if w.ring != nil {
 		w.ring.head = w.next
 	}
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -23,8 +23,8 @@
 	// saturated is when tasks began to wait, and throughput what the service gives to the entry.
 	saturated  time.Time
 	throughput throughput
-	// ejected counts the workers that are ejected because of their failures.
-	ejected int
+	// impaired counts the workers that are ejected because of their failures or on their way back.
+	impaired int
 	// dry tells that an agent may know of no waiting task. While many wait, each is to know of some,
 	// or its slots stay idle.
 	dry bool
@@ -74,18 +74,29 @@
 }
 
 // outlier reports whether w fails much more often than the other workers, and few enough workers
-// are ejected that the others can take its work.
+// are impaired that the others can take its work.
 func (s *serviceQueue) outlier(w *workerState) bool {
-	if 2*(s.ejected+1) > len(s.workers) {
+	if w.health.impaired() {
+		return true
+	}
+	if 2*(s.impaired+1) > len(s.workers) {
 		return false
 	}
 	sum := 0.0
 	for _, other := range s.workers {
-		if other != w && !other.health.ejected {
+		if other != w && !other.health.impaired() {
 			sum += other.health.rate
 		}
 	}
-	return w.health.rate-sum/float64(len(s.workers)-1-s.ejected) > ejectionMargin || w.health.probes > 0
+	return w.health.rate-sum/float64(len(s.workers)-1-s.impaired) > ejectionMargin
+}
+
+func (s *serviceQueue) countImpaired(was, is bool) {
+	if was != is && is {
+		s.impaired++
+	} else if was != is {
+		s.impaired--
+	}
 }
 
 // wait returns how long a team's waiting tasks and work more are likely to take until all are sent.
