--- a/internal/process/vwdispatch/cost_test.go
+++ b/internal/process/vwdispatch/cost_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
@@ -75,3 +76,24 @@
 		require.InEpsilon(t, weight/8, used[team]/(used["one"]+used["two"]+used["five"]), 0.05, "%s", team)
 	}
 }
+
+// Guards the target of no allocation in the dispatch decision.
+func TestDecisionsDoNotAllocate(t *testing.T) {
+	q, _ := makeLongQueue(t, 1000)
+	q.AddWorker(Worker{Incarnation: "w", Service: simService, Slots: 8})
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		q.Grant("w", 1)
+		sent, _ := q.Next(simTime(0))
+		q.Finish(simTime(0), "w", sent.Task.Team, FinishInfo{RunTime: time.Millisecond})
+	}))
+	g := MakeGranter(GranterSettings{Slots: 8})
+	g.AddEntry("x", "a")
+	demand := vwmessage.Demand{Teams: []vwmessage.TeamDemand{{Team: "t", Waiting: 100}}}
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		g.SetDemand("x", demand)
+		for _, action := range g.Decide(simTime(0)) {
+			g.Started(action.Entry, action.Grant)
+			g.Freed(action.Grant)
+		}
+	}))
+}
