--- a/internal/process/vwagent/gate_test.go
+++ b/internal/process/vwagent/gate_test.go
@@ -107,7 +107,7 @@
 
 // A data centre that comes back must get work again, under a version that never falls.
 func TestDataCentreReturns(t *testing.T) {
-	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+	withAgent(t, func(t *testing.T, _ *fixture, e1, e2 *fakeEntry) {
 		e1.setOut(t, true)
 		pass(100 * time.Millisecond)
 		require.Zero(t, e1.held()+e2.held(), "credits are recalled")
--- a/internal/process/vwagent/server.go
+++ b/internal/process/vwagent/server.go
@@ -34,6 +34,8 @@
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.HandleMethodNotAllowed = true
+	// A redirect of a POST would lose its body with many clients.
+	engine.RedirectTrailingSlash = false
 	engine.POST("/Announce", func(c *gin.Context) { announce(c, target) })
 	engine.POST("/Leave", func(c *gin.Context) { answer(c, target.Leave(c.Request.Context())) })
 	engine.NoRoute(func(c *gin.Context) {
--- a/internal/process/vwagent/start_test.go
+++ b/internal/process/vwagent/start_test.go
@@ -117,7 +117,7 @@
 
 // An entry that dies must not lose results: any entry gets them by a fence.
 func TestResultsOutliveTheEntry(t *testing.T) {
-	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+	withAgent(t, func(t *testing.T, _ *fixture, e1, e2 *fakeEntry) {
 		id := vwid.MakeSubmissionID()
 		e1.start(t, id, 1, "t")
 		pass(50 * time.Millisecond)
