--- a/internal/process/vwagent/agent_test.go
+++ b/internal/process/vwagent/agent_test.go
@@ -63,6 +63,8 @@
 		agent, err := vwagent.Make(vwagent.Options{
 			Settings: vwagent.Settings{
 				Cluster: "c", Process: "agent", DataCentre: "a", Entries: []string{"e1", "e2"}, OverCommit: -1,
+				// The tests start tasks without reporting demand, so every idle slot is granted at once.
+				Standing: 8,
 			},
 			Backend:   f.backend,
 			MakeLease: makeLease,
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -64,6 +64,7 @@
 		}),
 		granter: vwdispatch.MakeGranter(vwdispatch.GranterSettings{
 			OverCommit: a.settings.OverCommit,
+			Standing:   a.settings.Standing,
 			DataCentre: a.settings.DataCentre,
 		}),
 		targets: map[string]*target{},
@@ -130,18 +131,14 @@
 	}
 }
 
-// weigh gives the granter the teams' shares once the rules have changed.
+// weigh gives the granter the teams' shares and priorities once the rules have changed.
 func (r *registration) weigh(now time.Time) {
 	rules, fresh := r.lease.Rules(now)
 	if !fresh || r.weighed == r.lease.Held() {
 		return
 	}
 	r.weighed = r.lease.Held()
-	weights := map[vwid.Team]float64{}
-	for _, team := range rules.Teams() {
-		weights[team] = float64(rules.Team(r.agent.backend.service, team).Weight)
-	}
-	r.granter.SetWeights(weights)
+	r.granter.SetPolicy(vwdispatch.MakePolicy(rules, r.agent.backend.service, 1))
 }
 
 func (r *registration) act(action vwdispatch.Action) {
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -13,6 +13,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
@@ -74,17 +75,21 @@
 	group       *vwgroup.Group
 	mailbox     chan func()
 	counters    Counters
+	lost        chan struct{}
 
 	// The fields below belong to the loop.
-	holder  holder
+	holder  *vwlease.Holder
 	rules   *vwrule.Rules
 	applied vwid.ConfigVersion
-	entries []vwmessage.EntryAddress
-	expired map[vwid.Incarnation]bool
-	queue   *vwdispatch.Queue
-	jobs    map[vwid.SubmissionID]*job
+	// appliedFor is the number of entries that the applied policy was divided among.
+	appliedFor int
+	entries    []vwmessage.EntryAddress
+	expired    map[vwid.Incarnation]bool
+	queue      *vwdispatch.Queue
+	jobs       map[vwid.SubmissionID]*job
 	// accepting counts the calls that ask control to accept a submission.
 	accepting  map[vwid.SubmissionID]int
+	releasing  map[vwid.SubmissionID]bool
 	workers    map[vwid.Incarnation]*worker
 	ended      endedJobs
 	budgets    map[vwid.Team]*retryBudget
@@ -103,11 +108,14 @@
 		control:     control,
 		log:         log,
 		mailbox:     make(chan func(), mailboxSize),
+		holder:      vwlease.Make(leaseDuration, renewInterval),
 		rules:       vwrule.Empty(),
+		lost:        make(chan struct{}),
 		expired:     map[vwid.Incarnation]bool{},
 		queue:       vwdispatch.MakeQueue(vwdispatch.QueueSettings{DataCentre: settings.DataCentre}),
 		jobs:        map[vwid.SubmissionID]*job{},
 		accepting:   map[vwid.SubmissionID]int{},
+		releasing:   map[vwid.SubmissionID]bool{},
 		workers:     map[vwid.Incarnation]*worker{},
 		budgets:     map[vwid.Team]*retryBudget{},
 	}
@@ -121,6 +129,12 @@
 	return e.incarnation
 }
 
+// Lost is closed when the registration of the entry has ended against its will, for example after a long
+// partition. Its jobs have been given up; the owner of the entry starts another one under a new incarnation.
+func (e *Entry) Lost() <-chan struct{} {
+	return e.lost
+}
+
 // Start begins the work of the entry. It registers with control in the background; Ready tells when
 // the entry can accept submissions.
 func (e *Entry) Start() {
@@ -212,7 +226,6 @@
 		}
 	}
 	e.forgetAnswers(now)
-	e.reportDemand(now)
 }
 
 // post hands an event to the loop. It reports false after the entry stopped.
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -8,12 +8,14 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
-	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
 const (
+	// leaseDuration is the longest lease that an entry accepts.
+	leaseDuration = 2 * time.Second
 	renewInterval = 500 * time.Millisecond
 	// renewTimeout gives up a renewal early enough for two more before the lease ends.
 	renewTimeout    = 600 * time.Millisecond
@@ -44,19 +46,19 @@
 	if !registered && !e.register(ctx) {
 		return
 	}
-	request, err := ask(ctx, e, e.makeLeaseRequest)
+	relayed, err := ask(ctx, e, e.takeHeard)
 	if err != nil {
 		return
 	}
-	sent := time.Now()
+	request := e.holder.Request(time.Now())
 	limited, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	reply, err := e.control.Renew(limited, request)
+	reply, err := e.control.Renew(limited, &vwmessage.LeaseRequest{Incarnation: e.incarnation, Held: request.Held, Relayed: relayed})
 	if err != nil {
 		e.log.Warn("configuration lease not renewed", "error", err)
 		return
 	}
-	e.post(func() { e.takeLease(sent, reply) })
+	e.post(func() { e.takeLease(request, reply) })
 }
 
 func (e *Entry) register(ctx context.Context) bool {
@@ -82,20 +84,25 @@
 	return true
 }
 
-func (e *Entry) makeLeaseRequest() *vwmessage.LeaseRequest {
-	request := &vwmessage.LeaseRequest{Incarnation: e.incarnation, Held: e.applied}
+// takeHeard returns the agents that were heard of since the last call.
+func (e *Entry) takeHeard() []vwid.Incarnation {
+	var heard []vwid.Incarnation
 	for _, w := range e.workers {
 		if w.heard {
-			request.Relayed = append(request.Relayed, w.Incarnation)
+			heard = append(heard, w.Incarnation)
 			w.heard = false
 		}
 	}
-	slices.Sort(request.Relayed)
-	return request
+	slices.Sort(heard)
+	return heard
 }
 
-func (e *Entry) takeLease(sent time.Time, reply *vwmessage.LeaseReply) {
-	if err := e.holder.Take(sent, reply); err != nil {
+func (e *Entry) takeLease(request vwlease.Request, reply *vwmessage.LeaseReply) {
+	if slices.Contains(reply.Expired, e.incarnation) {
+		e.loseOwnership()
+		return
+	}
+	if _, err := e.holder.Renew(request, reply.Grant()); err != nil {
 		e.log.Error("lease reply refused", "error", err)
 		return
 	}
@@ -104,34 +111,44 @@
 	for _, incarnation := range reply.Expired {
 		e.expired[incarnation] = true
 	}
-	if e.expired[e.incarnation] {
-		e.loseOwnership()
-	}
-	if e.holder.version != e.applied {
+	if e.holder.Version() != e.applied || len(e.entries) != e.appliedFor {
 		e.applyRules()
 	}
 }
 
 // loseOwnership handles the end of the entry's own registration, for example after a long partition.
-// Other entries may have taken its jobs over, so it must answer for none of them. It goes on as a new
-// incarnation only by a restart of the process.
+// Other entries may have taken its jobs over, so it must answer for none of them.
 func (e *Entry) loseOwnership() {
-	if !e.registered {
+	if e.isLost() {
 		return
 	}
-	e.log.Error("registration has ended; jobs are given up and the entry stops accepting")
+	e.log.Error("registration has ended; the entry gives up its jobs")
 	e.stopping = true
 	for _, j := range e.jobs {
 		if !j.Ended() && j.accepted {
 			e.loseJob(j)
 		}
 	}
+	close(e.lost)
+}
+
+func (e *Entry) isLost() bool {
+	select {
+	case <-e.lost:
+		return true
+	default:
+		return false
+	}
 }
 
 func (e *Entry) applyRules() {
-	e.applied = e.holder.version
-	e.rules = e.holder.rules
-	e.queue.SetPolicy(e.makePolicy())
+	changed := e.holder.Version() != e.applied
+	e.applied, e.appliedFor = e.holder.Version(), len(e.entries)
+	e.rules = e.holder.Rules()
+	e.queue.SetPolicy(vwdispatch.MakePolicy(e.rules, e.mainService(), max(len(e.entries), 1)))
+	if !changed {
+		return
+	}
 	e.log.Info("configuration in force", "version", uint64(e.applied))
 	announce := &vwmessage.ConfigAnnounce{Version: e.applied}
 	for _, w := range e.workers {
@@ -141,32 +158,13 @@
 	}
 }
 
-// makePolicy gives each entry its part of the amounts that hold for the whole cluster.
-func (e *Entry) makePolicy() vwdispatch.Policy {
-	policy := vwdispatch.Policy{Teams: map[vwid.Team]vwdispatch.TeamPolicy{}, Out: map[vwid.DataCentre]bool{}}
-	entries := max(len(e.entries), 1)
-	for _, service := range e.rules.Services() {
-		for _, team := range e.rules.Teams() {
-			policy.Teams[team] = makeTeamPolicy(e.rules.Team(service, team).PerEntry(entries))
-		}
-	}
-	policy.Default = makeTeamPolicy(e.rules.Team("", "").PerEntry(entries))
-	for _, dataCentre := range e.rules.Out() {
-		policy.Out[dataCentre] = true
-	}
-	return policy
-}
-
-func makeTeamPolicy(p vwrule.TeamPolicy) vwdispatch.TeamPolicy {
-	return vwdispatch.TeamPolicy{
-		Weight:     float64(p.Weight),
-		Priority:   p.Priority,
-		Quota:      p.Quota,
-		InFlight:   p.Limits.InFlight,
-		QueueTasks: p.Limits.QueueLength,
-		QueueBytes: int(p.Limits.QueueBytes),
-		Rate:       p.Limits.Rate,
+// mainService returns the service whose policy the queue follows. The queue keeps one policy for each
+// team, so with several services the first declared one decides.
+func (e *Entry) mainService() vwid.Service {
+	if services := e.rules.Services(); len(services) > 0 {
+		return services[0]
 	}
+	return ""
 }
 
 // relayLease answers an agent's request from the entry's own lease.
@@ -175,11 +173,11 @@
 	if w := e.workers[request.Incarnation]; w != nil {
 		w.heard = true
 	}
-	answer := e.holder.Relay(now, request.Held)
-	answer.Entries = e.entries
+	answer := &vwmessage.LeaseReply{Entries: e.entries}
 	if e.expired[request.Incarnation] {
 		answer.Expired = []vwid.Incarnation{request.Incarnation}
-		answer.RemainingMilliseconds = 0
+	} else if grant, ok := e.holder.Relay(now, request.Held); ok {
+		answer.SetGrant(grant)
 	}
 	reply(answer, nil)
 }
--- a/internal/process/vwraft/type.go
+++ b/internal/process/vwraft/type.go
@@ -47,9 +47,10 @@
 }
 
 // Membership lists who votes and who only learns.
+// The limits of lists bound what a malformed message can make a decoder allocate.
 type Membership struct {
-	Voters   []Voter
-	Learners []Voter
+	Voters   []Voter `msg:",limit=64"`
+	Learners []Voter `msg:",limit=64"`
 }
 
 // HardState must be synced before any message that depends on it is sent.
--- a/internal/process/vwraft/type_gen.go
+++ b/internal/process/vwraft/type_gen.go
@@ -279,6 +279,10 @@
 				err = msgp.WrapError(err, "Voters")
 				return
 			}
+			if zb0002 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Voters) >= int(zb0002) {
 				z.Voters = (z.Voters)[:zb0002]
 			} else {
@@ -291,6 +295,10 @@
 					err = msgp.WrapError(err, "Voters", za0001)
 					return
 				}
+				if zb0003 > 64 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0003 > 0 {
 					zb0003--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
@@ -331,6 +339,10 @@
 				err = msgp.WrapError(err, "Learners")
 				return
 			}
+			if zb0005 > 64 {
+				err = msgp.ErrLimitExceeded
+				return
+			}
 			if cap(z.Learners) >= int(zb0005) {
 				z.Learners = (z.Learners)[:zb0005]
 			} else {
@@ -343,6 +355,10 @@
 					err = msgp.WrapError(err, "Learners", za0002)
 					return
 				}
+				if zb0006 > 64 {
+					err = msgp.ErrLimitExceeded
+					return
+				}
 				for zb0006 > 0 {
 					zb0006--
 					field, bts, err = msgp.ReadMapKeyZC(bts)
