--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -72,6 +72,8 @@
 	stopBefore time.Time
 	stopped    bool
 	reopenAt   time.Time
+	// retry fires when the granter has to decide again although nothing happened.
+	retry *time.Timer
 }
 
 // event changes the control state.
@@ -131,6 +133,8 @@
 func (a *Agent) loop(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
+	a.retry = time.NewTimer(tick)
+	defer a.retry.Stop()
 	for !a.stopped {
 		select {
 		case <-ctx.Done():
@@ -140,6 +144,10 @@
 			a.drain()
 		case now := <-ticker.C:
 			a.onTick(now)
+		case <-a.retry.C:
+			if a.current != nil {
+				a.current.dirty = true
+			}
 		}
 		a.settle(time.Now())
 	}
--- a/internal/process/vwagent/agent_test.go
+++ b/internal/process/vwagent/agent_test.go
@@ -47,10 +47,10 @@
 
 // withAgent runs check against an agent that announces a backend server and knows the entries e1 and e2.
 func withAgent(t *testing.T, check func(t *testing.T, f *fixture, e1, e2 *fakeEntry)) {
-	withLease(t, vwagent.MakeConfigLease, check)
+	withOptions(t, func(*vwagent.Options) {}, check)
 }
 
-func withLease(t *testing.T, makeLease func() vwagent.Lease, check func(t *testing.T, f *fixture, e1, e2 *fakeEntry)) {
+func withOptions(t *testing.T, change func(*vwagent.Options), check func(t *testing.T, f *fixture, e1, e2 *fakeEntry)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fixture{
 			network: vwlinktest.MakeNetwork(time.Millisecond),
@@ -60,19 +60,21 @@
 			ended:   make(chan error, 1),
 		}
 		e1, e2 := f.addEntry("e1"), f.addEntry("e2")
-		agent, err := vwagent.Make(vwagent.Options{
+		options := vwagent.Options{
 			Settings: vwagent.Settings{
 				Cluster: "c", Process: "agent", DataCentre: "a", Entries: []string{"e1", "e2"}, OverCommit: -1,
 				// The tests start tasks without reporting demand, so every idle slot is granted at once.
 				Standing: 8,
 			},
 			Backend:   f.backend,
-			MakeLease: makeLease,
+			MakeLease: vwagent.MakeConfigLease,
 			MakeEndpoint: func(hello vwmessage.Hello) (vwagent.Endpoint, error) {
 				f.hellos = append(f.hellos, hello)
 				return f.network.MakeEndpoint("agent", hello), nil
 			},
-		})
+		}
+		change(&options)
+		agent, err := vwagent.Make(options)
 		require.NoError(t, err)
 		f.agent = agent
 		f.process.Run(func(ctx context.Context) { f.ended <- agent.Run(ctx) })
--- a/internal/process/vwagent/backend_test.go
+++ b/internal/process/vwagent/backend_test.go
@@ -27,6 +27,8 @@
 	cut    int
 	run    time.Duration
 	dead   bool
+	// answer replaces the usual result.
+	answer []byte
 }
 
 // Run implements vwagent.Backend.
@@ -43,6 +45,9 @@
 		return nil, vwverdict.Wrap(vwverdict.MayHaveRun, ctx.Err())
 	case <-timer.C:
 		b.end(false)
+		if b.answer != nil {
+			return b.answer, nil
+		}
 		return []byte("result of " + string(task.TaskID)), nil
 	}
 }
--- a/internal/process/vwagent/gate_test.go
+++ b/internal/process/vwagent/gate_test.go
@@ -89,11 +89,12 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			makeLease := c.fault
-			if makeLease == nil {
-				makeLease = vwagent.MakeConfigLease
+			plant := func(options *vwagent.Options) {
+				if c.fault != nil {
+					options.MakeLease = c.fault
+				}
 			}
-			withLease(t, makeLease, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+			withOptions(t, plant, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
 				late := startsAfter(t, f, e1, e2, c.after, func() { c.end(t, f, e1, e2) })
 				if c.fault != nil {
 					require.Positive(t, late, "the check does not see the planted fault")
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -25,8 +25,8 @@
 	granter *vwdispatch.Granter
 	// dirty asks for a new decision about credits.
 	dirty bool
-	// weighed is the configuration version of which the granter has the shares of the teams.
-	weighed vwid.ConfigVersion
+	// weighed tells for which configuration and service the granter has the policy.
+	weighed policyKey
 
 	targets map[string]*target
 	// named are the entries that lease replies name, and namedAt is when one last named any.
@@ -51,6 +51,12 @@
 	task       vwid.TaskID
 }
 
+// policyKey identifies the policy of one service under one configuration.
+type policyKey struct {
+	version vwid.ConfigVersion
+	service vwid.Service
+}
+
 func makeRegistration(a *Agent, incarnation vwid.Incarnation, endpoint Endpoint) *registration {
 	return &registration{
 		agent:       a,
@@ -123,21 +129,24 @@
 	if r.gate(now) == "" {
 		r.granter.SetSlots(r.slots())
 	} else {
-		// The over-commit counts on top of the slots; nothing at all is to be granted.
-		r.granter.SetSlots(-r.agent.settings.OverCommit)
+		r.granter.SetSlots(0)
 	}
 	for _, action := range r.granter.Decide(now) {
 		r.act(action)
 	}
+	if at, needed := r.granter.Retry(); needed {
+		r.agent.retry.Reset(at.Sub(now))
+	}
 }
 
 // weigh gives the granter the teams' shares and priorities once the rules have changed.
 func (r *registration) weigh(now time.Time) {
 	rules, fresh := r.lease.Rules(now)
-	if !fresh || r.weighed == r.lease.Held() {
+	key := policyKey{r.lease.Held(), r.agent.backend.service}
+	if !fresh || r.weighed == key {
 		return
 	}
-	r.weighed = r.lease.Held()
+	r.weighed = key
 	r.granter.SetPolicy(vwdispatch.MakePolicy(rules, r.agent.backend.service, 1))
 }
 
