Keep one link to an entry with several addresses

Two addresses of one entry, as in the settings and in lease replies, made their links replace each other in turns. A start for the service of an earlier backend server could reach the next one.

An address whose entry has a link under another address is not dialled, and the service is checked right before the start.

--- a/internal/process/vwagent/gate_test.go
+++ b/internal/process/vwagent/gate_test.go
@@ -121,21 +121,30 @@
 	})
 }
 
-// A lease must count from the moment of the request: a slow reply brings less time.
+// A lease must count from the moment of the request: the same grant in a reply that took longer than it
+// lasts permits nothing.
 func TestSlowLeaseReply(t *testing.T) {
-	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
-		e2.set(func() { e2.leasing = false })
-		f.network.Isolate("e2", true)
-		pass(3 * time.Second)
-		e1.set(func() { e1.lease.RemainingMilliseconds = 300 })
-		f.network.SetFault("e1", "agent", vwlinktest.Fault{Delay: 400 * time.Millisecond})
-		pass(3 * time.Second)
-		before := len(f.backend.started())
-		e1.set(func() { e1.credits = 0 })
-		e1.start(t, "0193a1d6-0000-7000-8000-000000000000", 1, "t")
-		pass(2 * time.Second)
-		require.Len(t, f.backend.started(), before)
-	})
+	cases := map[string]struct {
+		delay  time.Duration
+		starts bool
+	}{"fast reply": {time.Millisecond, true}, "slow reply": {400 * time.Millisecond, false}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withAgent(t, func(t *testing.T, f *fixture, e1, _ *fakeEntry) {
+				f.network.Isolate("e2", true)
+				f.network.SetFault("e1", "agent", vwlinktest.Fault{Delay: c.delay})
+				e1.set(func() { e1.lease.RemainingMilliseconds = 300 })
+				pass(3 * time.Second)
+				begun := len(f.backend.started())
+				for range 40 {
+					e1.start(t, vwid.MakeSubmissionID(), 1, "t")
+					pass(50 * time.Millisecond)
+				}
+				pass(time.Second)
+				require.Equal(t, c.starts, len(f.backend.started()) > begun)
+			})
+		})
+	}
 }
 
 // A dead backend server must cost the tasks at it and no more: credits end at the first refused
--- a/internal/process/vwagent/start_test.go
+++ b/internal/process/vwagent/start_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwagent"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
@@ -88,11 +89,9 @@
 // Once a new link to the same entry is open, starts on the older one must not be processed: the
 // entry has learnt by its fence that they have not run.
 func TestReplacedLinkIsIgnored(t *testing.T) {
-	withAgent(t, func(t *testing.T, f *fixture, e1, _ *fakeEntry) {
+	twoAddresses := func(options *vwagent.Options) { options.Settings.Entries = []string{"e1", "e1-new", "e2"} }
+	withOptions(t, twoAddresses, func(t *testing.T, f *fixture, e1, _ *fakeEntry) {
 		other := f.addEntryAs("e1-new", e1.incarnation)
-		e1.set(func() {
-			e1.lease.Entries = []vwmessage.EntryAddress{{Incarnation: e1.incarnation, Process: "e1", DataCentre: "a", Address: "e1-new"}}
-		})
 		f.backend.set(func() { f.backend.run = time.Millisecond })
 		id := vwid.MakeSubmissionID()
 		old := e1.session(t, 0)
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -64,6 +64,7 @@
 		}
 	}
 	delete(r.targets, t.address)
+	delete(r.reached, t.address)
 	r.retire(t.link)
 	t.stop()
 }
@@ -77,7 +78,7 @@
 		wanted[entry.Address] = true
 	}
 	for _, address := range settings.Entries {
-		if len(wanted) < settings.MaxEntries && !r.isAlias(address) {
+		if len(wanted) < settings.MaxEntries {
 			wanted[address] = true
 		}
 	}
@@ -98,19 +99,15 @@
 	return entries
 }
 
-// isAlias reports whether an address of the settings leads to an entry that lease replies name under
-// another address. Two links to one entry would replace each other in turns.
-func (r *registration) isAlias(address string) bool {
-	entry, known := r.reached[address]
-	if !known || r.named[address].entry.Address != "" {
-		return false
-	}
-	for _, named := range r.named {
-		if named.entry.Incarnation == entry {
-			return true
-		}
+// isShadowed reports whether the entry behind an address has a link under another address. Two links to
+// one entry would replace each other in turns.
+func (r *registration) isShadowed(t *target) bool {
+	entry, known := r.reached[t.address]
+	if named, ok := r.named[t.address]; ok {
+		entry, known = named.entry.Incarnation, true
 	}
-	return false
+	l := r.links[entry]
+	return known && l != nil && l.target != t
 }
 
 func (r *registration) addTarget(address string) {
@@ -139,8 +136,13 @@
 
 // connect dials the target and serves the link until it ends.
 func (r *registration) connect(ctx context.Context, t *target) {
-	// Nothing more is processed from an older link from the moment of the dial.
-	if !r.agent.do(func(time.Time) { r.retire(t.link) }) {
+	shadowed := false
+	prepare := func(time.Time) {
+		// Nothing more is processed from an older link from the moment of the dial.
+		r.retire(t.link)
+		shadowed = r.isShadowed(t)
+	}
+	if !r.agent.do(prepare) || shadowed {
 		return
 	}
 	conn, err := r.dial(ctx, t.address)
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -19,6 +19,7 @@
 	link    *link
 	key     taskKey
 	epoch   vwid.Epoch
+	service vwid.Service
 	payload []byte
 	timeout time.Duration
 }
@@ -40,18 +41,14 @@
 	for i := range start.Tasks {
 		task := &start.Tasks[i]
 		w := waitingTask{
-			link: l, key: taskKey{start.SubmissionID, task.TaskID}, epoch: start.Epoch,
+			link: l, key: taskKey{start.SubmissionID, task.TaskID}, epoch: start.Epoch, service: start.Service,
 			payload: task.Payload, timeout: time.Duration(task.TimeoutMilliseconds) * time.Millisecond,
 		}
-		switch {
-		case i >= credited:
+		if i >= credited {
 			r.refuse(&w, "the start has no credit")
-		case start.Service != r.agent.backend.service:
-			r.refuse(&w, "the backend server does not offer service "+string(start.Service))
-			r.granter.Freed(1)
-		default:
-			r.waiting = append(r.waiting, w)
+			continue
 		}
+		r.waiting = append(r.waiting, w)
 	}
 	r.pump(now)
 }
@@ -82,6 +79,11 @@
 
 // start writes the start record and calls the backend server.
 func (r *registration) start(now time.Time, w *waitingTask) {
+	if w.service != r.agent.backend.service {
+		r.granter.Freed(1)
+		r.refuse(w, "the backend server does not offer service "+string(w.service))
+		return
+	}
 	if err := r.records.Start(now, w.key.submission, w.epoch, w.key.task); err != nil {
 		r.granter.Freed(1)
 		r.answerRefusedStart(w, err)
