--- a/internal/process/vwagent/entry_test.go
+++ b/internal/process/vwagent/entry_test.go
@@ -25,8 +25,10 @@
 
 	mu       sync.Mutex
 	sessions []*vwlink.Session
-	lease    vwmessage.LeaseReply
-	leasing  bool
+	// opened are the links over which an agent has registered. Credits on others are dropped.
+	opened  map[*vwlink.Session]bool
+	lease   vwmessage.LeaseReply
+	leasing bool
 	// deaf makes the entry register nobody.
 	deaf      bool
 	registers []vwmessage.Register
@@ -41,7 +43,7 @@
 }
 
 func (f *fixture) addEntryAs(address string, incarnation vwid.Incarnation) *fakeEntry {
-	e := &fakeEntry{address: address, incarnation: incarnation, leasing: true}
+	e := &fakeEntry{address: address, incarnation: incarnation, leasing: true, opened: map[*vwlink.Session]bool{}}
 	e.lease = vwmessage.LeaseReply{Version: 1, RemainingMilliseconds: 2000}
 	e.endpoint = f.network.MakeEndpoint(address, vwmessage.Hello{
 		Cluster: "c", Process: vwid.Process(address), Incarnation: e.incarnation, Role: string(vwstate.RoleEntry), DataCentre: "a",
@@ -77,6 +79,7 @@
 		if e.deaf {
 			return
 		}
+		e.opened[session] = true
 		outcome := vwstate.Outcome{}
 		encoded, err := outcome.MarshalMsg(nil)
 		reply(&vwmessage.Outcome{Outcome: encoded}, err)
@@ -87,7 +90,9 @@
 			reply(&copied, nil)
 		}
 	case *vwmessage.Credit:
-		e.credits += body.Count
+		if e.opened[session] {
+			e.credits += body.Count
+		}
 	case *vwmessage.CreditRecall:
 		returned := max(0, min(body.Count, e.credits))
 		e.credits -= returned
