Feed demand and announcements in the benchmark of a task

The benchmark stalled once the granting policy kept idle slots at the agent: one credit at a time made a run exceed the announcement timeout, after which the agent recalled credits that the stub never returns.

--- a/internal/process/vwagent/agent_test.go
+++ b/internal/process/vwagent/agent_test.go
@@ -90,16 +90,18 @@
 // announce keeps announcing the backend server until silence.
 func (f *fixture) announce(t *testing.T) {
 	f.announcer = vwgroup.Make(t.Context())
-	f.announcer.Run(func(ctx context.Context) {
-		for ctx.Err() == nil {
-			_ = f.agent.Announce(ctx, announcement())
-			timer := time.NewTimer(time.Second)
-			select {
-			case <-ctx.Done():
-			case <-timer.C:
-			}
+	f.announcer.Run(func(ctx context.Context) { keepAnnouncing(ctx, f.agent) })
+}
+
+func keepAnnouncing(ctx context.Context, agent *vwagent.Agent) {
+	for ctx.Err() == nil {
+		_ = agent.Announce(ctx, announcement())
+		timer := time.NewTimer(time.Second)
+		select {
+		case <-ctx.Done():
+		case <-timer.C:
 		}
-	})
+	}
 }
 
 func (f *fixture) silence(t *testing.T) {
--- a/internal/process/vwagent/cost_test.go
+++ b/internal/process/vwagent/cost_test.go
@@ -189,7 +189,7 @@
 	require.NoError(b, err)
 	group := vwgroup.Make(b.Context())
 	group.Go(agent.Run)
-	require.NoError(b, agent.Announce(b.Context(), announcement()))
+	group.Run(func(ctx context.Context) { keepAnnouncing(ctx, agent) })
 	b.ReportAllocs()
 	feed(b, conn)
 	close(conn.done)
@@ -199,6 +199,7 @@
 // feed sends one start for each credit, in jobs of 900 tasks, until b.N results have come.
 func feed(b *testing.B, conn *benchConn) {
 	payload := make([]byte, 200)
+	demand := &vwmessage.Demand{Service: "pedidos", Teams: []vwmessage.TeamDemand{{Team: "t", Waiting: 1000}}}
 	var id, previous vwid.SubmissionID
 	started := false
 	for sent, done := 0, 0; done < b.N; {
@@ -209,6 +210,9 @@
 				b.ResetTimer()
 			}
 			for range min(count, b.N-sent) {
+				if sent%100 == 0 {
+					conn.put(b, demand)
+				}
 				if sent%900 == 0 {
 					// The results of the previous job are all in; those of the current one may not be.
 					if previous != "" {
