--- a/internal/process/vwagent/entry_test.go
+++ b/internal/process/vwagent/entry_test.go
@@ -200,5 +200,6 @@
 	}
 	version := e.lease.Version
 	e.mu.Unlock()
-	e.send(t, &vwmessage.ConfigAnnounce{Version: version})
+	// Without a link the next renewal brings the version.
+	_ = e.session(t, e.newest()).Send(t.Context(), &vwmessage.ConfigAnnounce{Version: version})
 }
--- a/internal/process/vwagent/waiting_test.go
+++ b/internal/process/vwagent/waiting_test.go
@@ -35,6 +35,9 @@
 		"submission is taken over": {func(t *testing.T, _ *fixture, _, e2 *fakeEntry, id vwid.SubmissionID) {
 			require.Len(t, e2.fence(t, id, 2).Started, 8)
 		}, 8, nil},
+		"owner fences at its own epoch": {func(t *testing.T, _ *fixture, e1, _ *fakeEntry, id vwid.SubmissionID) {
+			require.Len(t, e1.fence(t, id, 1).Started, 8)
+		}, 8, nil},
 		"link is replaced": {func(_ *testing.T, f *fixture, _, _ *fakeEntry, _ vwid.SubmissionID) {
 			f.network.SilenceOpen("agent", "e1")
 		}, 8, nil},
