--- a/internal/process/vwagent/chaos_test.go
+++ b/internal/process/vwagent/chaos_test.go
@@ -54,11 +54,11 @@
 	case 6, 7, 8, 9:
 		c.fence(t)
 	case 10:
-		c.send(func(epoch vwid.Epoch, id vwid.SubmissionID) vwmessage.Body {
+		c.send(t, func(epoch vwid.Epoch, id vwid.SubmissionID) vwmessage.Body {
 			return &vwmessage.Cancel{SubmissionID: id, Epoch: epoch}
 		})
 	default:
-		c.send(c.start)
+		c.send(t, c.start)
 	}
 	pass(time.Duration(c.random.IntN(100)) * time.Millisecond)
 }
@@ -70,12 +70,12 @@
 }
 
 // send sends a message about a job from any of its owners, of which only the last one is entitled.
-func (c *chaos) send(make func(epoch vwid.Epoch, id vwid.SubmissionID) vwmessage.Body) {
+func (c *chaos) send(t *testing.T, compose func(epoch vwid.Epoch, id vwid.SubmissionID) vwmessage.Body) {
 	job := c.jobs[c.random.IntN(len(c.jobs))]
 	owner := c.random.IntN(len(job.owners))
 	e := job.owners[owner]
-	session := e.sessions[c.random.IntN(len(e.sessions))]
-	_ = session.Send(context.Background(), make(vwid.Epoch(owner+1), job.id))
+	session := e.session(t, c.random.IntN(e.newest()+1))
+	_ = session.Send(context.Background(), compose(vwid.Epoch(owner+1), job.id))
 }
 
 func (c *chaos) start(epoch vwid.Epoch, id vwid.SubmissionID) vwmessage.Body {
@@ -89,14 +89,11 @@
 // fence has an entry take a job over, and checks the reply against the record of the backend server.
 func (c *chaos) fence(t *testing.T) {
 	job, e := c.jobs[c.random.IntN(len(c.jobs))], c.entries[c.random.IntN(len(c.entries))]
-	if len(e.sessions) == 0 {
-		return
-	}
 	job.owners = append(job.owners, e)
 	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 	defer cancel()
 	request := &vwmessage.Fence{SubmissionID: job.id, Epoch: vwid.Epoch(len(job.owners))}
-	reply, err := vwlink.Call[*vwmessage.FenceReply](ctx, e.sessions[len(e.sessions)-1], request)
+	reply, err := vwlink.Call[*vwmessage.FenceReply](ctx, e.session(t, e.newest()), request)
 	if err != nil {
 		return
 	}
