Ignore an announcement that crosses a Leave

An announcement that was under way when its backend server said Leave brought the server back for up to 3 s, because it was handled after the Leave.

Announcements within 500 ms after a Leave change nothing; a server that returns is taken at its next one.

Measured: the new case fails without the change and passes with it, under the race detector.

--- a/internal/process/vwagent/announcement.go
+++ b/internal/process/vwagent/announcement.go
@@ -13,6 +13,10 @@
 // announces itself every second, so two lost announcements are tolerated.
 const AnnouncementTimeout = 3 * time.Second
 
+// leaveGrace is how long announcements after a Leave are ignored. One that was under way when the
+// backend server left must not bring it back; a server that returns is taken at its next one.
+const leaveGrace = 500 * time.Millisecond
+
 // Announcement is what a backend server tells the agent beside it.
 type Announcement struct {
 	Service vwid.Service
@@ -29,6 +33,7 @@
 	// present is false before the first announcement, after its timeout, after Leave and after a refused dial.
 	present bool
 	leaving bool
+	leftAt  time.Time
 }
 
 // check returns the parsed announcement.
@@ -46,7 +51,7 @@
 	return announced{service: a.Service, address: address, slots: a.Slots, at: now, present: true}, nil
 }
 
-// offers reports whether two announcements register alike.
+// sameOffer reports whether two announcements register alike.
 func (b *announced) sameOffer(other *announced) bool {
 	return b.service == other.service && b.slots == other.slots
 }
--- a/internal/process/vwagent/backendserver.go
+++ b/internal/process/vwagent/backendserver.go
@@ -23,7 +23,7 @@
 
 // Leave takes the word of the backend server that it is leaving. Running tasks finish.
 func (a *Agent) Leave(context.Context) error {
-	if !a.do(func(time.Time) { a.takeLeave() }) {
+	if !a.do(a.takeLeave) {
 		return vwverdict.Wrap(vwverdict.NotRun, trace.ConnectionProblem(nil, "the agent has stopped"))
 	}
 	return nil
@@ -31,6 +31,9 @@
 
 func (a *Agent) takeAnnouncement(next announced) {
 	previous := a.backend
+	if previous.leaving && next.at.Sub(previous.leftAt) < leaveGrace {
+		return
+	}
 	a.backend = next
 	returned := !previous.present || previous.leaving
 	if !returned && previous.sameOffer(&next) {
@@ -46,11 +49,11 @@
 	}
 }
 
-func (a *Agent) takeLeave() {
+func (a *Agent) takeLeave(now time.Time) {
 	if a.backend.leaving || a.backend.service == "" {
 		return
 	}
-	a.backend.leaving = true
+	a.backend.leaving, a.backend.leftAt = true, now
 	a.logger.Info("backend server leaves")
 	a.sayLeaving()
 }
--- a/internal/process/vwagent/gate_test.go
+++ b/internal/process/vwagent/gate_test.go
@@ -75,6 +75,11 @@
 			f.silence(t)
 			require.NoError(t, f.agent.Leave(t.Context()))
 		}},
+		"backend server leaves during an announcement": {end: func(t *testing.T, f *fixture, _ ...*fakeEntry) {
+			f.silence(t)
+			require.NoError(t, f.agent.Leave(t.Context()))
+			require.NoError(t, f.agent.Announce(t.Context(), announcement()))
+		}},
 		"backend server is silent": {end: func(t *testing.T, f *fixture, _ ...*fakeEntry) { f.silence(t) }, after: 3100 * time.Millisecond},
 		"agent stops": {end: func(t *testing.T, f *fixture, _ ...*fakeEntry) {
 			ctx, cancel := context.WithCancel(t.Context())
