Take the timeouts of control from its settings

The settings file names heartbeat, election, lease and registration timeouts; vwcontrol had its own constants. Its defaults are now those of the settings: heartbeats every 100 ms and elections between 500 ms and 1 s. LinkServer.Serves tells the messages for control from those for an entry that shares its link address.

Result: go test -race passes.

--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -46,7 +46,9 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c := &core{settings: settings, transport: transport, store: store, writer: makeWriter(store), state: vwstate.Make()}
+	c := &core{settings: settings, transport: transport, store: store, state: vwstate.Make()}
+	// A member with a stuck disk falls silent as long as it takes the others to elect a leader.
+	c.writer = makeWriter(store, settings.shortestElection())
 	c.self = vwraft.Voter{Member: loaded.Member, Address: settings.Address}
 	c.raft = settings.raft(loaded.Member)
 	c.now = time.Now()
--- a/internal/process/vwcontrol/lease.go
+++ b/internal/process/vwcontrol/lease.go
@@ -50,19 +50,19 @@
 }
 
 // lapsed reports whether a registration was not renewed for a full period of this leadership.
-func (l *leases) lapsed(incarnation vwid.Incarnation, now time.Time) bool {
+func (l *leases) lapsed(incarnation vwid.Incarnation, now time.Time, period time.Duration) bool {
 	last := l.since
 	if at := l.renewed[incarnation]; at.After(last) {
 		last = at
 	}
-	return now.Sub(last) > RegistrationPeriod && !l.ending[incarnation]
+	return now.Sub(last) > period && !l.ending[incarnation]
 }
 
 // expireRegistrations proposes the end of registrations that were not renewed.
 func (c *core) expireRegistrations() {
 	var lapsed []vwid.Incarnation
 	for _, registration := range c.state.Registrations() {
-		if !registration.Ended() && registration.Role != vwstate.RoleControl && c.leases.lapsed(registration.Incarnation, c.now) {
+		if !registration.Ended() && registration.Role != vwstate.RoleControl && c.leases.lapsed(registration.Incarnation, c.now, c.settings.Registration) {
 			lapsed = append(lapsed, registration.Incarnation)
 		}
 	}
@@ -108,7 +108,7 @@
 
 func (c *core) grant(request *vwmessage.LeaseRequest, received time.Time) *vwmessage.LeaseReply {
 	config := c.state.Config()
-	reply := &vwmessage.LeaseReply{Version: config.Version, RemainingMilliseconds: LeaseDuration.Milliseconds()}
+	reply := &vwmessage.LeaseReply{Version: config.Version, RemainingMilliseconds: c.settings.Lease.Milliseconds()}
 	if request.Held < config.Version {
 		reply.Rules = config.Text
 	}
--- a/internal/process/vwcontrol/link_test.go
+++ b/internal/process/vwcontrol/link_test.go
@@ -13,6 +13,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwlinktest"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwentry"
 	"vanillawind.example/vanillawind/internal/process/vwstoretest"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
@@ -23,6 +24,9 @@
 	return vwmessage.Hello{Cluster: "c", Process: vwid.Process(name), Incarnation: vwid.Incarnation(name)}
 }
 
+// An entry uses control through this interface.
+var _ vwentry.Control = Client(nil)
+
 // serveLinks runs a member behind links.
 func serveLinks(t *testing.T, group *vwgroup.Group, network *vwlinktest.Network, at int, initial []string) *Member {
 	end := network.MakeEndpoint(initial[at], hello(initial[at]))
@@ -97,3 +101,23 @@
 		_ = network.Close()
 	})
 }
+
+// Guards against a lease request that reaches the wrong half of a process that is entry and control member.
+func TestServes(t *testing.T) {
+	cases := map[string]struct {
+		role vwstate.Role
+		body vwmessage.Body
+		want bool
+	}{
+		"renewal of an entry": {vwstate.RoleEntry, &vwmessage.LeaseRequest{}, true},
+		"renewal of an agent": {vwstate.RoleAgent, &vwmessage.LeaseRequest{}, false},
+		"proposal":            {vwstate.RoleEntry, &vwmessage.Propose{}, true},
+		"log":                 {vwstate.RoleControl, &vwmessage.Replication{}, true},
+		"result":              {vwstate.RoleAgent, &vwmessage.Result{}, false},
+	}
+	for name, k := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, k.want, MakeLinkServer().Serves(vwlink.Peer{Role: string(k.role)}, k.body))
+		})
+	}
+}
--- a/internal/process/vwcontrol/linkserver.go
+++ b/internal/process/vwcontrol/linkserver.go
@@ -7,6 +7,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
@@ -50,6 +51,18 @@
 	}
 }
 
+// Serves reports whether a message is for control, for a process whose link address serves an entry too.
+// A lease request of an agent is for the entry, which answers from its own lease.
+func (*LinkServer) Serves(peer vwlink.Peer, body vwmessage.Body) bool {
+	switch body.(type) {
+	case *vwmessage.Replication, *vwmessage.Propose, *vwmessage.Read:
+		return true
+	case *vwmessage.LeaseRequest:
+		return peer.Role != string(vwstate.RoleAgent)
+	}
+	return false
+}
+
 // HandleMessage implements vwlink.Handler.
 func (s *LinkServer) HandleMessage(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
 	if message, ok := body.(*vwmessage.Replication); ok {
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	// LeaseDuration is how long a configuration lease lasts from the moment at which it was asked for.
+	// LeaseDuration is the default of Settings.Lease.
 	LeaseDuration = 2 * time.Second
-	// RegistrationPeriod is how long a registration is kept after its last renewal. It exceeds
-	// LeaseDuration, so that a holder has stopped before its registration ends.
+	// RegistrationPeriod is the default of Settings.Registration.
 	RegistrationPeriod = 4 * time.Second
 	// MaxMembers bounds the voters and learners: each one costs the leader messages.
 	MaxMembers = 7
@@ -32,6 +31,16 @@
 	Initial []string
 	// Tick is the interval of vwraft's ticks.
 	Tick time.Duration
+	// Heartbeat is the interval of the leader's heartbeats.
+	Heartbeat time.Duration
+	// Election is the longest time for which a member waits for a leader before it stands for election;
+	// the shortest is half of it, and must be at least three heartbeats.
+	Election time.Duration
+	// Lease is how long a configuration lease lasts from the moment at which it was asked for.
+	Lease time.Duration
+	// Registration is how long a registration is kept after its last renewal. It must exceed Lease, so
+	// that a holder has stopped before its registration ends.
+	Registration time.Duration
 	// ProbeInterval is how often a member with an empty log looks for the others.
 	ProbeInterval time.Duration
 	// RequestTimeout bounds how long a request waits for a commit or a quorum.
@@ -44,8 +53,6 @@
 	MaxWaiting int
 	// Random draws the election timeouts.
 	Random rand.Source
-	// Tune changes the settings of the log; it may be nil.
-	Tune   func(*vwraft.Settings)
 	Logger *slog.Logger
 }
 
@@ -55,6 +62,10 @@
 		Address:         address,
 		Initial:         initial,
 		Tick:            50 * time.Millisecond,
+		Heartbeat:       100 * time.Millisecond,
+		Election:        time.Second,
+		Lease:           LeaseDuration,
+		Registration:    RegistrationPeriod,
 		ProbeInterval:   500 * time.Millisecond,
 		RequestTimeout:  5 * time.Second,
 		SnapshotEntries: 500,
@@ -75,6 +86,10 @@
 		return trace.BadParameter("an initial address is named twice")
 	case s.Tick <= 0 || s.ProbeInterval <= 0 || s.RequestTimeout <= 0:
 		return trace.BadParameter("intervals and timeouts must be positive")
+	case s.Heartbeat < s.Tick || s.shortestElection() < 3*s.Heartbeat:
+		return trace.BadParameter("the heartbeat (%v) must be at least a tick (%v) and at most a sixth of the election timeout (%v)", s.Heartbeat, s.Tick, s.Election)
+	case s.Lease <= 0 || s.Registration <= s.Lease:
+		return trace.BadParameter("the registration (%v) must be longer than the lease (%v)", s.Registration, s.Lease)
 	case s.SnapshotEntries < 1 || s.SegmentBytes < 1 || s.MaxWaiting < 1:
 		return trace.BadParameter("sizes and bounds must be positive")
 	case s.Random == nil || s.Logger == nil:
@@ -85,8 +100,13 @@
 
 func (s Settings) raft(self vwid.Member) vwraft.Settings {
 	settings := vwraft.DefaultSettings(self, s.Random)
-	if s.Tune != nil {
-		s.Tune(&settings)
-	}
+	settings.HeartbeatTicks = int(s.Heartbeat / s.Tick)
+	settings.ElectionTicks = int(s.shortestElection() / s.Tick)
 	return settings
 }
+
+// shortestElection is half of the longest election timeout: the width of the range keeps two members
+// from starting elections at the same time.
+func (s Settings) shortestElection() time.Duration {
+	return s.Election / 2
+}
--- a/internal/process/vwcontrol/writer.go
+++ b/internal/process/vwcontrol/writer.go
@@ -10,14 +10,12 @@
 	"vanillawind.example/vanillawind/internal/process/vwstore"
 )
 
-// stuckLimit is how long a sync may take before the member stops to take part. It equals the shortest
-// election timeout: the members that hear nothing elect a leader with a working disk.
-const stuckLimit = 600 * time.Millisecond
-
 // writer stores and syncs what the log hands out, one Ready at a time. It has the store from begin
 // until the result is taken from done; at all other times the member's goroutine has it.
 type writer struct {
 	store *vwstore.Store
+	// limit is how long a sync may take before the member stops to take part.
+	limit time.Duration
 	jobs  chan vwraft.Ready
 	done  chan error
 	// current and since belong to the member's goroutine.
@@ -26,8 +24,8 @@
 	stopped chan struct{}
 }
 
-func makeWriter(store *vwstore.Store) *writer {
-	return &writer{store: store, jobs: make(chan vwraft.Ready, 1), done: make(chan error, 1), stopped: make(chan struct{})}
+func makeWriter(store *vwstore.Store, limit time.Duration) *writer {
+	return &writer{store: store, limit: limit, jobs: make(chan vwraft.Ready, 1), done: make(chan error, 1), stopped: make(chan struct{})}
 }
 
 // run is the writer's goroutine.
@@ -73,7 +71,7 @@
 }
 
 func (w *writer) stuck(now time.Time) bool {
-	return w.current != nil && now.Sub(w.since) > stuckLimit
+	return w.current != nil && now.Sub(w.since) > w.limit
 }
 
 // wait takes the store back from a sync whose result does not matter any more.
--- a/internal/process/vwraft/settings.go
+++ b/internal/process/vwraft/settings.go
@@ -32,13 +32,13 @@
 	Random rand.Source
 }
 
-// DefaultSettings returns settings for ticks of 50 ms: heartbeats every 150 ms and election
-// timeouts of 600 ms to 1.2 s, which yield a new leader within about 1.5 s.
+// DefaultSettings returns settings for ticks of 50 ms: heartbeats every 100 ms and election
+// timeouts of 500 ms to 1 s, which yield a new leader within about 1.5 s.
 func DefaultSettings(self vwid.Member, random rand.Source) Settings {
 	return Settings{
 		Self:                self,
-		ElectionTicks:       12,
-		HeartbeatTicks:      3,
+		ElectionTicks:       10,
+		HeartbeatTicks:      2,
 		MaxBatchBytes:       256 << 10,
 		MaxBatchEntries:     1024,
 		MaxInflight:         32,
