--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -31,33 +30,31 @@
 	return router
 }
 
-func makeRouter() *gin.Engine {
-	gin.SetMode(gin.ReleaseMode)
-	router := gin.New()
-	router.HandleMethodNotAllowed = true
-	return router
-}
-
 func (e *Entry) limits() limits {
 	return limits{payload: int(e.settings.MaxPayload), tasks: e.settings.MaxTasks}
 }
 
-func isBodyLimit(err error) bool {
-	var limit *http.MaxBytesError
-	return errors.As(err, &limit)
-}
-
 func (e *Entry) postJob(c *gin.Context) {
-	body := http.MaxBytesReader(c.Writer, c.Request.Body, int64(e.settings.MaxBody))
+	wait, err := parseWaitFlag(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
+	body, err := e.openBody(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
 	s, err := decodeSubmission(body, e.limits(), time.Now())
 	if err != nil {
 		writeProblem(c, err, "")
 		return
 	}
-	e.serveJob(c, s, c.Query("Wait") != "false")
+	s.start = !wait
+	e.serveJob(c, s)
 }
 
-func (e *Entry) serveJob(c *gin.Context, s submission, wait bool) {
+func (e *Entry) serveJob(c *gin.Context, s submission) {
 	if s.spec.SubmissionID == "" {
 		s.spec.SubmissionID = vwid.MakeSubmissionID()
 	}
@@ -67,7 +64,7 @@
 		return
 	}
 	ctx := c.Request.Context()
-	if !wait {
+	if s.start {
 		limited, cancel := context.WithTimeout(ctx, 0)
 		defer cancel()
 		ctx = limited
@@ -82,6 +79,7 @@
 		contentType := gin.MIMEJSON
 		if found.status >= http.StatusBadRequest {
 			contentType = vwapi.ProblemType
+			setRetryAfter(c, found.status)
 		}
 		c.Data(found.status, contentType, found.body)
 		return
@@ -91,11 +89,11 @@
 		return
 	}
 	if found.job.Failure() != nil {
-		c.Header("Content-Type", vwapi.ProblemType)
-	} else {
-		c.Header("Content-Type", gin.MIMEJSON)
+		writeDocument(c, problemOfJob(found.job))
+		return
 	}
-	c.Status(statusOf(found.job))
+	c.Header("Content-Type", gin.MIMEJSON)
+	c.Status(http.StatusOK)
 	if _, err := writeAnswer(c.Writer, found.job); err != nil {
 		// The status is out already. Cutting the connection tells the caller that the answer is not whole.
 		e.log.Warn("answer not written", "submission", string(id), "error", err)
@@ -119,7 +117,11 @@
 }
 
 func (e *Entry) postRequest(c *gin.Context) {
-	body := http.MaxBytesReader(c.Writer, c.Request.Body, int64(e.settings.MaxBody))
+	body, err := e.openBody(c)
+	if err != nil {
+		writeProblem(c, err, "")
+		return
+	}
 	s, idempotent, err := decodeRequest(body, e.limits(), time.Now())
 	if err != nil {
 		writeProblem(c, err, "")
@@ -149,16 +151,22 @@
 	if !waitFor(c.Request.Context(), j) {
 		return
 	}
+	if id == "" {
+		id = j.SubmissionID
+	}
 	if j.Failure() != nil {
-		writeDocument(c, problemOfJob(j))
+		problem := problemOfJob(j)
+		problem.ID = id
+		writeDocument(c, problem)
 		return
 	}
-	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: j.SubmissionID, Result: resultJSON(j.Result(0))})
+	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: id, Result: resultJSON(j.Result(0))})
 }
 
 // writeRemoteRequestReply turns the owner's answer for a job of one task into that for a request.
 func (e *Entry) writeRemoteRequestReply(c *gin.Context, id vwid.SubmissionID, found *reply) {
 	if found.status != http.StatusOK {
+		setRetryAfter(c, found.status)
 		c.Data(found.status, vwapi.ProblemType, found.body)
 		return
 	}
@@ -191,26 +199,6 @@
 	e.writeReply(ctx, c, id, found)
 }
 
-func parseID(c *gin.Context) (vwid.SubmissionID, error) {
-	id := vwid.SubmissionID(c.Param("ID"))
-	if _, err := vwid.SubmissionTime(id); err != nil {
-		return "", invalid("the job id must be a UUID of version 7: " + err.Error())
-	}
-	return id, nil
-}
-
-func parseWait(c *gin.Context) (time.Duration, error) {
-	text := c.Query("WaitSeconds")
-	if text == "" {
-		return 0, nil
-	}
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || seconds < 0 || seconds > maxWait.Seconds() {
-		return 0, invalid("WaitSeconds must be a number from 0 to " + strconv.Itoa(int(maxWait.Seconds())))
-	}
-	return time.Duration(seconds * float64(time.Second)), nil
-}
-
 // find returns where the answer of a job comes from. It waits for another owner as long as waiting
 // allows.
 func (e *Entry) find(ctx, waiting context.Context, id vwid.SubmissionID) (*reply, error) {
@@ -225,6 +213,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if record.Phase != vwstate.PhaseRunning {
+		return e.askEnded(ctx, owner, record)
+	}
 	found, err := e.awaitOwner(waiting, owner, record)
 	if err != nil {
 		return nil, err
@@ -240,7 +231,7 @@
 	defer cancel()
 	view, err := e.control.Read(ctx, vwstate.Query{SubmissionID: id, Registrations: true})
 	if err != nil {
-		return nil, nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "control cannot be read: "+err.Error())
+		return nil, nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "control cannot be read: "+reasonOf(err))
 	}
 	if view.Submission == nil {
 		// A submission with this id may be under way, so the verdict cannot be that it never runs.
@@ -291,7 +282,7 @@
 		_, err = vwlink.Call[*vwmessage.Ping](ctx, session, &vwmessage.Cancel{SubmissionID: id, Epoch: record.Epoch})
 	}
 	if err != nil {
-		return refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the job's owner did not confirm the cancellation: "+err.Error())
+		return refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the job's owner did not confirm the cancellation: "+reasonOf(err))
 	}
 	return nil
 }
@@ -301,9 +292,14 @@
 }
 
 func writeDocument(c *gin.Context, problem *vwapi.Problem) {
-	if problem.RetryAfterMillis > 0 {
-		c.Header("Retry-After", strconv.FormatInt((problem.RetryAfterMillis+999)/1000, 10))
-	}
+	setRetryAfter(c, problem.Status)
 	c.Header("Content-Type", vwapi.ProblemType)
 	c.JSON(problem.Status, problem)
 }
+
+// setRetryAfter suggests in whole seconds what RetryAfterMillis of the document says.
+func setRetryAfter(c *gin.Context, status int) {
+	if isBusy(status) {
+		c.Header("Retry-After", strconv.Itoa((retryAfterMillis+999)/1000))
+	}
+}
