--- a/internal/process/vwagent/gate_test.go
+++ b/internal/process/vwagent/gate_test.go
@@ -75,6 +75,11 @@
 			f.silence(t)
 			require.NoError(t, f.agent.Leave(t.Context()))
 		}},
+		"backend server leaves during an announcement": {end: func(t *testing.T, f *fixture, _ ...*fakeEntry) {
+			f.silence(t)
+			require.NoError(t, f.agent.Leave(t.Context()))
+			require.NoError(t, f.agent.Announce(t.Context(), announcement()))
+		}},
 		"backend server is silent": {end: func(t *testing.T, f *fixture, _ ...*fakeEntry) { f.silence(t) }, after: 3100 * time.Millisecond},
 		"agent stops": {end: func(t *testing.T, f *fixture, _ ...*fakeEntry) {
 			ctx, cancel := context.WithCancel(t.Context())
@@ -89,11 +94,12 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			makeLease := c.fault
-			if makeLease == nil {
-				makeLease = vwagent.MakeConfigLease
+			plant := func(options *vwagent.Options) {
+				if c.fault != nil {
+					options.MakeLease = c.fault
+				}
 			}
-			withLease(t, makeLease, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+			withOptions(t, plant, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
 				late := startsAfter(t, f, e1, e2, c.after, func() { c.end(t, f, e1, e2) })
 				if c.fault != nil {
 					require.Positive(t, late, "the check does not see the planted fault")
@@ -120,21 +126,30 @@
 	})
 }
 
-// A lease must count from the moment of the request: a slow reply brings less time.
+// A lease must count from the moment of the request: the same grant in a reply that took longer than it
+// lasts permits nothing.
 func TestSlowLeaseReply(t *testing.T) {
-	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
-		e2.set(func() { e2.leasing = false })
-		f.network.Isolate("e2", true)
-		pass(3 * time.Second)
-		e1.set(func() { e1.lease.RemainingMilliseconds = 300 })
-		f.network.SetFault("e1", "agent", vwlinktest.Fault{Delay: 400 * time.Millisecond})
-		pass(3 * time.Second)
-		before := len(f.backend.started())
-		e1.set(func() { e1.credits = 0 })
-		e1.start(t, "0193a1d6-0000-7000-8000-000000000000", 1, "t")
-		pass(2 * time.Second)
-		require.Len(t, f.backend.started(), before)
-	})
+	cases := map[string]struct {
+		delay  time.Duration
+		starts bool
+	}{"fast reply": {time.Millisecond, true}, "slow reply": {400 * time.Millisecond, false}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withAgent(t, func(t *testing.T, f *fixture, e1, _ *fakeEntry) {
+				f.network.Isolate("e2", true)
+				f.network.SetFault("e1", "agent", vwlinktest.Fault{Delay: c.delay})
+				e1.set(func() { e1.lease.RemainingMilliseconds = 300 })
+				pass(3 * time.Second)
+				begun := len(f.backend.started())
+				for range 40 {
+					e1.start(t, vwid.MakeSubmissionID(), 1, "t")
+					pass(50 * time.Millisecond)
+				}
+				pass(time.Second)
+				require.Equal(t, c.starts, len(f.backend.started()) > begun)
+			})
+		})
+	}
 }
 
 // A dead backend server must cost the tasks at it and no more: credits end at the first refused
