Run control members in real processes

Entries reached control only through a test double. A process can now run a control member alone, or an entry can run one when it has a data directory; one QUIC endpoint serves both and a router tells messages apart by kind and by the peer's role. An entry without a data directory reaches control over links. An entry passes a ConfigAnnounce on to its renewal, so a version is asked for at once instead of within 500 ms. An entry whose registration has ended is replaced under a new incarnation on the same addresses; TestLostEntryIsReplaced covers it. Health and profiles move from vwentry to vwprocess, since all roles have them.

--- a/internal/connection/vwlink/quic.go
+++ b/internal/connection/vwlink/quic.go
@@ -44,14 +44,29 @@
 // MakeEndpoint binds address, which may have port 0, and listens there. The certificate in config
 // must name the process of hello as its common name; peers check that.
 func MakeEndpoint(address string, config *tls.Config, hello vwmessage.Hello) (*Endpoint, error) {
+	socket, err := Bind(address)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return MakeEndpointOn(socket, config, hello)
+}
+
+// Bind binds a UDP address, which may have port 0, for MakeEndpointOn. So a process can learn its
+// address before it makes an endpoint.
+func Bind(address string) (*net.UDPConn, error) {
 	resolved, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, trace.BadParameter("link address %q: %v", address, err)
 	}
 	socket, err := net.ListenUDP("udp", resolved)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, trace.Wrap(trace.ConvertSystemError(err), "binding link address %s", address)
 	}
+	return socket, nil
+}
+
+// MakeEndpointOn makes an endpoint on a bound socket, which it owns from then on.
+func MakeEndpointOn(socket *net.UDPConn, config *tls.Config, hello vwmessage.Hello) (*Endpoint, error) {
 	e := &Endpoint{
 		hello: hello,
 		tls:   config,
@@ -70,11 +85,12 @@
 		socket:    socket,
 		writers:   vwgroup.Make(context.Background()),
 	}
-	e.listener, err = e.transport.Listen(config, e.config)
+	listener, err := e.transport.Listen(config, e.config)
 	if err != nil {
 		_ = socket.Close()
 		return nil, trace.Wrap(err)
 	}
+	e.listener = listener
 	return e, nil
 }
 
--- a/internal/process/vwdemo/demo.go
+++ b/internal/process/vwdemo/demo.go
@@ -6,16 +6,20 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/process/vwagent"
-	"vanillawind.example/vanillawind/internal/process/vwcontroltest"
 	"vanillawind.example/vanillawind/internal/process/vwentry"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/internal/process/vwprocess"
 	"vanillawind.example/vanillawind/internal/process/vwstandin"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
@@ -33,11 +37,14 @@
 
 // Config says how large the demo is.
 type Config struct {
+	// DataCentres get one entry each, which is a control member as well.
 	DataCentres []vwid.DataCentre
 	// WorkersEach is the number of workers in each data centre.
 	WorkersEach int
 	Slots       int
 	Log         *slog.Logger
+	// Progress is told what happens during the start. It may be nil.
+	Progress func(text string)
 }
 
 // DefaultConfig returns a demo of three data centres with two workers each.
@@ -54,56 +61,118 @@
 type Cluster struct {
 	config    Config
 	authority *vwkeys.Authority
-	control   *vwcontroltest.Control
-	Entries   []*vwprocess.Entry
-	Agents    []*vwprocess.Agent
-	Backends  []*vwstandin.Server
+	directory string
+	// sockets are bound before anything starts, since each control member must know the others.
+	sockets  []*net.UDPConn
+	members  []string
+	Entries  []*vwprocess.Entry
+	Agents   []*vwprocess.Agent
+	Backends []*vwstandin.Server
 }
 
 // Start starts a demo and waits until all its workers can be used.
 func Start(ctx context.Context, config Config) (*Cluster, error) {
+	c, err := prepare(config)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := c.start(ctx); err != nil {
+		return nil, trace.NewAggregate(err, c.Stop(context.WithoutCancel(ctx)))
+	}
+	return c, nil
+}
+
+func prepare(config Config) (*Cluster, error) {
 	authority, err := vwkeys.MakeAuthority(cluster)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c := &Cluster{config: config, authority: authority, control: vwcontroltest.Make(time.Millisecond)}
-	for i, dataCentre := range config.DataCentres {
-		if err := c.startEntry(ctx, vwid.Process(fmt.Sprintf("entry-%d", i+1)), dataCentre); err != nil {
-			return nil, trace.NewAggregate(err, c.Stop(ctx))
+	directory, err := os.MkdirTemp("", "vanillawind-demo-")
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	c := &Cluster{config: config, authority: authority, directory: directory}
+	for range config.DataCentres {
+		socket, err := vwlink.Bind(loopback)
+		if err != nil {
+			return nil, trace.NewAggregate(err, c.Stop(context.Background()))
 		}
+		c.sockets = append(c.sockets, socket)
+		c.members = append(c.members, socket.LocalAddr().String())
 	}
-	for _, dataCentre := range config.DataCentres {
-		for i := range config.WorkersEach {
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	c.progress("starting %d entries with control members in %s", len(c.config.DataCentres), c.directory)
+	for index := range c.config.DataCentres {
+		if err := c.StartEntry(ctx, index); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	c.progress("starting %d workers with %d slots each", len(c.config.DataCentres)*c.config.WorkersEach, c.config.Slots)
+	for _, dataCentre := range c.config.DataCentres {
+		for i := range c.config.WorkersEach {
 			if err := c.startWorker(ctx, vwid.Process(fmt.Sprintf("%s-%d", dataCentre, i+1)), dataCentre); err != nil {
-				return nil, trace.NewAggregate(err, c.Stop(ctx))
+				return trace.Wrap(err)
 			}
 		}
 	}
-	return c, trace.Wrap(c.waitReady(ctx))
+	c.progress("waiting for a control leader, leases and links")
+	return trace.Wrap(c.waitReady(ctx))
 }
 
-func (c *Cluster) startEntry(ctx context.Context, process vwid.Process, dataCentre vwid.DataCentre) error {
-	keys, err := vwkeys.MakeMemory(c.authority, process)
+func (c *Cluster) progress(format string, args ...any) {
+	if c.config.Progress != nil {
+		c.config.Progress(fmt.Sprintf(format, args...))
+	}
+}
+
+// StartEntry starts the entry of a data centre, or starts it again on its former address and data
+// directory after it has ended.
+func (c *Cluster) StartEntry(ctx context.Context, index int) error {
+	config, err := c.entryConfig(index)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	entry, err := vwprocess.StartEntry(ctx, config)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if index < len(c.Entries) {
+		c.Entries[index] = entry
+		return nil
+	}
+	c.Entries = append(c.Entries, entry)
+	return nil
+}
+
+func (c *Cluster) entryConfig(index int) (vwprocess.EntryConfig, error) {
+	process := vwid.Process(fmt.Sprintf("entry-%d", index+1))
+	keys, err := vwkeys.MakeMemory(c.authority, process)
+	if err != nil {
+		return vwprocess.EntryConfig{}, trace.Wrap(err)
+	}
+	files, err := vwstore.OpenDirectory(filepath.Join(c.directory, string(process)))
+	if err != nil {
+		return vwprocess.EntryConfig{}, trace.Wrap(err)
+	}
 	settings := vwentry.DefaultSettings()
-	settings.Process, settings.DataCentre = process, dataCentre
-	entry, err := vwprocess.StartEntry(ctx, vwprocess.EntryConfig{
+	settings.Process, settings.DataCentre = process, c.config.DataCentres[index]
+	socket := c.sockets[index]
+	c.sockets[index] = nil
+	return vwprocess.EntryConfig{
 		Cluster:          cluster,
 		Settings:         settings,
-		LinkAddress:      loopback,
+		LinkAddress:      c.members[index],
+		LinkSocket:       socket,
 		CallersAddress:   loopback,
 		OperatorsAddress: loopback,
 		Keys:             keys,
-		Control:          c.control.Client(),
+		ControlMembers:   c.members,
+		Member:           &vwprocess.MemberConfig{Files: files},
 		Log:              c.config.Log,
-	})
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	c.Entries = append(c.Entries, entry)
-	return nil
+	}, nil
 }
 
 func (c *Cluster) startWorker(ctx context.Context, process vwid.Process, dataCentre vwid.DataCentre) error {
@@ -117,7 +186,7 @@
 			Process:    process,
 			DataCentre: dataCentre,
 			Rack:       vwid.Rack(dataCentre) + "-a",
-			Entries:    []string{c.Entries[0].LinkAddress()},
+			Entries:    c.members,
 			Slots:      c.config.Slots,
 		},
 		LinkAddress:    loopback,
@@ -157,9 +226,15 @@
 	return nil
 }
 
-// Stop is the graceful shutdown of all parts, the backend servers first.
+// Stop is the graceful shutdown of all parts, the backend servers first. It removes the data directories.
 func (c *Cluster) Stop(ctx context.Context) error {
-	return trace.NewAggregate(stopAll(ctx, c.Backends), stopAll(ctx, c.Agents), stopAll(ctx, c.Entries))
+	err := trace.NewAggregate(stopAll(ctx, c.Backends), stopAll(ctx, c.Agents), stopAll(ctx, c.Entries))
+	for _, socket := range c.sockets {
+		if socket != nil {
+			_ = socket.Close()
+		}
+	}
+	return trace.NewAggregate(err, trace.ConvertSystemError(os.RemoveAll(c.directory)))
 }
 
 type stoppable interface {
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -76,6 +76,8 @@
 	mailbox     chan func()
 	counters    Counters
 	lost        chan struct{}
+	// announced asks for a renewal at once.
+	announced chan struct{}
 
 	// The fields below belong to the loop.
 	holder  *vwlease.Holder
@@ -110,6 +112,7 @@
 		holder:      vwlease.Make(leaseDuration, renewInterval),
 		rules:       vwrule.Empty(),
 		lost:        make(chan struct{}),
+		announced:   make(chan struct{}, 1),
 		expired:     map[vwid.Incarnation]bool{},
 		queue:       vwdispatch.MakeQueue(vwdispatch.QueueSettings{DataCentre: settings.DataCentre}),
 		jobs:        map[vwid.SubmissionID]*job{},
@@ -133,6 +136,17 @@
 	return e.lost
 }
 
+// Announce tells the entry that a configuration version exists. One that it lacks is asked for at once.
+func (e *Entry) Announce(version vwid.ConfigVersion) {
+	if !e.holder.Announce(version) {
+		return
+	}
+	select {
+	case e.announced <- struct{}{}:
+	default:
+	}
+}
+
 // Start begins the work of the entry. It registers with control in the background; Ready tells when
 // the entry can accept submissions.
 func (e *Entry) Start() {
@@ -164,6 +178,9 @@
 // Stop ends the registration, so that other entries need not wait for its lease to run out, and stops.
 // Drain comes before it in a graceful shutdown.
 func (e *Entry) Stop(ctx context.Context) error {
+	// The last entries of a whole cluster that stops have no quorum any more.
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
 	expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{e.incarnation}}}
 	if _, err := e.control.Propose(ctx, expire); err != nil {
 		e.log.Warn("registration not ended; it expires with its lease", "error", err)
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -34,6 +34,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-e.announced:
 		}
 	}
 }
@@ -77,7 +78,9 @@
 		return false
 	}
 	if outcome.Refusal != vwstate.RefusalNone {
-		e.log.Error("registration refused; the entry must be restarted", "refusal", string(outcome.Refusal))
+		// An earlier attempt whose outcome was lost has been registered and has expired since.
+		e.log.Error("registration refused", "refusal", string(outcome.Refusal))
+		e.post(e.loseOwnership)
 		return false
 	}
 	e.post(func() { e.registered = true })
@@ -235,3 +238,12 @@
 		}
 	}
 }
+
+// Version returns the configuration version that the entry acts under.
+func (e *Entry) Version(ctx context.Context) vwid.ConfigVersion {
+	version, err := ask(ctx, e, func() vwid.ConfigVersion { return e.applied })
+	if err != nil {
+		return 0
+	}
+	return version
+}
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"net/http/pprof"
-	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -21,44 +19,19 @@
 // maxRules bounds the text of the rules.
 const maxRules = 1 << 20
 
-// OperatorsHandler returns the HTTP interface for operators. It must not be reachable for callers.
+// OperatorsHandler returns the entry's part of the HTTP interface for operators. It must not be reachable
+// for callers.
 func (e *Entry) OperatorsHandler() http.Handler {
 	router := makeRouter()
-	router.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
-	router.GET("/readyz", e.getReady)
 	router.GET("/Rules", e.getRules)
 	router.PUT("/Rules", e.putRules)
 	router.GET("/Status", e.getStatus)
 	router.GET("/Workers", e.getWorkers)
 	router.GET("/DataCentres", e.getDataCentres)
 	router.POST("/DataCentres/:Name/:Action", e.postDataCentre)
-	router.GET("/debug/pprof/*Name", gin.WrapF(servePprof))
 	return router
 }
 
-func servePprof(writer http.ResponseWriter, request *http.Request) {
-	switch strings.TrimPrefix(request.URL.Path, "/debug/pprof/") {
-	case "profile":
-		pprof.Profile(writer, request)
-	case "trace":
-		pprof.Trace(writer, request)
-	case "cmdline":
-		pprof.Cmdline(writer, request)
-	case "symbol":
-		pprof.Symbol(writer, request)
-	default:
-		pprof.Index(writer, request)
-	}
-}
-
-func (e *Entry) getReady(c *gin.Context) {
-	if err := e.Ready(c.Request.Context()); err != nil {
-		c.String(http.StatusServiceUnavailable, "not ready: %v\n", err)
-		return
-	}
-	c.String(http.StatusOK, "ready\n")
-}
-
 func (e *Entry) readConfig(ctx context.Context) (vwstate.Config, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/process/vwprocess/control.go
@@ -0,0 +1,134 @@
+package vwprocess
+
+import (
+	"context"
+	"log/slog"
+	"net"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwcontrol"
+	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// ControlConfig describes a process that is only a control member. Addresses may have port 0.
+type ControlConfig struct {
+	Cluster    vwid.Cluster
+	Process    vwid.Process
+	DataCentre vwid.DataCentre
+	Rack       vwid.Rack
+	// LinkAddress is bound unless LinkSocket is already.
+	LinkAddress string
+	LinkSocket  *net.UDPConn
+	// ControlMembers are the link addresses of all members, this one's included. Empty means it is alone.
+	ControlMembers   []string
+	Member           MemberConfig
+	OperatorsAddress string
+	Keys             vwkeys.Source
+	Log              *slog.Logger
+}
+
+// Control is a running process that is only a control member.
+type Control struct {
+	app       *fx.App
+	links     *links
+	router    *router
+	group     *vwgroup.Group
+	operators *webServer
+	member    *member
+}
+
+// StartControl starts a control process.
+func StartControl(ctx context.Context, config ControlConfig) (*Control, error) {
+	process := &Control{router: &router{}, group: vwgroup.Make(context.Background())}
+	process.app = fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(stopTimeout),
+		fx.Supply(config, process),
+		fx.Provide(provideControlServer),
+		fx.Invoke(runControl),
+	)
+	if err := process.app.Start(ctx); err != nil {
+		process.Kill()
+		return nil, trace.Wrap(err)
+	}
+	return process, nil
+}
+
+// LinkAddress returns the bound address for other processes.
+func (p *Control) LinkAddress() string {
+	return p.links.Address()
+}
+
+// OperatorsAddress returns the bound address for operators.
+func (p *Control) OperatorsAddress() string {
+	return p.operators.address()
+}
+
+// Member returns the control member.
+func (p *Control) Member() *vwcontrol.Member {
+	return p.member.Member
+}
+
+// Stop is the graceful shutdown: a leader hands its leadership over first.
+func (p *Control) Stop(ctx context.Context) error {
+	return trace.Wrap(p.app.Stop(ctx))
+}
+
+// Kill stops at once, as a crash would.
+func (p *Control) Kill() {
+	if p.operators != nil {
+		p.operators.kill()
+	}
+	if p.member != nil {
+		p.member.kill()
+	}
+	if p.links != nil {
+		_ = p.links.close()
+	}
+	_ = p.group.Stop()
+}
+
+func provideControlServer(config ControlConfig, process *Control) (*webServer, error) {
+	process.links = makeLinks(config.LinkAddress, config.LinkSocket, config.Keys, process.router)
+	server, err := listenWeb(config.OperatorsAddress, makeOperators(process.ready))
+	process.operators = server
+	return server, err
+}
+
+// ready reports whether the member knows a leader.
+func (p *Control) ready(context.Context) error {
+	if p.member.Status().Log.Leader.Member == "" {
+		return trace.ConnectionProblem(nil, "no leader of the control log is known")
+	}
+	return nil
+}
+
+func runControl(lifecycle fx.Lifecycle, config ControlConfig, process *Control, operators *webServer) {
+	lifecycle.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			_, err := process.links.open(vwmessage.Hello{
+				Cluster: config.Cluster, Process: config.Process, Incarnation: vwid.MakeIncarnation(),
+				Role: string(vwstate.RoleControl), DataCentre: config.DataCentre, Rack: config.Rack,
+			})
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			process.member, err = startMember(process.group, config.Member, config.ControlMembers, process.links, process.router, config.Log, func(vwid.ConfigVersion) {})
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			operators.start()
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			return trace.NewAggregate(process.member.stop(), operators.stop(ctx), process.links.close(), process.group.Stop())
+		},
+	})
+}
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -12,61 +12,93 @@
 	"go.uber.org/fx/fxevent"
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
-	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwcontrol"
 	"vanillawind.example/vanillawind/internal/process/vwentry"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
-	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
 // EntryConfig describes an entry process. Addresses may have port 0.
 type EntryConfig struct {
-	Cluster          vwid.Cluster
-	Settings         vwentry.Settings
+	Cluster  vwid.Cluster
+	Settings vwentry.Settings
+	// LinkAddress is bound unless LinkSocket is already.
 	LinkAddress      string
+	LinkSocket       *net.UDPConn
 	CallersAddress   string
 	OperatorsAddress string
 	Keys             vwkeys.Source
-	Control          vwentry.Control
-	Log              *slog.Logger
+	// ControlMembers are the link addresses of all control members. They may be empty only for an entry
+	// that is the single member itself.
+	ControlMembers []string
+	// Member makes the process a control member as well. It may be nil.
+	Member *MemberConfig
+	Log    *slog.Logger
+}
+
+func (c EntryConfig) check() error {
+	if len(c.ControlMembers) == 0 && c.Member == nil {
+		return trace.BadParameter("ControlMembers names no member, and the process is not one itself")
+	}
+	return nil
 }
 
 // Entry is a running entry process.
 type Entry struct {
 	app       *fx.App
-	entry     *vwentry.Entry
-	endpoint  *vwlink.Endpoint
+	group     *vwgroup.Group
+	watch     *vwgroup.Group
+	links     *links
+	incumbent *incumbent
+	member    *member
+	pool      *vwlink.Pool
+	control   vwcontrol.Client
 	callers   *webServer
 	operators *webServer
 }
 
 // StartEntry starts an entry process.
 func StartEntry(ctx context.Context, config EntryConfig) (*Entry, error) {
-	process := &Entry{}
+	if err := config.check(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	process := &Entry{group: vwgroup.Make(context.Background()), watch: vwgroup.Make(context.Background())}
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(config),
-		fx.Provide(provideHello, provideEntryEndpoint, provideEntry, provideEntryServers),
-		fx.Populate(&process.entry, &process.endpoint),
+		fx.Supply(config, process, &router{}),
+		fx.Provide(provideLinks, provideIncumbent, provideEntryServers),
 		fx.Invoke(runEntry),
-		fx.Invoke(func(servers entryServers) { process.callers, process.operators = servers.callers, servers.operators }),
 	)
 	if err := process.app.Start(ctx); err != nil {
+		process.Kill()
 		return nil, trace.Wrap(err)
 	}
 	return process, nil
 }
 
-// Entry returns the entry itself.
+// Entry returns the entry that runs now.
 func (p *Entry) Entry() *vwentry.Entry {
-	return p.entry
+	return p.incumbent.current()
+}
+
+// Control returns the process's way to control.
+func (p *Entry) Control() vwcontrol.Client {
+	return p.control
+}
+
+// Member returns the control member of the process, or nil.
+func (p *Entry) Member() *vwcontrol.Member {
+	if p.member == nil {
+		return nil
+	}
+	return p.member.Member
 }
 
 // LinkAddress returns the bound address for other processes.
 func (p *Entry) LinkAddress() string {
-	return p.endpoint.Address()
+	return p.links.Address()
 }
 
 // CallersAddress returns the bound address for callers.
@@ -86,41 +118,35 @@
 
 // Kill stops at once, as a crash would.
 func (p *Entry) Kill() {
-	p.callers.kill()
-	p.operators.kill()
-	_ = p.endpoint.Close()
-	p.entry.Kill()
-}
-
-func provideHello(config EntryConfig) vwmessage.Hello {
-	return vwmessage.Hello{
-		Cluster:     config.Cluster,
-		Process:     config.Settings.Process,
-		Incarnation: vwid.MakeIncarnation(),
-		Role:        string(vwstate.RoleEntry),
-		DataCentre:  config.Settings.DataCentre,
-		Rack:        config.Settings.Rack,
+	for _, server := range []*webServer{p.callers, p.operators} {
+		if server != nil {
+			server.kill()
+		}
+	}
+	_ = p.watch.Stop()
+	_ = p.group.Stop()
+	if p.links != nil {
+		_ = p.links.close()
+	}
+	if p.incumbent != nil && p.Entry() != nil {
+		p.Entry().Kill()
+	}
+	if p.member != nil {
+		p.member.kill()
+	}
+	if p.pool != nil {
+		_ = p.pool.Close()
 	}
 }
 
-func provideEntryEndpoint(config EntryConfig, hello vwmessage.Hello) (*vwlink.Endpoint, error) {
-	return makeEndpoint(config.LinkAddress, config.Keys, hello)
-}
-
-func makeEndpoint(address string, keys vwkeys.Source, hello vwmessage.Hello) (*vwlink.Endpoint, error) {
-	tls, err := vwkeys.TLSConfig(keys, hello.Cluster)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return vwlink.MakeEndpoint(address, tls, hello)
+func provideLinks(config EntryConfig, process *Entry, r *router) *links {
+	process.links = makeLinks(config.LinkAddress, config.LinkSocket, config.Keys, r)
+	return process.links
 }
 
-func provideEntry(config EntryConfig, endpoint *vwlink.Endpoint, hello vwmessage.Hello) *vwentry.Entry {
-	settings := config.Settings
-	if settings.LinkAddress == "" {
-		settings.LinkAddress = endpoint.Address()
-	}
-	return vwentry.Make(settings, hello.Incarnation, config.Control, endpoint, config.Log)
+func provideIncumbent(config EntryConfig, process *Entry, l *links, r *router) *incumbent {
+	process.incumbent = &incumbent{config: config, links: l, router: r}
+	return process.incumbent
 }
 
 type entryServers struct {
@@ -128,39 +154,57 @@
 	operators *webServer
 }
 
-func provideEntryServers(config EntryConfig, entry *vwentry.Entry) (entryServers, error) {
-	callers, err := listenWeb(config.CallersAddress, entry.CallersHandler())
-	if err != nil {
+func provideEntryServers(config EntryConfig, process *Entry, i *incumbent) (entryServers, error) {
+	var err error
+	if process.callers, err = listenWeb(config.CallersAddress, &i.callers); err != nil {
 		return entryServers{}, err
 	}
-	operators, err := listenWeb(config.OperatorsAddress, entry.OperatorsHandler())
-	if err != nil {
-		callers.kill()
+	if process.operators, err = listenWeb(config.OperatorsAddress, &i.operators); err != nil {
 		return entryServers{}, err
 	}
-	return entryServers{callers: callers, operators: operators}, nil
+	return entryServers{callers: process.callers, operators: process.operators}, nil
 }
 
 // runEntry orders the start and the stop: callers are served last and, when stopping, their answers
 // are out before the links close.
-func runEntry(lifecycle fx.Lifecycle, entry *vwentry.Entry, endpoint *vwlink.Endpoint, servers entryServers) {
-	group := vwgroup.Make(context.Background())
+func runEntry(lifecycle fx.Lifecycle, config EntryConfig, process *Entry, r *router, servers entryServers) {
 	lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			entry.Start()
-			group.Run(func(ctx context.Context) { _ = vwlink.Serve(ctx, endpoint, entry) })
-			servers.operators.start()
-			servers.callers.start()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			err := entry.Drain(ctx)
-			errs := []error{err, servers.callers.stop(ctx), entry.Stop(ctx), servers.operators.stop(ctx), endpoint.Close(), group.Stop()}
-			return trace.NewAggregate(errs...)
-		},
+		OnStart: func(context.Context) error { return process.start(config, r, servers) },
+		OnStop:  process.stop,
 	})
 }
 
+func (p *Entry) start(config EntryConfig, r *router, servers entryServers) error {
+	hello, endpoint, err := p.incumbent.open()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if config.Member != nil {
+		p.member, err = startMember(p.group, *config.Member, config.ControlMembers, p.links, r, config.Log, p.incumbent.announce)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	p.pool = vwlink.MakePool(p.group.Context(), p.links, r)
+	p.control = makeControlClient(p.member, p.pool, config.ControlMembers, p.links.Address())
+	p.incumbent.control = p.control
+	p.incumbent.begin(hello, endpoint)
+	p.watch.Run(p.incumbent.watch)
+	servers.operators.start()
+	servers.callers.start()
+	return nil
+}
+
+func (p *Entry) stop(ctx context.Context) error {
+	_ = p.watch.Stop()
+	err := p.Entry().Drain(ctx)
+	errs := []error{err, p.callers.stop(ctx), p.Entry().Stop(ctx), p.operators.stop(ctx)}
+	if p.member != nil {
+		errs = append(errs, p.member.stop())
+	}
+	return trace.NewAggregate(append(errs, p.pool.Close(), p.group.Stop(), p.links.close())...)
+}
+
 // listen binds a TCP address.
 func listen(address string) (net.Listener, error) {
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
--- /dev/null
+++ b/internal/process/vwprocess/entry_test.go
@@ -0,0 +1,92 @@
+package vwprocess_test
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwprocess"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+const loopback = "127.0.0.1:0"
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+func makeKeys(t *testing.T, cluster vwid.Cluster, process vwid.Process) vwkeys.Source {
+	authority, err := vwkeys.MakeAuthority(cluster)
+	require.NoError(t, err)
+	keys, err := vwkeys.MakeMemory(authority, process)
+	require.NoError(t, err)
+	return keys
+}
+
+// startAlone starts an entry that is the only control member.
+func startAlone(t *testing.T) *vwprocess.Entry {
+	files, err := vwstore.OpenDirectory(t.TempDir())
+	require.NoError(t, err)
+	settings := vwentry.DefaultSettings()
+	settings.Process, settings.DataCentre = "entry-1", "north"
+	process, err := vwprocess.StartEntry(t.Context(), vwprocess.EntryConfig{
+		Cluster: "c", Settings: settings, LinkAddress: loopback, CallersAddress: loopback, OperatorsAddress: loopback,
+		Keys: makeKeys(t, "c", "entry-1"), Member: &vwprocess.MemberConfig{Files: files}, Log: slog.New(slog.DiscardHandler),
+	})
+	require.NoError(t, err)
+	return process
+}
+
+// eventually waits until check holds. It has no bound of its own; the test's time-out ends it.
+func eventually(check func() bool) {
+	for !check() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func get(t *testing.T, url string) int {
+	response, err := http.Get(url)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+// Guards against an entry that stays useless after its registration has expired in a long partition:
+// the process must go on under a new incarnation on the same addresses.
+func TestLostEntryIsReplaced(t *testing.T) {
+	process := startAlone(t)
+	ready := func() bool { return process.Entry().Ready(t.Context()) == nil }
+	eventually(ready)
+	lost, link, callers := process.Entry(), process.LinkAddress(), process.CallersAddress()
+	_, err := process.Control().Propose(t.Context(), vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{lost.Incarnation()}}})
+	require.NoError(t, err)
+	eventually(func() bool { return process.Entry() != lost && ready() })
+	require.NotEqual(t, lost.Incarnation(), process.Entry().Incarnation())
+	require.Equal(t, link, process.LinkAddress())
+	require.Equal(t, callers, process.CallersAddress())
+	require.Equal(t, http.StatusNotFound, get(t, "http://"+callers+"/Jobs/"+string(vwid.MakeSubmissionID())))
+	require.Equal(t, http.StatusOK, get(t, "http://"+process.OperatorsAddress()+"/readyz"))
+	http.DefaultClient.CloseIdleConnections()
+	require.NoError(t, process.Stop(context.Background()))
+}
+
+// Callers must not reach profiles, health or the operators' resources.
+func TestCallersAddressServesCallersOnly(t *testing.T) {
+	process := startAlone(t)
+	eventually(func() bool { return process.Entry().Ready(t.Context()) == nil })
+	for _, path := range []string{"/healthz", "/readyz", "/debug/pprof/", "/Rules", "/Status"} {
+		require.Equal(t, http.StatusNotFound, get(t, "http://"+process.CallersAddress()+path), path)
+		require.Equal(t, http.StatusOK, get(t, "http://"+process.OperatorsAddress()+path), path)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	require.NoError(t, process.Stop(context.Background()))
+}
--- /dev/null
+++ b/internal/process/vwprocess/entryoperators.go
@@ -0,0 +1,25 @@
+package vwprocess
+
+import (
+	"net/http"
+
+	"vanillawind.example/vanillawind/internal/process/vwentry"
+)
+
+// entryOperators is the operators' interface of an entry process.
+type entryOperators struct{ mux *http.ServeMux }
+
+func makeEntryOperators(entry *vwentry.Entry) *entryOperators {
+	common := makeOperators(entry.Ready)
+	o := &entryOperators{mux: http.NewServeMux()}
+	o.mux.Handle("/", entry.OperatorsHandler())
+	for _, path := range []string{"/healthz", "/readyz", "/debug/pprof/", "/metrics"} {
+		o.mux.Handle(path, common)
+	}
+	return o
+}
+
+// ServeHTTP implements http.Handler.
+func (o *entryOperators) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	o.mux.ServeHTTP(writer, request)
+}
--- /dev/null
+++ b/internal/process/vwprocess/member.go
@@ -0,0 +1,109 @@
+package vwprocess
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwcontrol"
+	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// MemberConfig describes the control member of a process.
+type MemberConfig struct {
+	// Files is the data directory.
+	Files vwstore.FileSystem
+	// Heartbeat and Election are the times of vwsettings; zero takes the defaults of the log.
+	Heartbeat time.Duration
+	Election  time.Duration
+}
+
+// member is a control member behind the links of its process.
+type member struct {
+	*vwcontrol.Member
+	pool      *vwlink.Pool
+	transport *vwcontrol.LinkTransport
+}
+
+// startMember starts a member among the initial ones. Announce is told of each new configuration version.
+func startMember(group *vwgroup.Group, config MemberConfig, initial []string, l *links, r *router, log *slog.Logger, announce func(vwid.ConfigVersion)) (*member, error) {
+	server := vwcontrol.MakeLinkServer()
+	m := &member{pool: vwlink.MakePool(group.Context(), l, r)}
+	m.transport = vwcontrol.MakeLinkTransport(group.Context(), m.pool)
+	server.Connect(m.transport)
+	if len(initial) == 0 {
+		initial = []string{l.Address()}
+	}
+	settings := vwcontrol.DefaultSettings(l.Address(), initial)
+	settings.Logger = log
+	config.apply(&settings)
+	started, err := vwcontrol.Start(group.Context(), settings, config.Files, m.transport)
+	if err != nil {
+		return nil, trace.NewAggregate(err, m.transport.Close(), m.pool.Close())
+	}
+	m.Member = started
+	r.control.Store(server)
+	return m, trace.NewAggregate(server.Attach(group, started), started.Watch(announce))
+}
+
+// apply maps the times to ticks. A member votes after one to two ElectionTicks, and at the latest after
+// Election. Two ticks are one Heartbeat.
+func (c MemberConfig) apply(settings *vwcontrol.Settings) {
+	if c.Heartbeat <= 0 || c.Election <= 0 {
+		return
+	}
+	settings.Tick = max(c.Heartbeat/2, time.Millisecond)
+	settings.Tune = func(raft *vwraft.Settings) {
+		raft.HeartbeatTicks = 2
+		raft.ElectionTicks = max(3*raft.HeartbeatTicks, int(c.Election/(2*settings.Tick)))
+	}
+}
+
+// stop hands a leadership over and ends the member.
+func (m *member) stop() error {
+	return trace.NewAggregate(m.Stop(), m.transport.Close(), m.pool.Close())
+}
+
+func (m *member) kill() {
+	_ = m.Kill()
+	_ = m.transport.Close()
+	_ = m.pool.Close()
+}
+
+// makeControlClient returns the way of a process to control: its own member first, if it has one, and the
+// other members over links.
+func makeControlClient(own *member, pool *vwlink.Pool, members []string, self string) vwcontrol.Client {
+	var caller vwcontrol.Caller
+	others := slices.DeleteFunc(slices.Clone(members), func(address string) bool { return address == self })
+	if len(others) > 0 {
+		caller = vwcontrol.MakeLinkCaller(pool, others)
+	}
+	if own != nil {
+		caller = &preferred{own: own, others: caller}
+	}
+	return vwcontrol.MakeClient(vwcontrol.Retry(caller))
+}
+
+// preferred calls the process's own member, and others once that has ended, for example because its
+// disk failed.
+type preferred struct {
+	own    vwcontrol.Caller
+	others vwcontrol.Caller
+}
+
+// Call implements vwcontrol.Caller.
+func (p *preferred) Call(ctx context.Context, request vwmessage.Body) (vwmessage.Body, error) {
+	reply, err := p.own.Call(ctx, request)
+	if p.others == nil || !vwcontrol.IsStopped(err) {
+		return reply, err
+	}
+	return p.others.Call(ctx, request)
+}
--- /dev/null
+++ b/internal/process/vwprocess/operators.go
@@ -0,0 +1,41 @@
+package vwprocess
+
+import (
+	"context"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/gin-gonic/gin"
+)
+
+// makeOperators returns the part of the operators' interface that all roles have. It must not be
+// reachable for callers, since profiles show what a process holds in memory.
+func makeOperators(ready func(context.Context) error) *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
+	engine.GET("/readyz", func(c *gin.Context) {
+		if err := ready(c.Request.Context()); err != nil {
+			c.String(http.StatusServiceUnavailable, "not ready: %v\n", err)
+			return
+		}
+		c.String(http.StatusOK, "ready\n")
+	})
+	engine.GET("/debug/pprof/*Name", servePprof)
+	return engine
+}
+
+func servePprof(c *gin.Context) {
+	switch c.Param("Name") {
+	case "/profile":
+		pprof.Profile(c.Writer, c.Request)
+	case "/trace":
+		pprof.Trace(c.Writer, c.Request)
+	case "/cmdline":
+		pprof.Cmdline(c.Writer, c.Request)
+	case "/symbol":
+		pprof.Symbol(c.Writer, c.Request)
+	default:
+		pprof.Index(c.Writer, c.Request)
+	}
+}
