Add the commands of the roles and tools

The binary had no command that starts a process. entry, agent and control run by a settings file with a JSON-line log at its level, stop gracefully on the first signal within Timeouts.Stop and end at once on the second. keys, timeline, loadtest, standin and demo call their packages. A key that this version cannot change is refused by name instead of being ignored; ResultBytes defaults to 32 MiB, since all results must fit into the queue of a link. The key may be in the certificate's file, as 'vanillawind keys' writes it. An agent that cannot begin its work ends its process; before it stayed up without a link.

--- a/cmd/vanillawind/main.go
+++ b/cmd/vanillawind/main.go
@@ -17,10 +17,12 @@
 }
 
 // run executes one command line and returns the exit code. An interrupt or a request to terminate ends
-// the command's context.
+// the command's context; a second one ends the process at once.
 func run(args []string, stdout, stderr io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	// Without a handler the next signal takes its default effect.
+	context.AfterFunc(ctx, stop)
 	err := execute(ctx, args, stdout, stderr)
 	if err == nil {
 		return vwcommand.ExitFine
--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -11,9 +11,16 @@
 
 // commands are the constructors of all subcommands of the root command.
 var commands = []func() *cobra.Command{
+	makeAgent,
+	makeControl,
 	makeDemo,
+	makeEntry,
+	makeKeys,
+	makeLoadTest,
 	makeRules,
 	makeSettings,
+	makeStandIn,
+	makeTimeline,
 }
 
 const rootHelp = `vanillawind dispatches sub-second tasks where capacity is fixed and demand is bursty.
@@ -27,7 +34,7 @@
   0  fine
   1  failed, for example because a file or a server could not be reached
   2  wrong usage of the command line
-  3  input was refused; nothing has changed`
+  3  input was refused and nothing has changed, or a load test found a broken promise`
 
 // execute runs one command line. An error before the command itself runs is one of usage.
 func execute(ctx context.Context, args []string, stdout, stderr io.Writer) error {
--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -226,3 +226,20 @@
 	a.logger.Info("incarnation begins", "Incarnation", string(incarnation))
 	return nil
 }
+
+// Ready reports whether tasks can start now, and otherwise why not.
+func (a *Agent) Ready(context.Context) error {
+	reason := "the agent has no registration"
+	ran := a.do(func(now time.Time) {
+		if a.current != nil {
+			reason = a.current.gate(now)
+		}
+	})
+	switch {
+	case !ran:
+		return trace.ConnectionProblem(nil, "the agent has stopped")
+	case reason != "":
+		return trace.ConnectionProblem(nil, "%s", reason)
+	}
+	return nil
+}
--- a/internal/process/vwcommand/exit.go
+++ b/internal/process/vwcommand/exit.go
@@ -7,6 +7,7 @@
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vwloadtest"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 )
@@ -19,7 +20,8 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line was wrong.
 	ExitUsage = 2
-	// ExitRefused means that a file or request was read and refused. Nothing has changed.
+	// ExitRefused means that a file or request was read and refused, and nothing has changed, or that a
+	// load test found a promise or target that was not kept.
 	ExitRefused = 3
 )
 
@@ -47,7 +49,7 @@
 // IsErrRefused reports whether err says that input was refused.
 func IsErrRefused(err error) bool {
 	var refused ErrRefused
-	return errors.As(err, &refused) || vwrule.IsErrRules(err) || vwsettings.IsErrSettings(err)
+	return errors.As(err, &refused) || vwrule.IsErrRules(err) || vwsettings.IsErrSettings(err) || vwloadtest.IsErrBroken(err)
 }
 
 // ExitCode returns the exit code for the outcome of a command.
--- a/internal/process/vwcommand/exit_test.go
+++ b/internal/process/vwcommand/exit_test.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/process/vwloadtest"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 )
@@ -22,6 +23,7 @@
 		"usage":            {trace.Wrap(ErrUsage{Err: errors.New("unknown flag")}), ExitUsage},
 		"refused":          {trace.Wrap(ErrRefused{Message: "2 faults"}), ExitRefused},
 		"refused rules":    {trace.Wrap(vwrule.ErrRules{}), ExitRefused},
+		"broken promise":   {trace.Wrap(vwloadtest.ErrBroken{Checks: 1}), ExitRefused},
 		"refused settings": {trace.Wrap(vwsettings.ErrSettings{}), ExitRefused},
 	}
 	for name, c := range cases {
--- a/internal/process/vwdemo/demo.go
+++ b/internal/process/vwdemo/demo.go
@@ -189,10 +189,11 @@
 			Entries:    c.members,
 			Slots:      c.config.Slots,
 		},
-		LinkAddress:    loopback,
-		BackendAddress: loopback,
-		Keys:           keys,
-		Log:            c.config.Log,
+		LinkAddress:      loopback,
+		BackendAddress:   loopback,
+		OperatorsAddress: loopback,
+		Keys:             keys,
+		Log:              c.config.Log,
 	})
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -43,6 +43,9 @@
 	MaxPayload vwunit.Bytes
 	// MaxTasks bounds the tasks of one submission.
 	MaxTasks int
+	// QueueTasks and QueueBytes bound the queue on top of the rules; zero leaves it to them.
+	QueueTasks int
+	QueueBytes vwunit.Bytes
 	// AnswerBytes bounds the answers that are kept for resubmissions.
 	AnswerBytes vwunit.Bytes
 }
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -148,7 +148,10 @@
 	changed := e.holder.Version() != e.applied
 	e.applied, e.appliedFor = e.holder.Version(), len(e.entries)
 	e.rules = e.holder.Rules()
-	e.queue.SetPolicy(vwdispatch.MakePolicy(e.rules, e.mainService(), max(len(e.entries), 1)))
+	policy := vwdispatch.MakePolicy(e.rules, e.mainService(), max(len(e.entries), 1))
+	policy.QueueTasks = lower(policy.QueueTasks, e.settings.QueueTasks)
+	policy.QueueBytes = lower(policy.QueueBytes, int(e.settings.QueueBytes))
+	e.queue.SetPolicy(policy)
 	if !changed {
 		return
 	}
@@ -161,6 +164,14 @@
 	}
 }
 
+// lower returns the lower of two limits, of which zero is none.
+func lower(one, other int) int {
+	if one <= 0 || other <= 0 {
+		return max(one, other)
+	}
+	return min(one, other)
+}
+
 // mainService returns the service whose policy the queue follows. The queue keeps one policy for each
 // team, so with several services the first declared one decides.
 func (e *Entry) mainService() vwid.Service {
--- a/internal/process/vwkeys/file.go
+++ b/internal/process/vwkeys/file.go
@@ -75,8 +75,26 @@
 	return append(text, pem.EncodeToMemory(&pem.Block{Type: blockKey, Bytes: raw})...), nil
 }
 
-// readBundle refuses a file with a key that others than its owner may read.
+// readBundle reads the certificates of a file, and the key if there is one.
 func readBundle(path string) (bundle, error) {
+	content, err := readBlocks(path)
+	if err == nil && len(content.certificates) == 0 {
+		err = trace.BadParameter("%s holds no certificate", path)
+	}
+	return content, err
+}
+
+// readKey reads the key of a file.
+func readKey(path string) (*ecdsa.PrivateKey, error) {
+	content, err := readBlocks(path)
+	if err == nil && content.key == nil {
+		err = trace.BadParameter("%s holds no private key", path)
+	}
+	return content.key, err
+}
+
+// readBlocks refuses a file with a key that others than its owner may read.
+func readBlocks(path string) (bundle, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return bundle{}, trace.ConvertSystemError(err)
@@ -105,9 +123,6 @@
 			return bundle{}, trace.Wrap(err)
 		}
 	}
-	if len(content.certificates) == 0 {
-		return bundle{}, trace.BadParameter("no certificate found")
-	}
 	return content, nil
 }
 
--- a/internal/process/vwkeys/files.go
+++ b/internal/process/vwkeys/files.go
@@ -28,8 +28,14 @@
 
 // OpenPaths reads the certificate with its key from one file and the authorities from another.
 func OpenPaths(certificate, authorities string, log *slog.Logger) (*Files, error) {
+	return OpenSeparate(certificate, certificate, authorities, log)
+}
+
+// OpenSeparate reads the certificate, its key and the authorities. The key may be in the file of the
+// certificate; in another one, both must be replaced before the next handshake.
+func OpenSeparate(certificate, key, authorities string, log *slog.Logger) (*Files, error) {
 	files := &Files{
-		own:         watched{path: certificate, log: log, check: checkKeyPair},
+		own:         watched{path: certificate, keyPath: key, log: log, check: checkKeyPair},
 		authorities: watched{path: authorities, log: log, check: checkAuthorities},
 	}
 	for _, file := range []*watched{&files.own, &files.authorities} {
@@ -57,28 +63,50 @@
 
 // watched is one file, read again when its size or modification time changes.
 type watched struct {
-	path  string
-	log   *slog.Logger
-	check func(bundle) error
+	path string
+	// keyPath is where the key is; it is empty without a key, and may be path.
+	keyPath string
+	log     *slog.Logger
+	check   func(bundle) error
 
 	mu      sync.Mutex
+	stamp   [2]stamp
+	content *bundle
+}
+
+// stamp tells whether a file has changed.
+type stamp struct {
 	size    int64
 	changed time.Time
-	content *bundle
+}
+
+func (w *watched) stamps() ([2]stamp, error) {
+	var stamps [2]stamp
+	for i, path := range []string{w.path, w.keyPath} {
+		if path == "" {
+			continue
+		}
+		info, err := os.Stat(path)
+		if err != nil {
+			return stamps, trace.ConvertSystemError(err)
+		}
+		stamps[i] = stamp{size: info.Size(), changed: info.ModTime()}
+	}
+	return stamps, nil
 }
 
 func (w *watched) read() (bundle, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	info, err := os.Stat(w.path)
+	stamps, err := w.stamps()
 	if err != nil {
-		return w.keep(trace.ConvertSystemError(err))
+		return w.keep(err)
 	}
-	if w.content != nil && info.Size() == w.size && info.ModTime().Equal(w.changed) {
+	if w.content != nil && stamps == w.stamp {
 		return *w.content, nil
 	}
-	w.size, w.changed = info.Size(), info.ModTime()
-	content, err := readBundle(w.path)
+	w.stamp = stamps
+	content, err := w.load()
 	if err == nil {
 		err = w.check(content)
 	}
@@ -89,6 +117,15 @@
 	return content, nil
 }
 
+func (w *watched) load() (bundle, error) {
+	content, err := readBundle(w.path)
+	if err != nil || w.keyPath == "" || w.keyPath == w.path {
+		return content, err
+	}
+	content.key, err = readKey(w.keyPath)
+	return content, err
+}
+
 // keep returns the last good content, or err when there is none.
 func (w *watched) keep(err error) (bundle, error) {
 	if w.content == nil {
--- a/internal/process/vwloadtest/command.go
+++ b/internal/process/vwloadtest/command.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -106,6 +109,49 @@
 	return &result
 }
 
+// Command is the command loadtest.
+type Command struct {
+	// Scenario is the path of the scenario file.
+	Scenario string
+	Output   Output
+	Out      io.Writer
+	// Log receives the log as lines of JSON.
+	Log io.Writer
+}
+
+// Run runs the scenario and writes the reports. A target or promise that was not kept is an ErrBroken.
+func (c Command) Run(ctx context.Context) error {
+	scenario, err := LoadScenario(c.Scenario)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	report, err := Run(ctx, scenario, slog.New(slog.NewJSONHandler(c.Log, nil)))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := trace.NewAggregate(report.WriteText(c.Out), c.Output.Write(report)); err != nil {
+		return trace.Wrap(err)
+	}
+	if broken := report.Broken(); len(broken) > 0 {
+		return trace.Wrap(ErrBroken{Checks: len(broken)})
+	}
+	return nil
+}
+
+// ErrBroken is returned when a run did not keep a promise or a target. The report says which.
+type ErrBroken struct{ Checks int }
+
+// Error implements error.
+func (e ErrBroken) Error() string {
+	return fmt.Sprintf("%d checks were not kept", e.Checks)
+}
+
+// IsErrBroken reports whether err says that a run did not keep a promise or a target.
+func IsErrBroken(err error) bool {
+	var broken ErrBroken
+	return errors.As(err, &broken)
+}
+
 // Output says where the command loadtest writes its report. Empty paths are left out.
 type Output struct {
 	JSON string
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -23,8 +23,10 @@
 	LinkAddress string
 	// BackendAddress is where the backend server announces itself.
 	BackendAddress string
-	Keys           vwkeys.Source
-	Log            *slog.Logger
+	// OperatorsAddress serves health, metrics and profiles.
+	OperatorsAddress string
+	Keys             vwkeys.Source
+	Log              *slog.Logger
 }
 
 // Agent is a running agent process.
@@ -32,21 +34,25 @@
 	app      *fx.App
 	agent    *vwagent.Agent
 	listener net.Listener
-	group    *vwgroup.Group
+	// operators is set unless the start has failed.
+	operators *webServer
+	group     *vwgroup.Group
+	failed    chan error
 }
 
 // StartAgent starts an agent process.
 func StartAgent(ctx context.Context, config AgentConfig) (*Agent, error) {
-	process := &Agent{group: vwgroup.Make(context.Background())}
+	process := &Agent{group: vwgroup.Make(context.Background()), failed: make(chan error, 1)}
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(config, process.group),
-		fx.Provide(provideBackend, provideAgent, provideAnnouncements),
+		fx.Supply(config, process),
+		fx.Provide(provideBackend, provideAgent, provideAnnouncements, provideAgentServer),
 		fx.Populate(&process.agent, &process.listener),
 		fx.Invoke(runAgent),
 	)
 	if err := process.app.Start(ctx); err != nil {
+		process.Kill()
 		return nil, trace.Wrap(err)
 	}
 	return process, nil
@@ -62,6 +68,16 @@
 	return p.listener.Addr().String()
 }
 
+// OperatorsAddress returns the bound address for operators.
+func (p *Agent) OperatorsAddress() string {
+	return p.operators.address()
+}
+
+// Failed implements process. It yields why the agent could not begin its work.
+func (p *Agent) Failed() <-chan error {
+	return p.failed
+}
+
 // Stop is the graceful shutdown.
 func (p *Agent) Stop(ctx context.Context) error {
 	return trace.Wrap(p.app.Stop(ctx))
@@ -69,6 +85,12 @@
 
 // Kill stops at once, as a crash would.
 func (p *Agent) Kill() {
+	if p.operators != nil {
+		p.operators.kill()
+	}
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 	_ = p.group.Stop()
 }
 
@@ -97,19 +119,27 @@
 	return listen(config.BackendAddress)
 }
 
-func runAgent(lifecycle fx.Lifecycle, agent *vwagent.Agent, listener net.Listener, group *vwgroup.Group, config AgentConfig) {
+func provideAgentServer(config AgentConfig, process *Agent, agent *vwagent.Agent) (*webServer, error) {
+	server, err := listenWeb(config.OperatorsAddress, makeOperators(agent.Ready))
+	process.operators = server
+	return server, err
+}
+
+func runAgent(lifecycle fx.Lifecycle, agent *vwagent.Agent, listener net.Listener, operators *webServer, process *Agent) {
+	group := process.group
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			group.Run(func(ctx context.Context) {
 				if err := agent.Run(ctx); err != nil {
-					config.Log.Error("agent ended", "error", err)
+					process.failed <- err
 				}
 			})
 			group.Run(func(ctx context.Context) { _ = vwagent.Serve(ctx, listener, agent) })
+			operators.start()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			return trace.NewAggregate(agent.Stop(ctx), group.Stop())
+			return trace.NewAggregate(agent.Stop(ctx), operators.stop(ctx), group.Stop())
 		},
 	})
 }
--- /dev/null
+++ b/internal/process/vwprocess/command.go
@@ -0,0 +1,114 @@
+package vwprocess
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwsettings"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+)
+
+// startTimeout bounds the opening of files and addresses at the start.
+const startTimeout = 30 * time.Second
+
+// Command is the command of one role. It runs a process by its settings file.
+type Command struct {
+	Role vwstate.Role
+	// Settings is the path of the settings file.
+	Settings string
+	// Log receives the log as lines of JSON.
+	Log io.Writer
+}
+
+// process is a running process of any role.
+type process interface {
+	Stop(ctx context.Context) error
+	Kill()
+	// Failed yields the failure that has ended the process's work, if one does.
+	Failed() <-chan error
+}
+
+// Run runs the process until ctx ends, and then shuts it down gracefully within Timeouts.Stop.
+func (c Command) Run(ctx context.Context) error {
+	settings, err := vwsettings.Load(c.Settings)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if settings.Role != c.Role {
+		return trace.Wrap(roleFault(c, settings.Role))
+	}
+	log := makeLogger(c.Log, settings)
+	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	running, err := start(starting, settings, log)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	log.Info("process started")
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-running.Failed():
+		log.Error("process failed", "error", err)
+	}
+	return trace.NewAggregate(err, shutDown(ctx, running, time.Duration(settings.Timeouts.Stop), log))
+}
+
+func roleFault(c Command, role vwstate.Role) error {
+	return vwsettings.ErrSettings{Faults: []vwsettings.Fault{{
+		File: c.Settings, Line: 1, Key: "Role",
+		Message:    "the settings are of the role " + string(role) + ", not " + string(c.Role),
+		Suggestion: "use the command " + strings.ToLower(string(role)),
+	}}}
+}
+
+// shutDown stops the process and cuts what still runs after the bound.
+func shutDown(ctx context.Context, running process, bound time.Duration, log *slog.Logger) error {
+	log.Info("process stops", "bound", bound.String())
+	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
+	defer cancel()
+	err := running.Stop(stopping)
+	running.Kill()
+	if err != nil {
+		return trace.Wrap(err, "the process did not stop gracefully")
+	}
+	log.Info("process stopped")
+	return nil
+}
+
+func start(ctx context.Context, settings vwsettings.Settings, log *slog.Logger) (process, error) {
+	keys, err := vwkeys.OpenSeparate(settings.Keys.Certificate, settings.Keys.Key, settings.Keys.Authority, log)
+	if err != nil {
+		return nil, trace.Wrap(err, "Keys")
+	}
+	switch settings.Role {
+	case vwstate.RoleEntry:
+		return startEntryBySettings(ctx, settings, keys, log)
+	case vwstate.RoleAgent:
+		return StartAgent(ctx, agentConfig(settings, keys, log))
+	default:
+		return startControlBySettings(ctx, settings, keys, log)
+	}
+}
+
+func makeLogger(out io.Writer, settings vwsettings.Settings) *slog.Logger {
+	var level slog.Level
+	// Check has accepted the level, and slog knows all that it accepts.
+	_ = level.UnmarshalText([]byte(settings.Log.Level))
+	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: shortenError})
+	return slog.New(handler).With("role", string(settings.Role), "process", string(settings.Process))
+}
+
+// shortenError writes errors as their message. A traced error would become an object with its stack.
+func shortenError(_ []string, attribute slog.Attr) slog.Attr {
+	if err, ok := attribute.Value.Any().(error); ok {
+		attribute.Value = slog.StringValue(trace.UserMessage(err))
+	}
+	return attribute
+}
--- /dev/null
+++ b/internal/process/vwprocess/command_test.go
@@ -0,0 +1,82 @@
+package vwprocess_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwprocess"
+	"vanillawind.example/vanillawind/internal/process/vwsettings"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+)
+
+// writeSettings writes an example of examples/settings with keys beside it.
+func writeSettings(t *testing.T, name string, replace ...string) string {
+	folder := t.TempDir()
+	text, err := os.ReadFile("../../../examples/settings/" + name + ".toml")
+	require.NoError(t, err)
+	path := filepath.Join(folder, name+".toml")
+	require.NoError(t, os.WriteFile(path, []byte(strings.NewReplacer(replace...).Replace(string(text))), 0o600))
+	command := vwkeys.Command{Folder: vwkeys.Folder(filepath.Join(folder, "keys")), Out: new(bytes.Buffer)}
+	require.NoError(t, command.MakeAuthority("example"))
+	require.NoError(t, command.Issue("entry-1", "agent-1", "control-1"))
+	return path
+}
+
+// Settings that cannot work must be refused at the start with the name of the key, before any address
+// is bound.
+func TestSettingsAreRefused(t *testing.T) {
+	cases := map[string]struct {
+		role    vwstate.Role
+		path    string
+		refused bool
+		want    string
+	}{
+		"other role":      {vwstate.RoleAgent, writeSettings(t, "entry"), true, "Role"},
+		"unknown key":     {vwstate.RoleEntry, writeSettings(t, "entry", "Rack =", "Rak ="), true, "Rak"},
+		"unsupported":     {vwstate.RoleAgent, writeSettings(t, "agent", `Lease = "2s"`, `Lease = "1s"`), true, "Timeouts.Lease"},
+		"no file of keys": {vwstate.RoleAgent, writeSettings(t, "agent", "keys/agent-1.pem", "keys/agent-9.pem"), false, "Keys"},
+		"other cluster":   {vwstate.RoleAgent, writeSettings(t, "agent", `"example"`, `"other"`), false, "cluster"},
+		"foreign address": {vwstate.RoleControl, writeSettings(t, "control", "10.1.0.11", "192.0.2.1", "127.0.0.1:7301", "127.0.0.1:0"), false, "192.0.2.1"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			err := vwprocess.Command{Role: c.role, Settings: c.path, Log: new(bytes.Buffer)}.Run(context.Background())
+			require.ErrorContains(t, err, c.want)
+			require.Equal(t, c.refused, vwsettings.IsErrSettings(err), "%v", err)
+		})
+	}
+}
+
+// startedWriter calls cancel once the log tells that the process has started.
+type startedWriter struct {
+	bytes.Buffer
+	cancel context.CancelFunc
+}
+
+func (w *startedWriter) Write(line []byte) (int, error) {
+	if bytes.Contains(line, []byte("process started")) {
+		w.cancel()
+	}
+	return w.Buffer.Write(line)
+}
+
+// The command must end gracefully by its context and log lines of JSON.
+func TestCommandRuns(t *testing.T) {
+	path := writeSettings(t, "agent", "127.0.0.1:7301", loopback, "127.0.0.1:7303", loopback)
+	ctx, cancel := context.WithCancel(context.Background())
+	log := &startedWriter{cancel: cancel}
+	require.NoError(t, vwprocess.Command{Role: vwstate.RoleAgent, Settings: path, Log: log}.Run(ctx))
+	lines := strings.Split(strings.TrimSpace(log.String()), "\n")
+	for _, line := range lines {
+		require.True(t, json.Valid([]byte(line)), line)
+	}
+	require.Contains(t, lines[len(lines)-1], `"msg":"process stopped"`)
+}
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -42,11 +42,12 @@
 	group     *vwgroup.Group
 	operators *webServer
 	member    *member
+	failed    chan error
 }
 
 // StartControl starts a control process.
 func StartControl(ctx context.Context, config ControlConfig) (*Control, error) {
-	process := &Control{router: &router{}, group: vwgroup.Make(context.Background())}
+	process := &Control{failed: make(chan error, 1), router: &router{}, group: vwgroup.Make(context.Background())}
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
@@ -76,6 +77,11 @@
 	return p.member.Member
 }
 
+// Failed implements process. It yields the failure of the disk that ended the member.
+func (p *Control) Failed() <-chan error {
+	return p.failed
+}
+
 // Stop is the graceful shutdown: a leader hands its leadership over first.
 func (p *Control) Stop(ctx context.Context) error {
 	return trace.Wrap(p.app.Stop(ctx))
@@ -110,6 +116,12 @@
 	return nil
 }
 
+func (p *Control) watch(context.Context) {
+	if err := p.member.Wait(); err != nil {
+		p.failed <- err
+	}
+}
+
 func runControl(lifecycle fx.Lifecycle, config ControlConfig, process *Control, operators *webServer) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -124,6 +136,7 @@
 			if err != nil {
 				return trace.Wrap(err)
 			}
+			process.group.Run(process.watch)
 			operators.start()
 			return nil
 		},
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -28,7 +28,9 @@
 	LinkSocket       *net.UDPConn
 	CallersAddress   string
 	OperatorsAddress string
-	Keys             vwkeys.Source
+	// CallerConnections bounds the open connections of callers; zero means no limit.
+	CallerConnections int
+	Keys              vwkeys.Source
 	// ControlMembers are the link addresses of all control members. They may be empty only for an entry
 	// that is the single member itself.
 	ControlMembers []string
@@ -111,6 +113,11 @@
 	return p.operators.address()
 }
 
+// Failed implements process. An entry goes on without its own control member.
+func (p *Entry) Failed() <-chan error {
+	return nil
+}
+
 // Stop is the graceful shutdown.
 func (p *Entry) Stop(ctx context.Context) error {
 	return trace.Wrap(p.app.Stop(ctx))
@@ -159,6 +166,7 @@
 	if process.callers, err = listenWeb(config.CallersAddress, &i.callers); err != nil {
 		return entryServers{}, err
 	}
+	process.callers.limit(config.CallerConnections)
 	if process.operators, err = listenWeb(config.OperatorsAddress, &i.operators); err != nil {
 		return entryServers{}, err
 	}
--- /dev/null
+++ b/internal/process/vwprocess/settings.go
@@ -0,0 +1,95 @@
+package vwprocess
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/process/vwagent"
+	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwsettings"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
+)
+
+// agentLinks is where an agent dials from. Nobody dials an agent.
+const agentLinks = "0.0.0.0:0"
+
+func startEntryBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger) (process, error) {
+	config := EntryConfig{
+		Cluster:           s.Cluster,
+		Settings:          entrySettings(s),
+		LinkAddress:       s.Addresses.Link,
+		CallersAddress:    s.Addresses.Callers,
+		OperatorsAddress:  s.Addresses.Operators,
+		CallerConnections: s.Limits.CallerConnections,
+		Keys:              keys,
+		ControlMembers:    s.ControlMembers,
+		Log:               log,
+	}
+	if s.IsControlMember() {
+		member, err := memberConfig(s)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		config.Member = &member
+	}
+	return StartEntry(ctx, config)
+}
+
+func entrySettings(s vwsettings.Settings) vwentry.Settings {
+	settings := vwentry.DefaultSettings()
+	settings.Process, settings.DataCentre, settings.Rack = s.Process, s.DataCentre, s.Rack
+	settings.MaxTasks, settings.MaxBody = s.Limits.TasksPerJob, s.Limits.JobBytes
+	settings.QueueTasks, settings.QueueBytes = s.Limits.QueueLength, s.Limits.QueueBytes
+	return settings
+}
+
+func memberConfig(s vwsettings.Settings) (MemberConfig, error) {
+	files, err := vwstore.OpenDirectory(s.DataDirectory)
+	if err != nil {
+		return MemberConfig{}, trace.Wrap(err, "DataDirectory")
+	}
+	return MemberConfig{Files: files, Heartbeat: time.Duration(s.Timeouts.Heartbeat), Election: time.Duration(s.Timeouts.Election)}, nil
+}
+
+func startControlBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger) (process, error) {
+	member, err := memberConfig(s)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return StartControl(ctx, ControlConfig{
+		Cluster:          s.Cluster,
+		Process:          s.Process,
+		DataCentre:       s.DataCentre,
+		Rack:             s.Rack,
+		LinkAddress:      s.Addresses.Link,
+		ControlMembers:   s.ControlMembers,
+		Member:           member,
+		OperatorsAddress: s.Addresses.Operators,
+		Keys:             keys,
+		Log:              log,
+	})
+}
+
+func agentConfig(s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger) AgentConfig {
+	return AgentConfig{
+		Settings: vwagent.Settings{
+			Cluster:     s.Cluster,
+			Process:     s.Process,
+			DataCentre:  s.DataCentre,
+			Rack:        s.Rack,
+			Entries:     s.EntryAddresses,
+			MaxEntries:  s.Limits.EntryLinks,
+			Slots:       s.Limits.Slots,
+			ResultBytes: int(s.Limits.ResultBytes),
+		},
+		LinkAddress:      agentLinks,
+		BackendAddress:   s.Addresses.Announce,
+		OperatorsAddress: s.Addresses.Operators,
+		Keys:             keys,
+		Log:              log,
+	}
+}
--- a/internal/process/vwprocess/web.go
+++ b/internal/process/vwprocess/web.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"golang.org/x/net/netutil"
 
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
@@ -38,6 +39,13 @@
 	}, nil
 }
 
+// limit bounds the open connections; further ones wait. Zero means no limit.
+func (s *webServer) limit(connections int) {
+	if connections > 0 {
+		s.listener = netutil.LimitListener(s.listener, connections)
+	}
+}
+
 func (s *webServer) address() string {
 	return s.listener.Addr().String()
 }
--- a/internal/process/vwsettings/check.go
+++ b/internal/process/vwsettings/check.go
@@ -53,6 +53,7 @@
 	c.checkMembers()
 	c.checkLimits()
 	c.checkTimeouts()
+	c.checkFixed()
 	if !slices.Contains(levels, c.settings.Log.Level) {
 		c.report("Log.Level", fmt.Sprintf("%q is not a log level", c.settings.Log.Level), "write Debug, Info, Warn or Error")
 	}
@@ -73,6 +74,18 @@
 	}
 }
 
+// checkFixed reports keys that this version cannot change, unless they have another fault already.
+func (c *checker) checkFixed() {
+	defaults := Defaults(c.settings.Role)
+	known := keysOf(&defaults)
+	for i, k := range keysOf(c.settings) {
+		reported := slices.ContainsFunc(c.faults, func(f Fault) bool { return f.Key == k.path })
+		if k.fixed && !reported && !k.value.Equal(known[i].value) {
+			c.report(k.path, fmt.Sprintf("\"%v\" is not supported by this version", k.value.Interface()), fmt.Sprintf("write \"%v\" or delete the line", known[i].value.Interface()))
+		}
+	}
+}
+
 // checkNames reports names that the rules file could not contain, such as a data centre that could never
 // be taken out.
 func (c *checker) checkNames() {
--- a/internal/process/vwsettings/file_test.go
+++ b/internal/process/vwsettings/file_test.go
@@ -88,12 +88,12 @@
 // A process must find its files whatever directory it is started in.
 func TestLoadResolvesPaths(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "control.toml")
-	text := strings.Replace(readExample(t, vwstate.RoleControl), `"keys/authority.crt"`, `"/keys/authority.crt"`, 1)
+	text := strings.Replace(readExample(t, vwstate.RoleControl), `"keys/authority.pem"`, `"/keys/authority.pem"`, 1)
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := Load(path)
 	require.NoError(t, err)
 	require.Equal(t, filepath.Join(filepath.Dir(path), "data"), s.DataDirectory)
-	require.Equal(t, "/keys/authority.crt", s.Keys.Authority)
+	require.Equal(t, "/keys/authority.pem", s.Keys.Authority)
 	require.Empty(t, s.Log.EventFile)
 	require.True(t, s.IsControlMember())
 	_, err = Load(path + ".missing")
--- a/internal/process/vwsettings/key.go
+++ b/internal/process/vwsettings/key.go
@@ -15,6 +15,8 @@
 	value    reflect.Value
 	roles    []string
 	required []string
+	// fixed keys may only have the default.
+	fixed bool
 }
 
 // keysOf returns all keys with their values in s, in the order of the file.
@@ -34,6 +36,7 @@
 			value:    table.Field(i),
 			roles:    strings.Fields(field.Tag.Get("roles")),
 			required: strings.Fields(field.Tag.Get("required")),
+			fixed:    field.Tag.Get("fixed") != "",
 		})
 	}
 	return keys
--- a/internal/process/vwsettings/settings.go
+++ b/internal/process/vwsettings/settings.go
@@ -11,7 +11,8 @@
 )
 
 // Settings are the settings of one process. The tag roles lists the roles that have a key, and the tag
-// required the roles that must set it.
+// required the roles that must set it. Keys with the tag fixed have one value in this version, which is
+// listed so that operators see it.
 type Settings struct {
 	Role       vwstate.Role    `roles:"Entry Agent Control" required:"Entry Agent Control"`
 	Cluster    vwid.Cluster    `roles:"Entry Agent Control" required:"Entry Agent Control"`
@@ -63,10 +64,11 @@
 	// Slots bounds the tasks that run at the same time, whatever the backend server announces.
 	Slots int `roles:"Agent"`
 	// BackendConnections bounds the connections to the backend server.
-	BackendConnections int `roles:"Agent"`
+	BackendConnections int `roles:"Agent" fixed:"true"`
 	// EntryLinks bounds the entries that an agent keeps links with.
 	EntryLinks int `roles:"Agent"`
-	// ResultBytes bounds the results that an agent keeps until they are acknowledged.
+	// ResultBytes bounds the results that an agent keeps until they are acknowledged. A fence may ask for
+	// all of them, so they must fit into what a link queues.
 	ResultBytes vwunit.Bytes `roles:"Agent"`
 }
 
@@ -74,17 +76,17 @@
 // in the whole cluster.
 type Timeouts struct {
 	// Lease is how long a configuration lease lasts, and Renewal how often it is renewed.
-	Lease   vwunit.Duration `roles:"Entry Agent Control"`
-	Renewal vwunit.Duration `roles:"Entry Agent Control"`
+	Lease   vwunit.Duration `roles:"Entry Agent Control" fixed:"true"`
+	Renewal vwunit.Duration `roles:"Entry Agent Control" fixed:"true"`
 	// Registration is how long a process stays registered without a renewal.
-	Registration vwunit.Duration `roles:"Entry Agent Control"`
+	Registration vwunit.Duration `roles:"Entry Agent Control" fixed:"true"`
 	// Idle closes a link without messages, and Ping is how often a quiet link is used.
-	Idle vwunit.Duration `roles:"Entry Agent Control"`
-	Ping vwunit.Duration `roles:"Entry Agent Control"`
+	Idle vwunit.Duration `roles:"Entry Agent Control" fixed:"true"`
+	Ping vwunit.Duration `roles:"Entry Agent Control" fixed:"true"`
 	// Dial bounds the making of a link or connection.
-	Dial vwunit.Duration `roles:"Entry Agent Control"`
+	Dial vwunit.Duration `roles:"Entry Agent Control" fixed:"true"`
 	// Announcement is how long a backend server counts as present after its last announcement.
-	Announcement vwunit.Duration `roles:"Agent"`
+	Announcement vwunit.Duration `roles:"Agent" fixed:"true"`
 	// Heartbeat and Election are of the control log: a member that hears no leader for Election votes.
 	Heartbeat vwunit.Duration `roles:"Entry Control"`
 	Election  vwunit.Duration `roles:"Entry Control"`
@@ -130,7 +132,7 @@
 		Slots:              8,
 		BackendConnections: 64,
 		EntryLinks:         8,
-		ResultBytes:        256 * vwunit.MiB,
+		ResultBytes:        32 * vwunit.MiB,
 	}
 }
 
