Serve metrics and record events in all roles

Nothing recorded events, and /metrics existed only in the package. Entry, agent and control take an optional event log and record acceptance, takeover, fences, task starts and results, leases, versions, links, leaders, leaving workers and data centres that go out or come back. Every role serves /metrics, /healthz, /readyz and profiles on its operators' address; TestCallersAddressServesCallersOnly checks that the callers' address has none of them.

--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -52,6 +52,7 @@
 	// MakeLease returns an empty lease. It is called again for each new incarnation.
 	MakeLease func() Lease
 	Logger    *slog.Logger
+	Observer  Observer
 }
 
 // Agent is the agent process.
@@ -60,6 +61,7 @@
 	options  Options
 	logger   *slog.Logger
 	counters Counters
+	gauges   Gauges
 	group    *vwgroup.Group
 	events   chan event
 	done     chan struct{}
@@ -196,6 +198,7 @@
 		r.records.Expire(now)
 	}
 	r.refreshTargets()
+	a.publish(now)
 }
 
 // settle acts on what the events have changed.
--- a/internal/process/vwagent/backendserver.go
+++ b/internal/process/vwagent/backendserver.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -36,6 +37,7 @@
 	if !returned && previous.sameOffer(&next) {
 		return
 	}
+	a.record(vwevent.Event{Kind: vwevent.WorkerAnnounced, Service: next.service, Count: int64(next.slots)})
 	a.logger.Info("backend server is announced", "Service", string(next.service), "Address", string(next.address), "Slots", next.slots)
 	if a.current == nil {
 		return
@@ -51,6 +53,7 @@
 		return
 	}
 	a.backend.leaving = true
+	a.record(vwevent.Event{Kind: vwevent.WorkerLeaving})
 	a.logger.Info("backend server leaves")
 	a.sayLeaving()
 }
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -5,6 +5,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwstart"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -28,6 +29,10 @@
 	// weighed is the configuration version of which the granter has the shares of the teams.
 	weighed vwid.ConfigVersion
 
+	// leased and heldVersion are what was recorded last of the lease.
+	leased      bool
+	heldVersion vwid.ConfigVersion
+
 	targets map[string]*target
 	// named are the entries that lease replies name, and namedAt is when one last named any.
 	named   map[string]namedEntry
@@ -166,6 +171,7 @@
 	l.target.link = l
 	r.links[l.entry] = l
 	r.reached[l.target.address] = l.entry
+	r.agent.record(vwevent.Event{Kind: vwevent.ConnectionOpened, Peer: l.session.Peer().Process})
 	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
 	l.setOffer()
 	return true
@@ -199,6 +205,7 @@
 		return
 	}
 	l.retired = true
+	r.agent.record(vwevent.Event{Kind: vwevent.ConnectionClosed, Peer: l.session.Peer().Process})
 	if l.target.link == l {
 		l.target.link = nil
 	}
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -191,6 +191,7 @@
 	for _, entry := range reply.Entries {
 		r.named[entry.Address] = namedEntry{entry: entry, at: now}
 	}
+	r.recordLease(now)
 	r.dirty = true
 	r.refreshTargets()
 }
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -8,6 +8,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwbackend"
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwstart"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
@@ -90,6 +91,7 @@
 	ctx, cancel := context.WithCancel(r.workGroup.Context())
 	running := &runningTask{entry: w.link.entry, epoch: w.epoch, begun: now, cancel: cancel}
 	r.running[w.key] = running
+	r.recordTask(vwevent.TaskStarted, w.key, w.epoch, w.link.entry)
 	r.agent.counters.Started.Add(1)
 	task := r.makeTask(w)
 	r.workGroup.Run(func(context.Context) {
@@ -145,6 +147,10 @@
 		a.onUnreachable(f)
 	}
 	f.result.Epoch = f.running.epoch
+	r.recordTask(vwevent.TaskEnded, key, f.result.Epoch, f.running.entry)
+	if a.options.Observer.Ran != nil {
+		a.options.Observer.Ran(now.Sub(f.running.begun))
+	}
 	if !r.records.Finish(now, &f.result) {
 		a.counters.Late.Add(1)
 		return
@@ -211,6 +217,7 @@
 		answer(reply, nil)
 		return
 	}
+	r.agent.record(vwevent.Event{Kind: vwevent.Fenced, SubmissionID: fence.SubmissionID, Epoch: fence.Epoch, Peer: l.session.Peer().Process})
 	// The reply says that what it does not list will never run.
 	r.dropWaiting(func(w *waitingTask) bool {
 		return w.key.submission == fence.SubmissionID && w.epoch <= fence.Epoch
--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
@@ -28,6 +29,7 @@
 	applied   vwraft.Index
 	leading   bool
 	term      vwraft.Term
+	leader    vwraft.Voter
 	config    vwid.ConfigVersion
 	watchers  []func(vwid.ConfigVersion)
 	proposals proposals
@@ -182,6 +184,7 @@
 		return
 	}
 	c.config = version
+	c.settings.Events.Record(vwevent.Event{Kind: vwevent.ConfigApplied, Version: version})
 	for _, notify := range c.watchers {
 		notify(version)
 	}
@@ -190,6 +193,7 @@
 // observeLeadership reacts to the gain and the loss of the leadership.
 func (c *core) observeLeadership() {
 	status := c.node.Status()
+	c.recordLeader(status)
 	if c.leading == c.node.IsLeader() && c.term == status.Term {
 		c.forwards.follow(status.Leader)
 		return
@@ -203,6 +207,19 @@
 	c.leases.restart(c.now)
 }
 
+// recordLeader records which member leads, as this one knows it.
+func (c *core) recordLeader(status vwraft.Status) {
+	if c.leader == status.Leader {
+		return
+	}
+	c.leader = status.Leader
+	kind := vwevent.LeaderElected
+	if status.Leader.Member == "" {
+		kind = vwevent.LeaderLost
+	}
+	c.settings.Events.Record(vwevent.Event{Kind: kind, Term: uint64(status.Term), Subject: status.Leader.Address})
+}
+
 func (c *core) expireWaiting() {
 	c.proposals.expire(c.now)
 	c.reads.expire(c.now)
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -47,6 +48,8 @@
 	// Tune changes the settings of the log; it may be nil.
 	Tune   func(*vwraft.Settings)
 	Logger *slog.Logger
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
 }
 
 // DefaultSettings returns settings with all bounds set, for a member at address.
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -16,6 +16,10 @@
 	Stray atomic.Int64
 	// Demands are demand messages.
 	Demands atomic.Int64
+	// Recalls are credits that agents asked back; each costs that message and the return.
+	Recalls atomic.Int64
+	// UnusedDemands are demand messages that no credit followed before the next one to the same agent.
+	UnusedDemands atomic.Int64
 	// Complete and Failed are ended jobs.
 	Complete atomic.Int64
 	Failed   atomic.Int64
@@ -27,7 +31,7 @@
 
 // Counters returns the entry's counters.
 func (e *Entry) Counters() *Counters {
-	return &e.counters
+	return e.counters
 }
 
 func (c *Counters) countEnd(failure *vwjob.Failure) {
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -77,7 +77,9 @@
 	log         *slog.Logger
 	group       *vwgroup.Group
 	mailbox     chan func()
-	counters    Counters
+	counters    *Counters
+	gauges      *Gauges
+	observer    Observer
 	lost        chan struct{}
 	// announced asks for a renewal at once.
 	announced chan struct{}
@@ -101,8 +103,10 @@
 	active     int
 	settling   int
 	registered bool
-	stopping   bool
-	idle       []chan struct{}
+	// leased is whether the lease was fresh when that was recorded last.
+	leased   bool
+	stopping bool
+	idle     []chan struct{}
 }
 
 // Make returns an entry that is not running. The dialer reaches other entries.
@@ -112,6 +116,8 @@
 		incarnation: incarnation,
 		control:     control,
 		log:         log,
+		counters:    &Counters{},
+		gauges:      &Gauges{},
 		mailbox:     make(chan func(), mailboxSize),
 		holder:      vwlease.Make(leaseDuration, renewInterval),
 		rules:       vwrule.Empty(),
@@ -246,6 +252,8 @@
 		}
 	}
 	e.forgetAnswers(now)
+	e.recordLease(now)
+	e.publish(now)
 }
 
 // post hands an event to the loop. It reports false after the entry stopped.
--- /dev/null
+++ b/internal/process/vwentry/event.go
@@ -0,0 +1,106 @@
+package vwentry
+
+import (
+	"slices"
+	"time"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
+	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// Observer receives what an entry measures. Functions may be nil, and must not wait.
+type Observer struct {
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
+	// Counters and Gauges replace the entry's own, so that they can outlast it.
+	Counters *Counters
+	Gauges   *Gauges
+	// Accepted is told how long control took to accept a submission.
+	Accepted func(time.Duration)
+	// Answered is told the time from the receipt of a submission to the end of its job.
+	Answered func(time.Duration)
+}
+
+// Observe sets the observer. It precedes Start.
+func (e *Entry) Observe(observer Observer) {
+	e.observer = observer
+	if observer.Counters != nil {
+		e.counters = observer.Counters
+	}
+	if observer.Gauges != nil {
+		e.gauges = observer.Gauges
+	}
+}
+
+func (e *Entry) record(event vwevent.Event) {
+	e.observer.Events.Record(event)
+}
+
+func (e *Entry) recordJob(kind vwevent.Kind, j *job) {
+	e.record(vwevent.Event{
+		Kind: kind, SubmissionID: j.SubmissionID, Epoch: j.Epoch(), Service: j.Service, Team: j.Team, Count: int64(len(j.Tasks)),
+	})
+}
+
+func (e *Entry) recordFence(kind vwevent.Kind, w *worker, j *job) {
+	e.record(vwevent.Event{Kind: kind, SubmissionID: j.SubmissionID, Epoch: j.Epoch(), Peer: w.Process})
+}
+
+func (e *Entry) recordSent(batch batch) {
+	if !e.observer.Events.Enabled() {
+		return
+	}
+	for i := range batch.start.Tasks {
+		e.record(vwevent.Event{
+			Kind: vwevent.TaskSent, SubmissionID: batch.start.SubmissionID, TaskID: batch.start.Tasks[i].TaskID,
+			Epoch: batch.start.Epoch, Peer: batch.worker.Process,
+		})
+	}
+}
+
+func (e *Entry) recordResult(w *worker, result *vwmessage.Result) {
+	if !e.observer.Events.Enabled() {
+		return
+	}
+	e.record(vwevent.Event{
+		Kind: vwevent.ResultReceived, SubmissionID: result.SubmissionID, TaskID: result.TaskID, Epoch: result.Epoch,
+		Peer: w.Process, Verdict: result.Verdict.String(),
+	})
+}
+
+// recordLease records the gain and the loss of the lease.
+func (e *Entry) recordLease(now time.Time) {
+	fresh := e.holder.Fresh(now)
+	if fresh == e.leased {
+		return
+	}
+	e.leased = fresh
+	kind := vwevent.LeaseLost
+	if fresh {
+		kind = vwevent.LeaseGained
+	}
+	e.record(vwevent.Event{Kind: kind, Version: e.holder.Version()})
+}
+
+// recordConfig records a new version and the data centres that it takes out or brings back.
+func (e *Entry) recordConfig(before, after *vwrule.Rules) {
+	e.record(vwevent.Event{Kind: vwevent.ConfigApplied, Version: e.applied})
+	e.recordDataCentres(vwevent.DataCentreOut, after.Out(), before.Out())
+	e.recordDataCentres(vwevent.DataCentreIn, before.Out(), after.Out())
+}
+
+func (e *Entry) recordDataCentres(kind vwevent.Kind, these, without []vwid.DataCentre) {
+	for _, dataCentre := range these {
+		if !slices.Contains(without, dataCentre) {
+			e.record(vwevent.Event{Kind: kind, Subject: string(dataCentre), Version: e.applied})
+		}
+	}
+}
+
+func observe(function func(time.Duration), duration time.Duration) {
+	if function != nil {
+		function(duration)
+	}
+}
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -12,6 +12,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -101,6 +102,7 @@
 		e.log.Warn("answer not written", "submission", string(id), "error", err)
 		panic(http.ErrAbortHandler)
 	}
+	e.recordJob(vwevent.AnswerSent, found.job)
 }
 
 // waitFor reports whether j has ended, after waiting as long as ctx allows.
@@ -154,6 +156,7 @@
 		return
 	}
 	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: j.SubmissionID, Result: resultJSON(j.Result(0))})
+	e.recordJob(vwevent.AnswerSent, j)
 }
 
 // writeRemoteRequestReply turns the owner's answer for a job of one task into that for a request.
@@ -277,6 +280,7 @@
 	if j == nil {
 		return false
 	}
+	e.recordJob(vwevent.Cancelled, j)
 	e.failJob(j, codeCancelled, "the job was cancelled")
 	return true
 }
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -28,6 +28,7 @@
 	accepted bool
 	// acceptance is the call that control accepted; empty after a takeover.
 	acceptance vwid.Acceptance
+	begun      time.Time
 	done       chan struct{}
 	expiry     *time.Timer
 	endedAt    time.Time
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &job{Job: state, digest: digest, accepted: accepted, done: make(chan struct{})}, nil
+	return &job{Job: state, digest: digest, accepted: accepted, begun: time.Now(), done: make(chan struct{})}, nil
 }
 
 // queuedTask returns the task at index as the queue holds it.
@@ -134,6 +135,7 @@
 		j.Tasks[index].Payload = nil
 	}
 	e.counters.countEnd(j.Failure())
+	observe(e.observer.Answered, j.endedAt.Sub(j.begun))
 	for _, w := range e.workers {
 		if w.leaving && w.jobs[j.SubmissionID] == j {
 			e.acknowledge(w, j)
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -109,6 +109,7 @@
 		e.log.Error("lease reply refused", "error", err)
 		return
 	}
+	e.recordLease(time.Now())
 	e.entries = reply.Entries
 	e.expired = map[vwid.Incarnation]bool{}
 	for _, incarnation := range reply.Expired {
@@ -145,7 +146,7 @@
 }
 
 func (e *Entry) applyRules() {
-	changed := e.holder.Version() != e.applied
+	changed, before := e.holder.Version() != e.applied, e.rules
 	e.applied, e.appliedFor = e.holder.Version(), len(e.entries)
 	e.rules = e.holder.Rules()
 	policy := vwdispatch.MakePolicy(e.rules, e.mainService(), max(len(e.entries), 1))
@@ -155,6 +156,7 @@
 	if !changed {
 		return
 	}
+	e.recordConfig(before, e.rules)
 	e.log.Info("configuration in force", "version", uint64(e.applied))
 	announce := &vwmessage.ConfigAnnounce{Version: e.applied}
 	for _, w := range e.workers {
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
@@ -34,6 +35,14 @@
 // submit accepts a submission, joins the job that already has its id, or takes that job over.
 // It returns as soon as the job is known; the answer may be pending.
 func (e *Entry) submit(ctx context.Context, s submission) (*reply, error) {
+	found, err := e.submitOnce(ctx, s)
+	if err != nil {
+		e.record(vwevent.Event{Kind: vwevent.SubmissionRefused, SubmissionID: s.spec.SubmissionID, Verdict: vwverdict.Of(err).String(), Message: err.Error()})
+	}
+	return found, err
+}
+
+func (e *Entry) submitOnce(ctx context.Context, s submission) (*reply, error) {
 	known, err := askError(ctx, e, func() (*job, error) { return e.findJob(s) })
 	if err != nil {
 		return nil, err
@@ -61,6 +70,7 @@
 func (e *Entry) accept(ctx context.Context, s submission) (vwstate.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
+	begun := time.Now()
 	outcome, err := e.control.Propose(ctx, vwstate.Command{Accept: &vwstate.Accept{
 		SubmissionID: s.spec.SubmissionID,
 		Owner:        e.incarnation,
@@ -73,6 +83,7 @@
 		// for it; a resubmission takes the empty job over.
 		return outcome, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control did not accept the submission: "+err.Error())
 	}
+	observe(e.observer.Accepted, time.Since(begun))
 	return outcome, nil
 }
 
@@ -167,6 +178,7 @@
 		j.acceptance = record.Acceptance
 		e.applyDefaultDeadline(j)
 		e.adopt(j)
+		e.recordJob(vwevent.SubmissionAccepted, j)
 		if err := e.enqueue(time.Now(), j); err != nil {
 			code, message := limitCode(err), err.Error()
 			e.failJob(j, code, message)
--- a/internal/process/vwentry/takeover.go
+++ b/internal/process/vwentry/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -59,6 +60,7 @@
 		e.applyDefaultDeadline(j)
 		j.SetUncertain(true)
 		e.adopt(j)
+		e.recordJob(vwevent.TookOver, j)
 		e.settle(j, outcome)
 		return &reply{job: j}, nil
 	})
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -9,6 +9,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -21,7 +22,9 @@
 	session *vwlink.Session
 	heard   bool
 	leaving bool
-	jobs    map[vwid.SubmissionID]*job
+	// asked is set by a demand message until a credit comes.
+	asked bool
+	jobs  map[vwid.SubmissionID]*job
 }
 
 // HandleMessage implements vwlink.Handler for links with agents and other entries.
@@ -60,8 +63,10 @@
 	}
 	switch message := body.(type) {
 	case *vwmessage.Credit:
+		w.asked = false
 		e.queue.Grant(w.Incarnation, message.Count)
 	case *vwmessage.CreditRecall:
+		e.counters.Recalls.Add(1)
 		returned := e.queue.Recall(w.Incarnation, message.Count)
 		e.send(w, &vwmessage.CreditReturn{Count: returned})
 	case *vwmessage.Result:
@@ -77,6 +82,7 @@
 // ended jobs, whose answers are here, are acknowledged at once.
 func (e *Entry) takeLeaving(w *worker) {
 	w.leaving = true
+	e.record(vwevent.Event{Kind: vwevent.WorkerLeaving, Peer: w.Process})
 	e.queue.RemoveWorker(w.Incarnation)
 	for _, j := range w.jobs {
 		if j.Ended() {
@@ -152,6 +158,7 @@
 		e.queue.AddWorker(w.Worker)
 		return
 	}
+	e.record(vwevent.Event{Kind: vwevent.ConnectionOpened, Peer: w.Process})
 	e.log.Info("link to agent open", "worker", string(w.Process), "incarnation", string(w.Incarnation))
 	// The credits of the older link ended with it.
 	e.queue.RemoveWorker(w.Incarnation)
@@ -167,6 +174,7 @@
 	if w == nil || w.session != session {
 		return
 	}
+	e.record(vwevent.Event{Kind: vwevent.ConnectionClosed, Peer: w.Process, Message: causeText(cause)})
 	e.log.Info("link to agent closed", "worker", string(w.Process), "incarnation", string(w.Incarnation), "cause", causeText(cause))
 	w.session = nil
 	e.queue.RemoveWorker(w.Incarnation)
@@ -192,6 +200,7 @@
 // link ends, and its successor asks again.
 func (e *Entry) fence(w *worker, j *job, deliver func(*vwmessage.FenceReply)) {
 	session := w.session
+	e.recordFence(vwevent.FenceSent, w, j)
 	request := &vwmessage.Fence{SubmissionID: j.SubmissionID, Epoch: j.Epoch()}
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, vwlink.SilenceTimeout)
@@ -201,6 +210,7 @@
 			_ = session.Close()
 			return
 		}
+		e.recordFence(vwevent.FenceReplyReceived, w, j)
 		e.post(func() { deliver(reply) })
 	})
 }
@@ -254,6 +264,7 @@
 		e.requeue(j, []int{index})
 		return
 	case vwjob.MatchDone:
+		e.recordResult(w, result)
 		e.queue.Finish(time.Now(), w.Incarnation, j.Team, vwdispatch.FinishInfo{
 			Failed:  result.Failed,
 			RunTime: time.Duration(result.RunMilliseconds) * time.Millisecond,
@@ -271,6 +282,7 @@
 	}
 	for _, batch := range e.collect(now) {
 		e.counters.Starts.Add(int64(len(batch.start.Tasks)))
+		e.recordSent(batch)
 		e.send(batch.worker, batch.start)
 	}
 	for {
@@ -280,6 +292,10 @@
 		}
 		e.counters.Demands.Add(1)
 		if w := e.workers[incarnation]; w != nil {
+			if w.asked {
+				e.counters.UnusedDemands.Add(1)
+			}
+			w.asked = true
 			e.send(w, &demand)
 		}
 	}
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -2,7 +2,9 @@
 
 import (
 	"vanillawind.example/vanillawind/internal/process/vwagent"
+	"vanillawind.example/vanillawind/internal/process/vwcontrol"
 	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 )
 
 // reason is the label of MessagesWasted.
@@ -22,6 +24,42 @@
 	Watch(m, DemandsSent, counters.Demands.Load)
 	Watch(m, MessagesWasted, func() int64 { return 2 * counters.Refused.Load() }, reason("refused"))
 	Watch(m, MessagesWasted, counters.Stray.Load, reason("stray"))
+	Watch(m, MessagesWasted, func() int64 { return 2 * counters.Recalls.Load() }, reason("recall"))
+	Watch(m, MessagesWasted, counters.UnusedDemands.Load, reason("demand"))
+}
+
+// WatchEntryState adds the gauges of an entry.
+func WatchEntryState(m *Metrics, gauges *vwentry.Gauges) {
+	WatchBool(m, LeaseFresh, gauges.Fresh.Load)
+	Watch(m, ConfigVersion, gauges.Version.Load)
+	Watch(m, JobsActive, gauges.Active.Load)
+	Watch(m, TasksWaiting, gauges.Waiting.Load)
+	Watch(m, WorkersKnown, gauges.Workers.Load)
+}
+
+// WatchAgentState adds the gauges of an agent.
+func WatchAgentState(m *Metrics, gauges *vwagent.Gauges) {
+	WatchBool(m, LeaseFresh, gauges.Fresh.Load)
+	Watch(m, ConfigVersion, gauges.Version.Load)
+	Watch(m, Links, gauges.Links.Load)
+	Watch(m, SlotsBusy, gauges.Busy.Load)
+	Watch(m, SlotsTotal, gauges.Slots.Load)
+	WatchBool(m, BackendPresent, gauges.Present.Load)
+}
+
+// WatchMember adds the state of a control member.
+func WatchMember(m *Metrics, member *vwcontrol.Member) {
+	WatchBool(m, ControlLeader, func() bool {
+		status := member.Status()
+		return status.Self.Member != "" && status.Self.Member == status.Log.Leader.Member
+	})
+	Watch(m, ControlTerm, func() uint64 { return uint64(member.Status().Log.Term) })
+	Watch(m, ControlApplied, func() uint64 { return uint64(member.Status().Applied) })
+}
+
+// WatchEvents adds the drops of an event log.
+func WatchEvents(m *Metrics, log *vwevent.Log) {
+	Watch(m, EventsDropped, log.Dropped)
 }
 
 // WatchAgent adds the counters of an agent.
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -12,7 +12,9 @@
 	"vanillawind.example/vanillawind/internal/connection/vwbackend"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwagent"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
@@ -27,6 +29,8 @@
 	OperatorsAddress string
 	Keys             vwkeys.Source
 	Log              *slog.Logger
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
 }
 
 // Agent is a running agent process.
@@ -38,11 +42,14 @@
 	operators *webServer
 	group     *vwgroup.Group
 	failed    chan error
+	metrics   *vwmetrics.Metrics
+	observer  vwagent.Observer
 }
 
 // StartAgent starts an agent process.
 func StartAgent(ctx context.Context, config AgentConfig) (*Agent, error) {
-	process := &Agent{group: vwgroup.Make(context.Background()), failed: make(chan error, 1)}
+	process := &Agent{group: vwgroup.Make(context.Background()), failed: make(chan error, 1), metrics: vwmetrics.Make()}
+	process.observer = observeAgent(process.metrics, config.Events)
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
@@ -103,7 +110,7 @@
 	return client, nil
 }
 
-func provideAgent(config AgentConfig, backend *vwbackend.Client) (*vwagent.Agent, error) {
+func provideAgent(config AgentConfig, process *Agent, backend *vwbackend.Client) (*vwagent.Agent, error) {
 	return vwagent.Make(vwagent.Options{
 		Settings: config.Settings,
 		Backend:  backend,
@@ -112,6 +119,7 @@
 		},
 		MakeLease: vwagent.MakeConfigLease,
 		Logger:    config.Log,
+		Observer:  process.observer,
 	})
 }
 
@@ -120,7 +128,9 @@
 }
 
 func provideAgentServer(config AgentConfig, process *Agent, agent *vwagent.Agent) (*webServer, error) {
-	server, err := listenWeb(config.OperatorsAddress, makeOperators(agent.Ready))
+	vwmetrics.WatchAgent(process.metrics, agent.Counters())
+	vwmetrics.WatchAgentState(process.metrics, agent.Gauges())
+	server, err := listenWeb(config.OperatorsAddress, makeOperators(agent.Ready, process.metrics))
 	process.operators = server
 	return server, err
 }
--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -9,6 +9,7 @@
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
@@ -44,9 +45,17 @@
 		return trace.Wrap(roleFault(c, settings.Role))
 	}
 	log := makeLogger(c.Log, settings)
+	events, err := openEvents(settings)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.NewAggregate(run(ctx, settings, log, events.Log), events.close())
+}
+
+func run(ctx context.Context, settings vwsettings.Settings, log *slog.Logger, events *vwevent.Log) error {
 	starting, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
-	running, err := start(starting, settings, log)
+	running, err := start(starting, settings, log, events)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -57,6 +66,7 @@
 	case err = <-running.Failed():
 		log.Error("process failed", "error", err)
 	}
+	events.Record(vwevent.Event{Kind: vwevent.ProcessStopping})
 	return trace.NewAggregate(err, shutDown(ctx, running, time.Duration(settings.Timeouts.Stop), log))
 }
 
@@ -82,18 +92,18 @@
 	return nil
 }
 
-func start(ctx context.Context, settings vwsettings.Settings, log *slog.Logger) (process, error) {
+func start(ctx context.Context, settings vwsettings.Settings, log *slog.Logger, events *vwevent.Log) (process, error) {
 	keys, err := vwkeys.OpenSeparate(settings.Keys.Certificate, settings.Keys.Key, settings.Keys.Authority, log)
 	if err != nil {
 		return nil, trace.Wrap(err, "Keys")
 	}
 	switch settings.Role {
 	case vwstate.RoleEntry:
-		return startEntryBySettings(ctx, settings, keys, log)
+		return startEntryBySettings(ctx, settings, keys, log, events)
 	case vwstate.RoleAgent:
-		return StartAgent(ctx, agentConfig(settings, keys, log))
+		return StartAgent(ctx, agentConfig(settings, keys, log, events))
 	default:
-		return startControlBySettings(ctx, settings, keys, log)
+		return startControlBySettings(ctx, settings, keys, log, events)
 	}
 }
 
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -11,7 +11,9 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwcontrol"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -32,6 +34,8 @@
 	OperatorsAddress string
 	Keys             vwkeys.Source
 	Log              *slog.Logger
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
 }
 
 // Control is a running process that is only a control member.
@@ -43,11 +47,12 @@
 	operators *webServer
 	member    *member
 	failed    chan error
+	metrics   *vwmetrics.Metrics
 }
 
 // StartControl starts a control process.
 func StartControl(ctx context.Context, config ControlConfig) (*Control, error) {
-	process := &Control{failed: make(chan error, 1), router: &router{}, group: vwgroup.Make(context.Background())}
+	process := &Control{failed: make(chan error, 1), metrics: vwmetrics.Make(), router: &router{}, group: vwgroup.Make(context.Background())}
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
@@ -103,7 +108,7 @@
 
 func provideControlServer(config ControlConfig, process *Control) (*webServer, error) {
 	process.links = makeLinks(config.LinkAddress, config.LinkSocket, config.Keys, process.router)
-	server, err := listenWeb(config.OperatorsAddress, makeOperators(process.ready))
+	server, err := listenWeb(config.OperatorsAddress, makeOperators(process.ready, process.metrics))
 	process.operators = server
 	return server, err
 }
@@ -132,7 +137,9 @@
 			if err != nil {
 				return trace.Wrap(err)
 			}
-			process.member, err = startMember(process.group, config.Member, config.ControlMembers, process.links, process.router, config.Log, func(vwid.ConfigVersion) {})
+			vwmetrics.WatchEvents(process.metrics, config.Events)
+			observer := memberObserver{log: config.Log, events: config.Events, metrics: process.metrics}
+			process.member, err = startMember(process.group, config.Member, config.ControlMembers, process.links, process.router, func(vwid.ConfigVersion) {}, observer)
 			if err != nil {
 				return trace.Wrap(err)
 			}
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -14,7 +14,9 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/process/vwcontrol"
 	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
@@ -37,6 +39,8 @@
 	// Member makes the process a control member as well. It may be nil.
 	Member *MemberConfig
 	Log    *slog.Logger
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
 }
 
 func (c EntryConfig) check() error {
@@ -152,7 +156,8 @@
 }
 
 func provideIncumbent(config EntryConfig, process *Entry, l *links, r *router) *incumbent {
-	process.incumbent = &incumbent{config: config, links: l, router: r}
+	m := vwmetrics.Make()
+	process.incumbent = &incumbent{config: config, links: l, router: r, metrics: m, observer: observeEntry(m, config.Events)}
 	return process.incumbent
 }
 
@@ -188,7 +193,7 @@
 		return trace.Wrap(err)
 	}
 	if config.Member != nil {
-		p.member, err = startMember(p.group, *config.Member, config.ControlMembers, p.links, r, config.Log, p.incumbent.announce)
+		p.member, err = startMember(p.group, *config.Member, config.ControlMembers, p.links, r, p.incumbent.announce, p.memberObserver(config))
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -203,6 +208,10 @@
 	return nil
 }
 
+func (p *Entry) memberObserver(config EntryConfig) memberObserver {
+	return memberObserver{log: config.Log, events: config.Events, metrics: p.incumbent.metrics}
+}
+
 func (p *Entry) stop(ctx context.Context) error {
 	_ = p.watch.Stop()
 	err := p.Entry().Drain(ctx)
--- a/internal/process/vwprocess/entry_test.go
+++ b/internal/process/vwprocess/entry_test.go
@@ -1,6 +1,7 @@
 package vwprocess_test
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"net/http"
@@ -11,6 +12,7 @@
 	"go.uber.org/goleak"
 
 	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/internal/process/vwprocess"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
@@ -33,14 +35,14 @@
 }
 
 // startAlone starts an entry that is the only control member.
-func startAlone(t *testing.T) *vwprocess.Entry {
+func startAlone(t *testing.T, events *vwevent.Log) *vwprocess.Entry {
 	files, err := vwstore.OpenDirectory(t.TempDir())
 	require.NoError(t, err)
 	settings := vwentry.DefaultSettings()
 	settings.Process, settings.DataCentre = "entry-1", "north"
 	process, err := vwprocess.StartEntry(t.Context(), vwprocess.EntryConfig{
 		Cluster: "c", Settings: settings, LinkAddress: loopback, CallersAddress: loopback, OperatorsAddress: loopback,
-		Keys: makeKeys(t, "c", "entry-1"), Member: &vwprocess.MemberConfig{Files: files}, Log: slog.New(slog.DiscardHandler),
+		Keys: makeKeys(t, "c", "entry-1"), Member: &vwprocess.MemberConfig{Files: files}, Log: slog.New(slog.DiscardHandler), Events: events,
 	})
 	require.NoError(t, err)
 	return process
@@ -63,7 +65,7 @@
 // Guards against an entry that stays useless after its registration has expired in a long partition:
 // the process must go on under a new incarnation on the same addresses.
 func TestLostEntryIsReplaced(t *testing.T) {
-	process := startAlone(t)
+	process := startAlone(t, nil)
 	ready := func() bool { return process.Entry().Ready(t.Context()) == nil }
 	eventually(ready)
 	lost, link, callers := process.Entry(), process.LinkAddress(), process.CallersAddress()
@@ -81,12 +83,40 @@
 
 // Callers must not reach profiles, health or the operators' resources.
 func TestCallersAddressServesCallersOnly(t *testing.T) {
-	process := startAlone(t)
+	process := startAlone(t, nil)
 	eventually(func() bool { return process.Entry().Ready(t.Context()) == nil })
-	for _, path := range []string{"/healthz", "/readyz", "/debug/pprof/", "/Rules", "/Status"} {
+	for _, path := range []string{"/healthz", "/readyz", "/metrics", "/debug/pprof/", "/Rules", "/Status"} {
 		require.Equal(t, http.StatusNotFound, get(t, "http://"+process.CallersAddress()+path), path)
 		require.Equal(t, http.StatusOK, get(t, "http://"+process.OperatorsAddress()+path), path)
 	}
 	http.DefaultClient.CloseIdleConnections()
 	require.NoError(t, process.Stop(context.Background()))
 }
+
+// An operator must find in the event log why an entry could not accept anything, and what it followed.
+func TestEventsOfEntryAndControl(t *testing.T) {
+	var out bytes.Buffer
+	log := vwevent.MakeLog(vwevent.Source{Process: "entry-1", Incarnation: "i"}, &out, vwevent.DefaultCapacity)
+	process := startAlone(t, log)
+	eventually(func() bool { return process.Entry().Ready(t.Context()) == nil })
+	change := &vwstate.ChangeRules{ChangeID: "1", Text: []byte("DataCentre.north = {}  # a\nDataCentre.south = {}  # a\nOut.south = {}  # a\n")}
+	_, err := process.Control().Propose(t.Context(), vwstate.Command{ChangeRules: change})
+	require.NoError(t, err)
+	eventually(func() bool { return process.Entry().Version(t.Context()) == 1 })
+	require.NoError(t, process.Stop(context.Background()))
+	stopped, cancel := context.WithCancel(context.Background())
+	cancel()
+	log.Run(stopped)
+	events, faults, err := vwevent.Read(&out)
+	require.NoError(t, err)
+	require.Empty(t, faults)
+	found := map[vwevent.Kind]vwevent.Event{}
+	for _, event := range events {
+		found[event.Kind] = event
+	}
+	for _, kind := range []vwevent.Kind{vwevent.LeaderElected, vwevent.LeaseGained, vwevent.ConfigApplied, vwevent.DataCentreOut} {
+		require.Contains(t, found, kind)
+	}
+	require.Equal(t, "south", found[vwevent.DataCentreOut].Subject)
+	require.Equal(t, vwid.ConfigVersion(1), found[vwevent.DataCentreOut].Version)
+}
--- a/internal/process/vwprocess/incumbent.go
+++ b/internal/process/vwprocess/incumbent.go
@@ -10,6 +10,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
@@ -29,6 +30,8 @@
 	links     *links
 	router    *router
 	control   vwentry.Control
+	metrics   *vwmetrics.Metrics
+	observer  vwentry.Observer
 	callers   replaceable
 	operators replaceable
 
@@ -57,11 +60,12 @@
 		settings.LinkAddress = endpoint.Address()
 	}
 	entry := vwentry.Make(settings, hello.Incarnation, i.control, endpoint, i.config.Log)
+	entry.Observe(i.observer)
 	i.mu.Lock()
 	i.entry = entry
 	i.mu.Unlock()
 	i.callers.set(entry.CallersHandler())
-	i.operators.set(makeEntryOperators(entry))
+	i.operators.set(makeEntryOperators(entry, i.metrics))
 	i.router.entry.Store(entry)
 	entry.Start()
 }
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -11,6 +11,8 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwcontrol"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
@@ -33,8 +35,19 @@
 	transport *vwcontrol.LinkTransport
 }
 
+// memberObserver receives what a member logs and measures.
+type memberObserver struct {
+	log     *slog.Logger
+	events  *vwevent.Log
+	metrics *vwmetrics.Metrics
+}
+
+func (o memberObserver) time(files vwstore.FileSystem) vwstore.FileSystem {
+	return &timedFiles{FileSystem: files, synced: updater(o.metrics, vwmetrics.ControlSyncTime)}
+}
+
 // startMember starts a member among the initial ones. Announce is told of each new configuration version.
-func startMember(group *vwgroup.Group, config MemberConfig, initial []string, l *links, r *router, log *slog.Logger, announce func(vwid.ConfigVersion)) (*member, error) {
+func startMember(group *vwgroup.Group, config MemberConfig, initial []string, l *links, r *router, announce func(vwid.ConfigVersion), observer memberObserver) (*member, error) {
 	server := vwcontrol.MakeLinkServer()
 	m := &member{pool: vwlink.MakePool(group.Context(), l, r)}
 	m.transport = vwcontrol.MakeLinkTransport(group.Context(), m.pool)
@@ -43,13 +56,14 @@
 		initial = []string{l.Address()}
 	}
 	settings := vwcontrol.DefaultSettings(l.Address(), initial)
-	settings.Logger = log
+	settings.Logger, settings.Events = observer.log, observer.events
 	config.apply(&settings)
-	started, err := vwcontrol.Start(group.Context(), settings, config.Files, m.transport)
+	started, err := vwcontrol.Start(group.Context(), settings, observer.time(config.Files), m.transport)
 	if err != nil {
 		return nil, trace.NewAggregate(err, m.transport.Close(), m.pool.Close())
 	}
 	m.Member = started
+	observeMember(observer.metrics, started, config.Files)
 	r.control.Store(server)
 	return m, trace.NewAggregate(server.Attach(group, started), started.Watch(announce))
 }
--- a/internal/process/vwprocess/operators.go
+++ b/internal/process/vwprocess/operators.go
@@ -6,11 +6,13 @@
 	"net/http/pprof"
 
 	"github.com/gin-gonic/gin"
+
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 )
 
 // makeOperators returns the part of the operators' interface that all roles have. It must not be
 // reachable for callers, since profiles show what a process holds in memory.
-func makeOperators(ready func(context.Context) error) *gin.Engine {
+func makeOperators(ready func(context.Context) error, metrics *vwmetrics.Metrics) *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
@@ -21,6 +23,7 @@
 		}
 		c.String(http.StatusOK, "ready\n")
 	})
+	engine.GET("/metrics", gin.WrapH(metrics.Handler()))
 	engine.GET("/debug/pprof/*Name", servePprof)
 	return engine
 }
--- a/internal/process/vwprocess/settings.go
+++ b/internal/process/vwprocess/settings.go
@@ -9,6 +9,7 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwagent"
 	"vanillawind.example/vanillawind/internal/process/vwentry"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
@@ -17,7 +18,7 @@
 // agentLinks is where an agent dials from. Nobody dials an agent.
 const agentLinks = "0.0.0.0:0"
 
-func startEntryBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger) (process, error) {
+func startEntryBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) (process, error) {
 	config := EntryConfig{
 		Cluster:           s.Cluster,
 		Settings:          entrySettings(s),
@@ -28,6 +29,7 @@
 		Keys:              keys,
 		ControlMembers:    s.ControlMembers,
 		Log:               log,
+		Events:            events,
 	}
 	if s.IsControlMember() {
 		member, err := memberConfig(s)
@@ -55,7 +57,7 @@
 	return MemberConfig{Files: files, Heartbeat: time.Duration(s.Timeouts.Heartbeat), Election: time.Duration(s.Timeouts.Election)}, nil
 }
 
-func startControlBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger) (process, error) {
+func startControlBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) (process, error) {
 	member, err := memberConfig(s)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -71,10 +73,11 @@
 		OperatorsAddress: s.Addresses.Operators,
 		Keys:             keys,
 		Log:              log,
+		Events:           events,
 	})
 }
 
-func agentConfig(s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger) AgentConfig {
+func agentConfig(s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) AgentConfig {
 	return AgentConfig{
 		Settings: vwagent.Settings{
 			Cluster:     s.Cluster,
@@ -91,5 +94,6 @@
 		OperatorsAddress: s.Addresses.Operators,
 		Keys:             keys,
 		Log:              log,
+		Events:           events,
 	}
 }
--- a/internal/process/vwstore/directory.go
+++ b/internal/process/vwstore/directory.go
@@ -111,3 +111,15 @@
 func (d *Directory) join(name string) string {
 	return filepath.Join(d.path, name)
 }
+
+// Size returns the bytes of all files, without those that go away meanwhile.
+func (d *Directory) Size() int64 {
+	entries, _ := os.ReadDir(d.path)
+	size := int64(0)
+	for _, entry := range entries {
+		if info, err := entry.Info(); err == nil {
+			size += info.Size()
+		}
+	}
+	return size
+}
