--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -52,6 +52,7 @@
 	// MakeLease returns an empty lease. It is called again for each new incarnation.
 	MakeLease func() Lease
 	Logger    *slog.Logger
+	Observer  Observer
 }
 
 // Agent is the agent process.
@@ -60,6 +61,7 @@
 	options  Options
 	logger   *slog.Logger
 	counters Counters
+	gauges   Gauges
 	group    *vwgroup.Group
 	events   chan event
 	done     chan struct{}
@@ -204,6 +206,7 @@
 		r.records.Expire(now)
 	}
 	r.refreshTargets()
+	a.publish(now)
 }
 
 // settle acts on what the events have changed.
@@ -234,3 +237,20 @@
 	a.logger.Info("incarnation begins", "Incarnation", string(incarnation))
 	return nil
 }
+
+// Ready reports whether tasks can start now, and otherwise why not.
+func (a *Agent) Ready(context.Context) error {
+	reason := "the agent has no registration"
+	ran := a.do(func(now time.Time) {
+		if a.current != nil {
+			reason = a.current.gate(now)
+		}
+	})
+	switch {
+	case !ran:
+		return trace.ConnectionProblem(nil, "the agent has stopped")
+	case reason != "":
+		return trace.ConnectionProblem(nil, "%s", reason)
+	}
+	return nil
+}
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -54,6 +55,8 @@
 	// Random draws the election timeouts.
 	Random rand.Source
 	Logger *slog.Logger
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
 }
 
 // DefaultSettings returns settings with all bounds set, for a member at address.
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -43,6 +43,9 @@
 	MaxPayload vwunit.Bytes
 	// MaxTasks bounds the tasks of one submission.
 	MaxTasks int
+	// QueueTasks and QueueBytes bound the queue on top of the rules; zero leaves it to them.
+	QueueTasks int
+	QueueBytes vwunit.Bytes
 	// AnswerBytes bounds the answers that are kept for resubmissions.
 	AnswerBytes vwunit.Bytes
 }
@@ -74,8 +77,12 @@
 	log         *slog.Logger
 	group       *vwgroup.Group
 	mailbox     chan func()
-	counters    Counters
+	counters    *Counters
+	gauges      *Gauges
+	observer    Observer
 	lost        chan struct{}
+	// announced asks for a renewal at once.
+	announced chan struct{}
 
 	// The fields below belong to the loop.
 	holder  *vwlease.Holder
@@ -96,8 +103,10 @@
 	active     int
 	settling   int
 	registered bool
-	stopping   bool
-	idle       []chan struct{}
+	// leased is whether the lease was fresh when that was recorded last.
+	leased   bool
+	stopping bool
+	idle     []chan struct{}
 }
 
 // Make returns an entry that is not running. The dialer reaches other entries.
@@ -107,10 +116,13 @@
 		incarnation: incarnation,
 		control:     control,
 		log:         log,
+		counters:    &Counters{},
+		gauges:      &Gauges{},
 		mailbox:     make(chan func(), mailboxSize),
 		holder:      vwlease.Make(leaseDuration, renewInterval),
 		rules:       vwrule.Empty(),
 		lost:        make(chan struct{}),
+		announced:   make(chan struct{}, 1),
 		expired:     map[vwid.Incarnation]bool{},
 		queue:       vwdispatch.MakeQueue(vwdispatch.QueueSettings{DataCentre: settings.DataCentre}),
 		jobs:        map[vwid.SubmissionID]*job{},
@@ -135,6 +147,17 @@
 	return e.lost
 }
 
+// Announce tells the entry that a configuration version exists. One that it lacks is asked for at once.
+func (e *Entry) Announce(version vwid.ConfigVersion) {
+	if !e.holder.Announce(version) {
+		return
+	}
+	select {
+	case e.announced <- struct{}{}:
+	default:
+	}
+}
+
 // Start begins the work of the entry. It registers with control in the background; Ready tells when
 // the entry can accept submissions.
 func (e *Entry) Start() {
@@ -166,8 +189,11 @@
 // Stop ends the registration, so that other entries need not wait for its lease to run out, and stops.
 // Drain comes before it in a graceful shutdown.
 func (e *Entry) Stop(ctx context.Context) error {
+	// The last entries of a whole cluster that stops have no quorum any more.
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
 	expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{e.incarnation}}}
-	if _, err := e.control.Propose(ctx, expire); err != nil {
+	if _, err := e.propose(ctx, expire); err != nil {
 		e.log.Warn("registration not ended; it expires with its lease", "error", err)
 	}
 	e.Kill()
@@ -226,6 +252,8 @@
 		}
 	}
 	e.forgetAnswers(now)
+	e.recordLease(now)
+	e.publish(now)
 }
 
 // post hands an event to the loop. It reports false after the entry stopped.
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -11,6 +11,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -99,6 +100,7 @@
 		e.log.Warn("answer not written", "submission", string(id), "error", err)
 		panic(http.ErrAbortHandler)
 	}
+	e.recordJob(vwevent.AnswerSent, found.job)
 }
 
 // waitFor reports whether j has ended, after waiting as long as ctx allows.
@@ -161,6 +163,7 @@
 		return
 	}
 	c.JSON(http.StatusOK, vwapi.RequestAnswer{ID: id, Result: resultJSON(j.Result(0))})
+	e.recordJob(vwevent.AnswerSent, j)
 }
 
 // writeRemoteRequestReply turns the owner's answer for a job of one task into that for a request.
@@ -202,7 +205,12 @@
 // find returns where the answer of a job comes from. It waits for another owner as long as waiting
 // allows.
 func (e *Entry) find(ctx, waiting context.Context, id vwid.SubmissionID) (*reply, error) {
-	j, err := ask(ctx, e, func() *job { return e.jobs[id] })
+	j, err := ask(ctx, e, func() *job {
+		if j := e.jobs[id]; j != nil && !j.lost {
+			return j
+		}
+		return nil
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -268,6 +276,7 @@
 	if j == nil {
 		return false
 	}
+	e.recordJob(vwevent.Cancelled, j)
 	e.failJob(j, codeCancelled, "the job was cancelled")
 	return true
 }
--- a/internal/process/vwentry/peer.go
+++ b/internal/process/vwentry/peer.go
@@ -54,7 +54,7 @@
 // awaitAnswer serves another entry that joins a job of this one.
 func (e *Entry) awaitAnswer(request *vwmessage.AwaitAnswer, answer vwlink.Reply) {
 	j := e.jobs[request.SubmissionID]
-	if j == nil || j.Epoch() != request.Epoch {
+	if j == nil || j.lost || j.Epoch() != request.Epoch {
 		e.release(request)
 		answer(nil, vwverdict.Wrap(vwverdict.NotRun, &vwlink.ErrRemote{Code: codeUnknownJob, Message: "the entry does not have the job"}))
 		return
@@ -97,7 +97,7 @@
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
-		if _, err := e.control.Propose(ctx, command); err != nil {
+		if _, err := e.propose(ctx, command); err != nil {
 			e.log.Warn("submission not released", "submission", string(request.SubmissionID), "error", err)
 		}
 		e.post(func() { delete(e.releasing, request.SubmissionID) })
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -9,6 +9,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -21,7 +22,9 @@
 	session *vwlink.Session
 	heard   bool
 	leaving bool
-	jobs    map[vwid.SubmissionID]*job
+	// asked is set by a demand message until a credit comes.
+	asked bool
+	jobs  map[vwid.SubmissionID]*job
 }
 
 // HandleMessage implements vwlink.Handler for links with agents and other entries.
@@ -60,8 +63,10 @@
 	}
 	switch message := body.(type) {
 	case *vwmessage.Credit:
+		w.asked = false
 		e.queue.Grant(w.Incarnation, message.Count)
 	case *vwmessage.CreditRecall:
+		e.counters.Recalls.Add(1)
 		returned := e.queue.Recall(w.Incarnation, message.Count)
 		e.send(w, &vwmessage.CreditReturn{Count: returned})
 	case *vwmessage.Result:
@@ -77,6 +82,7 @@
 // ended jobs, whose answers are here, are acknowledged at once.
 func (e *Entry) takeLeaving(w *worker) {
 	w.leaving = true
+	e.record(vwevent.Event{Kind: vwevent.WorkerLeaving, Peer: w.Process})
 	e.queue.RemoveWorker(w.Incarnation)
 	for _, j := range w.jobs {
 		if j.Ended() {
@@ -85,8 +91,13 @@
 	}
 }
 
+// acknowledge lets an agent drop its records of an ended job. Those of a lost job belong to the next
+// owner; of one that has not run there are none, and an agent would refuse a later acceptance of it.
 func (e *Entry) acknowledge(w *worker, j *job) {
 	delete(w.jobs, j.SubmissionID)
+	if j.lost || j.hasNotRun() {
+		return
+	}
 	e.send(w, &vwmessage.Acknowledge{SubmissionID: j.SubmissionID, Epoch: j.Epoch()})
 }
 
@@ -114,7 +125,7 @@
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
-		outcome, err := e.control.Propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: registration}})
+		outcome, err := e.propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: registration}})
 		if err != nil {
 			reply(nil, err)
 			return
@@ -152,6 +163,7 @@
 		e.queue.AddWorker(w.Worker)
 		return
 	}
+	e.record(vwevent.Event{Kind: vwevent.ConnectionOpened, Peer: w.Process})
 	e.log.Info("link to agent open", "worker", string(w.Process), "incarnation", string(w.Incarnation))
 	// The credits of the older link ended with it.
 	e.queue.RemoveWorker(w.Incarnation)
@@ -167,6 +179,7 @@
 	if w == nil || w.session != session {
 		return
 	}
+	e.record(vwevent.Event{Kind: vwevent.ConnectionClosed, Peer: w.Process, Message: causeText(cause)})
 	e.log.Info("link to agent closed", "worker", string(w.Process), "incarnation", string(w.Incarnation), "cause", causeText(cause))
 	w.session = nil
 	e.queue.RemoveWorker(w.Incarnation)
@@ -192,6 +205,7 @@
 // link ends, and its successor asks again.
 func (e *Entry) fence(w *worker, j *job, deliver func(*vwmessage.FenceReply)) {
 	session := w.session
+	e.recordFence(vwevent.FenceSent, w, j)
 	request := &vwmessage.Fence{SubmissionID: j.SubmissionID, Epoch: j.Epoch()}
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, vwlink.SilenceTimeout)
@@ -201,15 +215,22 @@
 			_ = session.Close()
 			return
 		}
+		e.recordFence(vwevent.FenceReplyReceived, w, j)
 		e.post(func() { deliver(reply) })
 	})
 }
 
 func (e *Entry) takeReconciliation(j *job, w *worker, owed []int, reply *vwmessage.FenceReply) {
-	if reply.Refused {
+	if reply.Refused && reply.Epoch > j.Epoch() {
 		e.loseJob(j)
 		return
 	}
+	if reply.Refused {
+		// The agent no longer has the records, so the tasks that it owes may have run.
+		j.Lose(w.Incarnation)
+		e.checkEnd(j)
+		return
+	}
 	e.requeue(j, j.Reconcile(w.Incarnation, owed, reply))
 	e.checkEnd(j)
 }
@@ -254,6 +275,7 @@
 		e.requeue(j, []int{index})
 		return
 	case vwjob.MatchDone:
+		e.recordResult(w, result)
 		e.queue.Finish(time.Now(), w.Incarnation, j.Team, vwdispatch.FinishInfo{
 			Failed:  result.Failed,
 			RunTime: time.Duration(result.RunMilliseconds) * time.Millisecond,
@@ -271,6 +293,7 @@
 	}
 	for _, batch := range e.collect(now) {
 		e.counters.Starts.Add(int64(len(batch.start.Tasks)))
+		e.recordSent(batch)
 		e.send(batch.worker, batch.start)
 	}
 	for {
@@ -280,6 +303,10 @@
 		}
 		e.counters.Demands.Add(1)
 		if w := e.workers[incarnation]; w != nil {
+			if w.asked {
+				e.counters.UnusedDemands.Add(1)
+			}
+			w.asked = true
 			e.send(w, &demand)
 		}
 	}
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -12,7 +12,9 @@
 	"vanillawind.example/vanillawind/internal/connection/vwbackend"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwagent"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
@@ -23,8 +25,12 @@
 	LinkAddress string
 	// BackendAddress is where the backend server announces itself.
 	BackendAddress string
-	Keys           vwkeys.Source
-	Log            *slog.Logger
+	// OperatorsAddress serves health, metrics and profiles.
+	OperatorsAddress string
+	Keys             vwkeys.Source
+	Log              *slog.Logger
+	// Events is the event log; nil is off.
+	Events *vwevent.Log
 }
 
 // Agent is a running agent process.
@@ -32,21 +38,28 @@
 	app      *fx.App
 	agent    *vwagent.Agent
 	listener net.Listener
-	group    *vwgroup.Group
+	// operators is set unless the start has failed.
+	operators *webServer
+	group     *vwgroup.Group
+	failed    chan error
+	metrics   *vwmetrics.Metrics
+	observer  vwagent.Observer
 }
 
 // StartAgent starts an agent process.
 func StartAgent(ctx context.Context, config AgentConfig) (*Agent, error) {
-	process := &Agent{group: vwgroup.Make(context.Background())}
+	process := &Agent{group: vwgroup.Make(context.Background()), failed: make(chan error, 1), metrics: vwmetrics.Make()}
+	process.observer = observeAgent(process.metrics, config.Events)
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
-		fx.Supply(config, process.group),
-		fx.Provide(provideBackend, provideAgent, provideAnnouncements),
+		fx.Supply(config, process),
+		fx.Provide(provideBackend, provideAgent, provideAnnouncements, provideAgentServer),
 		fx.Populate(&process.agent, &process.listener),
 		fx.Invoke(runAgent),
 	)
 	if err := process.app.Start(ctx); err != nil {
+		process.Kill()
 		return nil, trace.Wrap(err)
 	}
 	return process, nil
@@ -62,6 +75,16 @@
 	return p.listener.Addr().String()
 }
 
+// OperatorsAddress returns the bound address for operators.
+func (p *Agent) OperatorsAddress() string {
+	return p.operators.address()
+}
+
+// Failed implements process. It yields why the agent could not begin its work.
+func (p *Agent) Failed() <-chan error {
+	return p.failed
+}
+
 // Stop is the graceful shutdown.
 func (p *Agent) Stop(ctx context.Context) error {
 	return trace.Wrap(p.app.Stop(ctx))
@@ -69,6 +92,12 @@
 
 // Kill stops at once, as a crash would.
 func (p *Agent) Kill() {
+	if p.operators != nil {
+		p.operators.kill()
+	}
+	if p.listener != nil {
+		_ = p.listener.Close()
+	}
 	_ = p.group.Stop()
 }
 
@@ -81,7 +110,7 @@
 	return client, nil
 }
 
-func provideAgent(config AgentConfig, backend *vwbackend.Client) (*vwagent.Agent, error) {
+func provideAgent(config AgentConfig, process *Agent, backend *vwbackend.Client) (*vwagent.Agent, error) {
 	return vwagent.Make(vwagent.Options{
 		Settings: config.Settings,
 		Backend:  backend,
@@ -90,6 +119,7 @@
 		},
 		MakeLease: vwagent.MakeConfigLease,
 		Logger:    config.Log,
+		Observer:  process.observer,
 	})
 }
 
@@ -97,19 +127,29 @@
 	return listen(config.BackendAddress)
 }
 
-func runAgent(lifecycle fx.Lifecycle, agent *vwagent.Agent, listener net.Listener, group *vwgroup.Group, config AgentConfig) {
+func provideAgentServer(config AgentConfig, process *Agent, agent *vwagent.Agent) (*webServer, error) {
+	vwmetrics.WatchAgent(process.metrics, agent.Counters())
+	vwmetrics.WatchAgentState(process.metrics, agent.Gauges())
+	server, err := listenWeb(config.OperatorsAddress, makeOperators(agent.Ready, process.metrics))
+	process.operators = server
+	return server, err
+}
+
+func runAgent(lifecycle fx.Lifecycle, agent *vwagent.Agent, listener net.Listener, operators *webServer, process *Agent) {
+	group := process.group
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			group.Run(func(ctx context.Context) {
 				if err := agent.Run(ctx); err != nil {
-					config.Log.Error("agent ended", "error", err)
+					process.failed <- err
 				}
 			})
 			group.Run(func(ctx context.Context) { _ = vwagent.Serve(ctx, listener, agent) })
+			operators.start()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			return trace.NewAggregate(agent.Stop(ctx), group.Stop())
+			return trace.NewAggregate(agent.Stop(ctx), operators.stop(ctx), group.Stop())
 		},
 	})
 }
--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -2,6 +2,7 @@
 package vwid
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/google/uuid"
@@ -57,9 +58,15 @@
 	return Acceptance(uuid.NewString())
 }
 
-// MakeSubmissionID returns a new id that carries the current time.
+// MakeSubmissionID returns a new id that carries the current time. The library's own maker of version 7
+// never goes back, so after a step of the clock its ids would be from the future and be refused.
 func MakeSubmissionID() SubmissionID {
-	return SubmissionID(uuid.Must(uuid.NewV7()).String())
+	id := uuid.New()
+	millis := uint64(time.Now().UnixMilli())
+	binary.BigEndian.PutUint16(id[0:], uint16(millis>>32))
+	binary.BigEndian.PutUint32(id[2:], uint32(millis))
+	id[6] = 0x70 | id[6]&0x0f
+	return SubmissionID(id.String())
 }
 
 // MakeChangeID returns a new random change id.
