Renew the lease while a registration is under way

A link registered the agent and renewed its lease in turns. When control was slow to take a changed offer, the renewals of all links waited for up to 4 s and the lease ran out after 2 s, although entries could still relay it.

The two are now repeated apart; renewals begin with the first registration.

--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -29,8 +29,9 @@
 	target       *target
 	session      *vwlink.Session
 	entry        vwid.Incarnation
-	// wake asks the renewing goroutine to act at once.
-	wake chan struct{}
+	// offered and wake ask the registering and the renewing goroutine to act at once.
+	offered chan struct{}
+	wake    chan struct{}
 
 	// The control goroutine owns the rest.
 	retired bool
@@ -38,12 +39,13 @@
 	draining bool
 	credits  int
 	// offer is what this link is to register next; nil when nothing changed.
-	offer *vwmessage.Register
+	offer      *vwmessage.Register
+	registered bool
 }
 
 // serve runs a link until it ends.
 func (r *registration) serve(ctx context.Context, t *target, conn vwlink.Conn) error {
-	l := &link{registration: r, target: t, entry: conn.Peer().Incarnation, wake: make(chan struct{}, 1)}
+	l := &link{registration: r, target: t, entry: conn.Peer().Incarnation, offered: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 	l.session = vwlink.MakeSession(conn, l)
 	attached := false
 	if !r.agent.do(func(time.Time) { attached = r.attach(l) }) || !attached {
@@ -51,7 +53,8 @@
 	}
 	group := vwgroup.Make(ctx)
 	group.Go(l.session.Run)
-	group.Go(l.renew)
+	group.Go(func(ctx context.Context) error { return l.repeat(ctx, l.offered, l.registerOffer) })
+	group.Go(func(ctx context.Context) error { return l.repeat(ctx, l.wake, l.renewLease) })
 	err := group.Wait()
 	r.agent.do(func(time.Time) { r.retire(l) })
 	return err
@@ -82,49 +85,55 @@
 		Service:     a.backend.service,
 		Slots:       l.registration.slots(),
 	}
-	l.wakeUp()
+	signal(l.offered)
 }
 
-func (l *link) wakeUp() {
+func signal(wake chan struct{}) {
 	select {
-	case l.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
 
-// renew registers the agent over this link and then renews its leases until the link ends.
-func (l *link) renew(ctx context.Context) error {
+// repeat calls act every renewInterval, and at once after a signal on wake, until the link ends. The
+// registration and the lease are repeated apart, so that a slow registration does not let the lease run out.
+func (l *link) repeat(ctx context.Context, wake <-chan struct{}, act func(ctx context.Context) bool) error {
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
-	registered := false
 	for {
-		var offer *vwmessage.Register
-		if !l.registration.agent.do(func(time.Time) { offer, l.offer = l.offer, nil }) {
+		if !act(ctx) {
 			return vwlink.ErrClosed
 		}
-		if offer != nil {
-			done := l.register(ctx, offer)
-			registered = registered || done
-			l.registration.agent.do(func(time.Time) { l.afterRegister(offer, done) })
-		}
-		if registered {
-			l.renewLease(ctx)
-		}
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-l.session.Done():
 			return vwlink.ErrClosed
-		case <-l.wake:
+		case <-wake:
 		case <-ticker.C:
 		}
 	}
 }
 
+// registerOffer registers a new offer. It reports false when the agent has stopped.
+func (l *link) registerOffer(ctx context.Context) bool {
+	var offer *vwmessage.Register
+	if !l.registration.agent.do(func(time.Time) { offer, l.offer = l.offer, nil }) {
+		return false
+	}
+	if offer == nil {
+		return true
+	}
+	done := l.register(ctx, offer)
+	return l.registration.agent.do(func(time.Time) { l.afterRegister(offer, done) })
+}
+
 // afterRegister opens a registered link. An offer that was not registered is kept for the next try,
 // unless a newer one exists.
 func (l *link) afterRegister(offer *vwmessage.Register, done bool) {
 	if done {
+		l.registered = true
+		signal(l.wake)
 		l.registration.open(l)
 	} else if l.offer == nil {
 		l.offer = offer
@@ -151,21 +160,27 @@
 	return outcome.Refusal == vwstate.RefusalNone
 }
 
-// renewLease asks for one renewal. The lease counts from before the request was sent.
-func (l *link) renewLease(ctx context.Context) {
+// renewLease asks for one renewal once the agent is registered over this link: before that, control would
+// report the agent as expired. The lease counts from before the request was sent. It reports false when
+// the agent has stopped.
+func (l *link) renewLease(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r := l.registration
+	registered := false
 	request := &vwmessage.LeaseRequest{Incarnation: r.incarnation}
-	if !r.agent.do(func(time.Time) { request.Held = r.lease.Held() }) {
-		return
+	if !r.agent.do(func(time.Time) { request.Held, registered = r.lease.Held(), l.registered }) {
+		return false
+	}
+	if !registered {
+		return true
 	}
 	sent := time.Now()
 	reply, err := vwlink.Call[*vwmessage.LeaseReply](ctx, l.session, request)
 	if err != nil {
-		return
+		return true
 	}
-	r.agent.do(func(now time.Time) { r.takeLease(now, sent, l, reply) })
+	return r.agent.do(func(now time.Time) { r.takeLease(now, sent, l, reply) })
 }
 
 // HandleMessage implements vwlink.Handler.
@@ -202,7 +217,7 @@
 		r.onCancel(now, body)
 	case *vwmessage.ConfigAnnounce:
 		if body.Version > r.lease.Held() {
-			m.link.wakeUp()
+			signal(m.link.wake)
 		}
 	default:
 		a.counters.Unexpected.Add(1)
--- a/internal/process/vwagent/stop_test.go
+++ b/internal/process/vwagent/stop_test.go
@@ -120,3 +120,18 @@
 		require.Equal(t, vwverdict.Ran, e1.result(t, next, "t").Verdict)
 	})
 }
+
+// A slow registration must not let the lease run out: entries go on to relay it meanwhile.
+func TestLeaseOutlivesSlowRegistration(t *testing.T) {
+	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+		for _, e := range []*fakeEntry{e1, e2} {
+			e.set(func() { e.deaf = true })
+		}
+		f.silence(t)
+		more := announcement()
+		more.Slots = 7
+		require.NoError(t, f.agent.Announce(t.Context(), more))
+		pass(2500 * time.Millisecond)
+		require.Equal(t, 7, e1.held()+e2.held(), "the lease ran out, and all credits were recalled")
+	})
+}
