--- a/internal/process/vwentry/answer.go
+++ b/internal/process/vwentry/answer.go
@@ -1,6 +1,7 @@
 package vwentry
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -19,52 +20,6 @@
 	body   []byte
 }
 
-// titles are the titles of problem documents by code.
-var titles = map[string]string{
-	vwapi.CodeMalformed:    "The body is malformed",
-	vwapi.CodeTooLarge:     "The body is too large",
-	vwapi.CodeInvalid:      "The request is invalid",
-	vwapi.CodeNeverRuns:    "No worker can ever run this",
-	vwapi.CodeConflict:     "The submission id belongs to another body",
-	vwapi.CodeTooOld:       "The submission id is too old",
-	vwapi.CodeTooNew:       "The submission id is from the future",
-	vwapi.CodeUnknownJob:   "There is no record of the job",
-	vwapi.CodeQueueFull:    "The queue is full",
-	vwapi.CodeRateLimited:  "The team's rate is exceeded",
-	vwapi.CodeDeadline:     "The deadline cannot be met",
-	vwapi.CodeTaskFailed:   "A task failed",
-	vwapi.CodeWorkerLost:   "A worker was lost",
-	vwapi.CodeOwnerLost:    "The entry that owned the job was lost",
-	vwapi.CodeAnswerGone:   "The answer is no longer kept",
-	vwapi.CodeCancelled:    "The job was cancelled",
-	vwapi.CodeUnavailable:  "The entry cannot serve this now",
-	vwapi.CodeStopping:     "The entry is stopping",
-	vwapi.CodeStillRunning: "The job is still running",
-}
-
-// statuses are the HTTP statuses of problem documents by code.
-var statuses = map[string]int{
-	vwapi.CodeMalformed:    http.StatusBadRequest,
-	vwapi.CodeTooLarge:     http.StatusRequestEntityTooLarge,
-	vwapi.CodeInvalid:      http.StatusUnprocessableEntity,
-	vwapi.CodeNeverRuns:    http.StatusUnprocessableEntity,
-	vwapi.CodeConflict:     http.StatusConflict,
-	vwapi.CodeTooOld:       http.StatusGone,
-	vwapi.CodeTooNew:       http.StatusUnprocessableEntity,
-	vwapi.CodeUnknownJob:   http.StatusNotFound,
-	vwapi.CodeQueueFull:    http.StatusTooManyRequests,
-	vwapi.CodeRateLimited:  http.StatusTooManyRequests,
-	vwapi.CodeDeadline:     http.StatusGatewayTimeout,
-	vwapi.CodeTaskFailed:   http.StatusBadGateway,
-	vwapi.CodeWorkerLost:   http.StatusBadGateway,
-	vwapi.CodeOwnerLost:    http.StatusBadGateway,
-	vwapi.CodeAnswerGone:   http.StatusGone,
-	vwapi.CodeCancelled:    http.StatusConflict,
-	vwapi.CodeUnavailable:  http.StatusServiceUnavailable,
-	vwapi.CodeStopping:     http.StatusServiceUnavailable,
-	vwapi.CodeStillRunning: http.StatusAccepted,
-}
-
 // retryAfterMillis is suggested with refusals under load. It is about the time in which a full queue
 // of short tasks drains.
 const retryAfterMillis = 500
@@ -73,25 +28,37 @@
 // gets the verdict that the error carries.
 func problemOf(err error, id vwid.SubmissionID) *vwapi.Problem {
 	var known *vwapi.Problem
-	problem := vwapi.Problem{Code: vwapi.CodeUnavailable, Detail: err.Error(), Verdict: vwverdict.Of(err)}
+	problem := vwapi.Problem{Code: vwapi.CodeUnavailable, Detail: reasonOf(err), Verdict: vwverdict.Of(err)}
 	if errors.As(err, &known) {
 		problem = *known
 	}
 	return completeProblem(&problem, id)
 }
 
+// reasonOf returns why a call that the entry made failed.
+func reasonOf(err error) string {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return "no answer in time"
+	}
+	return vwverdict.Reason(err)
+}
+
 func completeProblem(problem *vwapi.Problem, id vwid.SubmissionID) *vwapi.Problem {
 	problem.Type = "about:blank"
-	problem.Title = titles[problem.Code]
-	problem.Status = statuses[problem.Code]
+	problem.Title = vwapi.TitleOf(problem.Code)
+	problem.Status = vwapi.StatusOf(problem.Code)
 	problem.ID = id
-	switch problem.Status {
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	if isBusy(problem.Status) {
 		problem.RetryAfterMillis = retryAfterMillis
 	}
 	return problem
 }
 
+// isBusy reports whether a status refuses what may be accepted a little later.
+func isBusy(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 func problemOfJob(j *job) *vwapi.Problem {
 	failure := j.Failure()
 	problem := &vwapi.Problem{Code: failure.Code, Detail: failure.Message, Verdict: failure.Verdict}
@@ -101,14 +68,6 @@
 	return completeProblem(problem, j.SubmissionID)
 }
 
-// statusOf returns the HTTP status of an ended job.
-func statusOf(j *job) int {
-	if j.Failure() == nil {
-		return http.StatusOK
-	}
-	return problemOfJob(j).Status
-}
-
 // writeAnswer writes the whole answer of an ended job, or its problem document, as a stream.
 func writeAnswer(writer io.Writer, j *job) (int, error) {
 	encoder := json.NewEncoder(writer)
--- a/internal/process/vwentry/request.go
+++ b/internal/process/vwentry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/request/vwjob"
@@ -49,6 +50,8 @@
 // cannot answer it.
 func (e *Entry) attempt(ctx context.Context, s submission) (*job, error) {
 	s.spec.SubmissionID = vwid.MakeSubmissionID()
+	// A job drops its payloads when it ends, and another attempt needs them.
+	s.spec.Tasks = slices.Clone(s.spec.Tasks)
 	j, err := makeJob(s.spec, 1, s.digest, false)
 	if err != nil {
 		return nil, err
@@ -58,7 +61,7 @@
 		e.adopt(j)
 		e.budget(j.Service, j.Team).deposit()
 		if err := e.enqueue(time.Now(), j); err != nil {
-			e.failJob(j, limitCode(err), err.Error())
+			e.failJob(j, limitCode(err), reasonOf(err))
 		}
 		return j, nil
 	})
