--- a/internal/process/vwagent/server.go
+++ b/internal/process/vwagent/server.go
@@ -34,7 +34,6 @@
 func Handler(target BackendServer) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	engine.RedirectTrailingSlash = false
 	engine.HandleMethodNotAllowed = true
 	// A redirect of a POST would lose its body with many clients.
 	engine.RedirectTrailingSlash = false
