--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -2,7 +2,6 @@
 package vwid
 
 import (
-	"encoding/binary"
 	"time"
 
 	"github.com/google/uuid"
@@ -58,14 +57,19 @@
 	return Acceptance(uuid.NewString())
 }
 
-// MakeSubmissionID returns a new id that carries the current time. The library's own maker of version 7
-// never goes back, so after a step of the clock its ids would be from the future and be refused.
+// MakeSubmissionID returns a new id that carries the current time.
 func MakeSubmissionID() SubmissionID {
+	return MakeSubmissionIDAt(time.Now())
+}
+
+// MakeSubmissionIDAt returns a new id that carries a time. uuid.NewV7 is not used: it never goes behind
+// the last id of the process, so that after a clock was set back its ids would be from the future and refused.
+func MakeSubmissionIDAt(at time.Time) SubmissionID {
 	id := uuid.New()
-	millis := uint64(time.Now().UnixMilli())
-	binary.BigEndian.PutUint16(id[0:], uint16(millis>>32))
-	binary.BigEndian.PutUint32(id[2:], uint32(millis))
-	id[6] = 0x70 | id[6]&0x0f
+	for i := range 6 {
+		id[i] = byte(at.UnixMilli() >> (8 * (5 - i)))
+	}
+	id[6] = id[6]&0x0f | 0x70
 	return SubmissionID(id.String())
 }
 
