--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -246,3 +246,14 @@
 	}
 	return nil
 }
+
+// Version returns the configuration version that the agent acts under.
+func (a *Agent) Version(context.Context) vwid.ConfigVersion {
+	version := vwid.ConfigVersion(0)
+	a.do(func(time.Time) {
+		if a.current != nil {
+			version = a.current.lease.Held()
+		}
+	})
+	return version
+}
