--- a/internal/process/vwcommand/exit.go
+++ b/internal/process/vwcommand/exit.go
@@ -10,6 +10,7 @@
 	"vanillawind.example/vanillawind/internal/process/vwloadtest"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/pkg/vwclient"
 )
 
 // The exit codes of all commands. Scripts rely on them.
@@ -20,9 +21,13 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line was wrong.
 	ExitUsage = 2
-	// ExitRefused means that a file or request was read and refused, and nothing has changed, or that a
-	// load test found a promise or target that was not kept.
+	// ExitRefused means that a file or request was read and refused, and nothing has run or changed, or that
+	// a load test found a promise or target that was not kept.
 	ExitRefused = 3
+	// ExitMayHaveRun means that a call failed and that nobody can tell what it has done.
+	ExitMayHaveRun = 4
+	// ExitRan means that a call ran and failed.
+	ExitRan = 5
 )
 
 // ErrUsage is returned for a wrong command line.
@@ -49,7 +54,8 @@
 // IsErrRefused reports whether err says that input was refused.
 func IsErrRefused(err error) bool {
 	var refused ErrRefused
-	return errors.As(err, &refused) || vwrule.IsErrRules(err) || vwsettings.IsErrSettings(err) || vwloadtest.IsErrBroken(err)
+	return errors.As(err, &refused) || vwrule.IsErrRules(err) || vwsettings.IsErrSettings(err) || vwloadtest.IsErrBroken(err) ||
+		(vwclient.IsRefused(err) && vwclient.IsNotRun(err))
 }
 
 // ExitCode returns the exit code for the outcome of a command.
@@ -61,11 +67,24 @@
 		return ExitUsage
 	case IsErrRefused(err):
 		return ExitRefused
+	case vwclient.IsRefused(err), vwclient.IsUnanswered(err):
+		return exitOfCall(err)
 	default:
 		return ExitFailed
 	}
 }
 
+// exitOfCall returns the exit code for a call of an entry. One that reached no entry has failed.
+func exitOfCall(err error) int {
+	switch {
+	case vwclient.IsRan(err):
+		return ExitRan
+	case vwclient.IsMayHaveRun(err):
+		return ExitMayHaveRun
+	}
+	return ExitFailed
+}
+
 // Message returns err without the trace of the places that it passed.
 func Message(err error) string {
 	return trace.UserMessage(err)
--- a/internal/process/vwdispatch/servicequeue.go
+++ b/internal/process/vwdispatch/servicequeue.go
@@ -19,10 +19,12 @@
 	far     workerRing
 	workers []*workerState
 	// told is the number of credits that agents are asked for and have not granted.
-	told       int
+	told int
+	// saturated is when tasks began to wait, and throughput what the service gives to the entry.
+	saturated  time.Time
 	throughput throughput
-	// ejected counts the workers that are ejected because of their failures.
-	ejected int
+	// impaired counts the workers that are ejected because of their failures or on their way back.
+	impaired int
 	// dry tells that an agent may know of no waiting task. While many wait, each is to know of some,
 	// or its slots stay idle.
 	dry bool
@@ -72,23 +74,34 @@
 }
 
 // outlier reports whether w fails much more often than the other workers, and few enough workers
-// are ejected that the others can take its work.
+// are impaired that the others can take its work.
 func (s *serviceQueue) outlier(w *workerState) bool {
-	if 2*(s.ejected+1) > len(s.workers) {
+	if w.health.impaired() {
+		return true
+	}
+	if 2*(s.impaired+1) > len(s.workers) {
 		return false
 	}
 	sum := 0.0
 	for _, other := range s.workers {
-		if other != w && !other.health.ejected {
+		if other != w && !other.health.impaired() {
 			sum += other.health.rate
 		}
 	}
-	return w.health.rate-sum/float64(len(s.workers)-1-s.ejected) > ejectionMargin || w.health.probes > 0
+	return w.health.rate-sum/float64(len(s.workers)-1-s.impaired) > ejectionMargin
+}
+
+func (s *serviceQueue) countImpaired(was, is bool) {
+	if was != is && is {
+		s.impaired++
+	} else if was != is {
+		s.impaired--
+	}
 }
 
 // wait returns how long a team's waiting tasks and work more are likely to take until all are sent.
 func (s *serviceQueue) wait(now time.Time, team *teamQueue, work time.Duration) time.Duration {
-	rate := s.throughput.rate(now)
+	rate := s.rate(now)
 	if s.unserved() == 0 || rate <= 0 {
 		return 0
 	}
@@ -101,3 +114,13 @@
 	backlog := team.learned.Seconds()*float64(team.waiting) + work.Seconds()
 	return time.Duration(backlog * weights / (rate * team.team.policy.Weight) * float64(time.Second))
 }
+
+// rate returns the slot seconds per second to expect from the service. Until tasks have waited for
+// a whole window, the measured throughput is only the demand of that time and not the capacity.
+func (s *serviceQueue) rate(now time.Time) float64 {
+	rate := s.throughput.rate(now)
+	if now.Sub(s.saturated) < throughputWindow {
+		return max(rate, float64(s.slots))
+	}
+	return rate
+}
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -1,9 +1,12 @@
 package vwentry
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -37,7 +40,7 @@
 	defer cancel()
 	view, err := e.control.Read(ctx, vwstate.Query{Config: true})
 	if err != nil {
-		return vwstate.Config{}, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+err.Error())
+		return vwstate.Config{}, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err))
 	}
 	return *view.Config, nil
 }
@@ -55,12 +58,12 @@
 
 func (e *Entry) putRules(c *gin.Context) {
 	var change vwapi.RulesChange
-	if err := decodeStrict(http.MaxBytesReader(c.Writer, c.Request.Body, 2*maxRules), &change); err != nil {
-		writeProblem(c, malformed(err), "")
+	if err := readBody(c, 2*maxRules, &change); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
-	if change.ChangeID == "" || change.By == "" {
-		writeProblem(c, invalid("ChangeID and By must be given"), "")
+	if err := checkChange(change.ChangeID, change.By); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
 	changed, err := e.changeRules(c.Request.Context(), change)
@@ -71,9 +74,23 @@
 	c.JSON(http.StatusOK, changed)
 }
 
+// checkChange bounds what control keeps of each change.
+func checkChange(id vwid.ChangeID, by string) error {
+	switch {
+	case id == "" || by == "":
+		return invalid("ChangeID and By must be given")
+	case len(id) > maxName || len(by) > maxName:
+		return invalid(fmt.Sprintf("ChangeID and By must not have more than %d bytes", maxName))
+	}
+	return nil
+}
+
 // changeRules proposes a change. A resend with the same ChangeID gets the first outcome, even when the
 // rules have changed since.
 func (e *Entry) changeRules(ctx context.Context, change vwapi.RulesChange) (*vwapi.RulesChanged, error) {
+	if len(change.Text) > maxRules {
+		return nil, tooLarge("the rules have %d bytes; the limit is %d", len(change.Text), maxRules)
+	}
 	if _, err := vwrule.Parse("rules", []byte(change.Text)); err != nil {
 		return nil, refuse(vwapi.CodeInvalid, vwverdict.NotRun, err.Error())
 	}
@@ -83,7 +100,7 @@
 		ChangeID: change.ChangeID, Base: change.Base, Text: []byte(change.Text), By: change.By,
 	}})
 	if err != nil {
-		return nil, refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+err.Error())
+		return nil, refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+reasonOf(err))
 	}
 	if outcome.Refusal == vwstate.RefusalVersion {
 		return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "another change came first; read the rules again and apply the change to that version")
@@ -117,7 +134,7 @@
 func (e *Entry) getWorkers(c *gin.Context) {
 	view, err := e.readRegistrations(c.Request.Context())
 	if err != nil {
-		writeProblem(c, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+err.Error()), "")
+		writeProblem(c, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err)), "")
 		return
 	}
 	workers := []vwapi.Worker{}
@@ -131,6 +148,9 @@
 			Service: r.Service, Slots: r.Slots, SinceMillis: r.SinceMillis,
 		})
 	}
+	slices.SortFunc(workers, func(a, b vwapi.Worker) int {
+		return cmp.Or(cmp.Compare(a.DataCentre, b.DataCentre), cmp.Compare(a.Process, b.Process), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
 	c.JSON(http.StatusOK, workers)
 }
 
@@ -164,12 +184,12 @@
 
 func (e *Entry) postDataCentre(c *gin.Context) {
 	var order vwapi.DataCentreOrder
-	if err := decodeStrict(http.MaxBytesReader(c.Writer, c.Request.Body, maxRules), &order); err != nil {
-		writeProblem(c, malformed(err), "")
+	if err := readBody(c, maxRules, &order); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
-	if order.By == "" || order.ChangeID == "" {
-		writeProblem(c, invalid("By and ChangeID must be given"), "")
+	if err := checkChange(order.ChangeID, order.By); err != nil {
+		writeProblem(c, err, "")
 		return
 	}
 	name := vwid.DataCentre(c.Param("Name"))
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -13,7 +13,6 @@
 	"vanillawind.example/vanillawind/internal/process/vwcontrol"
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwmetrics"
-	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -68,17 +67,13 @@
 	return m, trace.NewAggregate(server.Attach(group, started), started.Watch(announce))
 }
 
-// apply maps the times to ticks. A member votes after one to two ElectionTicks, and at the latest after
-// Election. Two ticks are one Heartbeat.
+// apply sets the times. Two ticks are one Heartbeat.
 func (c MemberConfig) apply(settings *vwcontrol.Settings) {
 	if c.Heartbeat <= 0 || c.Election <= 0 {
 		return
 	}
 	settings.Tick = max(c.Heartbeat/2, time.Millisecond)
-	settings.Tune = func(raft *vwraft.Settings) {
-		raft.HeartbeatTicks = 2
-		raft.ElectionTicks = max(3*raft.HeartbeatTicks, int(c.Election/(2*settings.Tick)))
-	}
+	settings.Heartbeat, settings.Election = c.Heartbeat, c.Election
 }
 
 // stop hands a leadership over and ends the member.
