--- a/internal/process/vwagent/server_test.go
+++ b/internal/process/vwagent/server_test.go
@@ -50,9 +50,9 @@
 		"too large":      {"POST", "/Announce", `{"Service":"` + strings.Repeat("x", 20<<10) + `"}`, nil, http.StatusRequestEntityTooLarge, vwapi.CodeTooLarge},
 		"invalid":        {"POST", "/Announce", good, trace.BadParameter("Slots"), http.StatusUnprocessableEntity, vwapi.CodeInvalid},
 		"agent stops":    {"POST", "/Leave", "", vwverdict.Errorf(vwverdict.NotRun, "stopped"), http.StatusServiceUnavailable, vwapi.CodeStopping},
-		"wrong method":   {"GET", "/Announce", "", nil, http.StatusMethodNotAllowed, vwapi.CodeInvalid},
-		"unknown path":   {"POST", "/announce", good, nil, http.StatusNotFound, vwapi.CodeInvalid},
-		"trailing slash": {"POST", "/Leave/", "", nil, http.StatusNotFound, vwapi.CodeInvalid},
+		"wrong method":   {"GET", "/Announce", "", nil, http.StatusMethodNotAllowed, vwapi.CodeUnknownMethod},
+		"unknown path":   {"POST", "/announce", good, nil, http.StatusNotFound, vwapi.CodeUnknownRoute},
+		"trailing slash": {"POST", "/Leave/", "", nil, http.StatusNotFound, vwapi.CodeUnknownRoute},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/vwhistory/session_test.go
+++ b/internal/process/vwhistory/session_test.go
@@ -202,7 +202,8 @@
 		s.send("operators", "PUT /Rules", rulesWith("none", `RetryBudget.pedidos.Stands = { Ratio = 0, PerSecond = 0 } # Ana, platform`))
 		time.Sleep(2 * time.Second)
 		used := 0
-		for ; used < 200 && s.loseWorkerQuietly(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`) == 2; used++ {
+		for used < 200 && s.loseWorkerQuietly(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`) == 2 {
+			used++
 		}
 		require.LessOrEqual(s.t, used, 100, "the budget has no end")
 		s.loseWorkerDuring(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`, http.StatusBadGateway, 1)
