--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -11,15 +11,15 @@
 
 // commands are the constructors of all subcommands of the root command.
 var commands = []func() *cobra.Command{
-	makeSubmit,
-	makeJob,
-	makeCancel,
 	makeAgent,
 	makeControl,
 	makeDemo,
 	makeEntry,
 	makeKeys,
 	makeLoadTest,
+	makeSubmit,
+	makeJob,
+	makeCancel,
 	makeRules,
 	makeDataCentre,
 	makeWorkers,
--- a/internal/process/vwcommand/exit.go
+++ b/internal/process/vwcommand/exit.go
@@ -21,8 +21,8 @@
 	ExitFailed = 1
 	// ExitUsage means that the command line was wrong.
 	ExitUsage = 2
-	// ExitRefused means that a file or request was read and refused, and nothing has run or changed, or that a
-	// load test found a promise or target that was not kept.
+	// ExitRefused means that a file or request was read and refused, and nothing has run or changed, or that
+	// a load test found a promise or target that was not kept.
 	ExitRefused = 3
 	// ExitMayHaveRun means that a call failed and that nobody can tell what it has done.
 	ExitMayHaveRun = 4
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -67,7 +67,7 @@
 	return m, trace.NewAggregate(server.Attach(group, started), started.Watch(announce))
 }
 
-// apply takes over the times that are set.
+// apply sets the times. Two ticks are one Heartbeat.
 func (c MemberConfig) apply(settings *vwcontrol.Settings) {
 	if c.Heartbeat <= 0 || c.Election <= 0 {
 		return
--- a/internal/process/vwsettings/check.go
+++ b/internal/process/vwsettings/check.go
@@ -206,7 +206,7 @@
 	if t.Lease > t.Registration {
 		c.report("Timeouts.Registration", fmt.Sprintf("\"%v\" is shorter than Lease = \"%v\"", t.Registration, t.Lease), fmt.Sprintf("write at least \"%v\"", t.Lease))
 	}
-	c.checkRatio("Timeouts.Heartbeat", t.Heartbeat, "Election", t.Election, 5)
+	c.checkRatio("Timeouts.Heartbeat", t.Heartbeat, "Election", t.Election, 6)
 	if t.Election >= t.Lease {
 		c.report("Timeouts.Election", fmt.Sprintf("with \"%v\" every lease of %v ends before a new leader can renew it", t.Election, t.Lease), fmt.Sprintf("write less than \"%v\"", t.Lease))
 	}
