--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -11,6 +11,12 @@
 
 // commands are the constructors of all subcommands of the root command.
 var commands = []func() *cobra.Command{
+	makeAgent,
+	makeControl,
+	makeDemo,
+	makeEntry,
+	makeKeys,
+	makeLoadTest,
 	makeSubmit,
 	makeJob,
 	makeCancel,
@@ -19,6 +25,8 @@
 	makeWorkers,
 	makeStatus,
 	makeSettings,
+	makeStandIn,
+	makeTimeline,
 }
 
 const rootHelp = `vanillawind dispatches sub-second tasks where capacity is fixed and demand is bursty.
@@ -32,7 +40,8 @@
   0  fine
   1  failed, for example because a file or a server could not be reached
   2  wrong usage of the command line
-  3  input was refused; nothing has run or changed (verdict NotRun)
+  3  input was refused; nothing has run or changed (verdict NotRun),
+     or a load test found a broken promise
   4  a call failed and may have run, wholly or in part (verdict MayHaveRun)
   5  a call ran and failed (verdict Ran)
 
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -5,6 +5,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwstart"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -28,6 +29,10 @@
 	// weighed tells for which configuration and service the granter has the policy.
 	weighed policyKey
 
+	// leased and heldVersion are what was recorded last of the lease.
+	leased      bool
+	heldVersion vwid.ConfigVersion
+
 	targets map[string]*target
 	// named are the entries that lease replies name, and namedAt is when one last named any.
 	named   map[string]namedEntry
@@ -175,6 +180,7 @@
 	l.target.link = l
 	r.links[l.entry] = l
 	r.reached[l.target.address] = l.entry
+	r.agent.record(vwevent.Event{Kind: vwevent.ConnectionOpened, Peer: l.session.Peer().Process})
 	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
 	l.setOffer()
 	return true
@@ -208,6 +214,7 @@
 		return
 	}
 	l.retired = true
+	r.agent.record(vwevent.Event{Kind: vwevent.ConnectionClosed, Peer: l.session.Peer().Process})
 	if l.target.link == l {
 		l.target.link = nil
 	}
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -26,8 +26,11 @@
 	digest string
 	// accepted tells that control has a record of the job.
 	accepted bool
+	// lost tells that another entry may own the job, so that control must be asked about it.
+	lost bool
 	// acceptance is the call that control accepted; empty after a takeover.
 	acceptance vwid.Acceptance
+	begun      time.Time
 	done       chan struct{}
 	expiry     *time.Timer
 	endedAt    time.Time
@@ -41,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &job{Job: state, digest: digest, accepted: accepted, done: make(chan struct{})}, nil
+	return &job{Job: state, digest: digest, accepted: accepted, begun: time.Now(), done: make(chan struct{})}, nil
 }
 
 // queuedTask returns the task at index as the queue holds it.
@@ -109,7 +112,7 @@
 
 // loseJob gives up a job that another entry may own by now. Its record is not touched.
 func (e *Entry) loseJob(j *job) {
-	j.accepted = false
+	j.accepted, j.lost = false, true
 	j.FailWith(codeOwnerLost, vwverdict.MayHaveRun, "another entry may have taken the job over; submit it again to get its answer")
 	e.checkEnd(j)
 }
@@ -134,6 +137,7 @@
 		j.Tasks[index].Payload = nil
 	}
 	e.counters.countEnd(j.Failure())
+	observe(e.observer.Answered, j.endedAt.Sub(j.begun))
 	for _, w := range e.workers {
 		if w.leaving && w.jobs[j.SubmissionID] == j {
 			e.acknowledge(w, j)
@@ -181,7 +185,7 @@
 	e.group.Run(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
-		if _, err := e.control.Propose(limited, vwstate.Command{Finish: command}); err != nil {
+		if _, err := e.propose(limited, vwstate.Command{Finish: command}); err != nil {
 			e.log.Warn("end of submission not recorded", "submission", string(command.SubmissionID), "error", err)
 		}
 		e.post(func() {
@@ -238,10 +242,6 @@
 	if e.jobs[j.SubmissionID] == j {
 		delete(e.jobs, j.SubmissionID)
 	}
-	if j.hasNotRun() {
-		// Agents have no records of it, and an acknowledgement would make them refuse a later acceptance.
-		return
-	}
 	for _, w := range e.workers {
 		if w.jobs[j.SubmissionID] == j {
 			e.acknowledge(w, j)
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -34,6 +34,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-e.announced:
 		}
 	}
 }
@@ -64,7 +65,7 @@
 func (e *Entry) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	outcome, err := e.control.Propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: vwstate.Registration{
+	outcome, err := e.propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: vwstate.Registration{
 		Incarnation: e.incarnation,
 		Process:     e.settings.Process,
 		Role:        vwstate.RoleEntry,
@@ -77,7 +78,9 @@
 		return false
 	}
 	if outcome.Refusal != vwstate.RefusalNone {
-		e.log.Error("registration refused; the entry must be restarted", "refusal", string(outcome.Refusal))
+		// An earlier attempt whose outcome was lost has been registered and has expired since.
+		e.log.Error("registration refused", "refusal", string(outcome.Refusal))
+		e.post(e.loseOwnership)
 		return false
 	}
 	e.post(func() { e.registered = true })
@@ -106,6 +109,7 @@
 		e.log.Error("lease reply refused", "error", err)
 		return
 	}
+	e.recordLease(time.Now())
 	e.entries = reply.Entries
 	e.expired = map[vwid.Incarnation]bool{}
 	for _, incarnation := range reply.Expired {
@@ -142,13 +146,17 @@
 }
 
 func (e *Entry) applyRules() {
-	changed := e.holder.Version() != e.applied
+	changed, before := e.holder.Version() != e.applied, e.rules
 	e.applied, e.appliedFor = e.holder.Version(), len(e.entries)
 	e.rules = e.holder.Rules()
-	e.queue.SetPolicy(vwdispatch.MakePolicy(e.rules, e.mainService(), max(len(e.entries), 1)))
+	policy := vwdispatch.MakePolicy(e.rules, e.mainService(), max(len(e.entries), 1))
+	policy.QueueTasks = lower(policy.QueueTasks, e.settings.QueueTasks)
+	policy.QueueBytes = lower(policy.QueueBytes, int(e.settings.QueueBytes))
+	e.queue.SetPolicy(policy)
 	if !changed {
 		return
 	}
+	e.recordConfig(before, e.rules)
 	e.log.Info("configuration in force", "version", uint64(e.applied))
 	announce := &vwmessage.ConfigAnnounce{Version: e.applied}
 	for _, w := range e.workers {
@@ -158,6 +166,14 @@
 	}
 }
 
+// lower returns the lower of two limits, of which zero is none.
+func lower(one, other int) int {
+	if one <= 0 || other <= 0 {
+		return max(one, other)
+	}
+	return min(one, other)
+}
+
 // mainService returns the service whose policy the queue follows. The queue keeps one policy for each
 // team, so with several services the first declared one decides.
 func (e *Entry) mainService() vwid.Service {
@@ -242,3 +258,12 @@
 		}
 	}
 }
+
+// Version returns the configuration version that the entry acts under.
+func (e *Entry) Version(ctx context.Context) vwid.ConfigVersion {
+	version, err := ask(ctx, e, func() vwid.ConfigVersion { return e.applied })
+	if err != nil {
+		return 0
+	}
+	return version
+}
--- a/internal/process/vwentry/takeover.go
+++ b/internal/process/vwentry/takeover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -33,6 +34,10 @@
 		FromEpoch:    record.Epoch,
 		Owner:        e.incarnation,
 	}})
+	if err != nil && ctx.Err() == nil && !vwverdict.IsNotRun(err) {
+		// The record tells whether the command got into the log.
+		return nil, nil
+	}
 	if err != nil {
 		return nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "the submission could not be taken over: "+reasonOf(err))
 	}
@@ -59,6 +64,7 @@
 		e.applyDefaultDeadline(j)
 		j.SetUncertain(true)
 		e.adopt(j)
+		e.recordJob(vwevent.TookOver, j)
 		e.settle(j, outcome)
 		return &reply{job: j}, nil
 	})
@@ -96,12 +102,17 @@
 	if j.settlement == nil || !j.settlement.pending[w.Incarnation] {
 		return
 	}
-	if answer.Refused {
+	if answer.Refused && answer.Epoch > j.Epoch() {
 		e.loseJob(j)
 		return
 	}
 	delete(j.settlement.pending, w.Incarnation)
-	j.Reconcile(w.Incarnation, nil, answer)
+	if answer.Refused {
+		// The agent has dropped its records of the job.
+		j.settlement.gone = true
+	} else {
+		j.Reconcile(w.Incarnation, nil, answer)
+	}
 	e.checkSettled(j)
 }
 
--- a/internal/process/vwhistory/site_test.go
+++ b/internal/process/vwhistory/site_test.go
@@ -15,6 +15,8 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/process/vwagent"
+	"vanillawind.example/vanillawind/internal/process/vwmetrics"
+	"vanillawind.example/vanillawind/internal/process/vwprocess"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
@@ -71,7 +73,7 @@
 	entry, _ := e.current()
 	switch kind {
 	case "operators":
-		return entry.OperatorsHandler()
+		return vwprocess.EntryOperators(entry, vwmetrics.Make())
 	case "agent":
 		return vwagent.Handler(s.cluster.agents[0].current())
 	}
