Show that the checks of the histories find planted faults

Cause: a check that cannot fail proves nothing. Change: the stand-in control can accept a submission twice or go on granting a stale version; histories with these faults must report a second start and a late start.

--- a/internal/process/vwcontroltest/control.go
+++ b/internal/process/vwcontroltest/control.go
@@ -25,6 +25,22 @@
 	state   *vwstate.State
 	renewed map[vwid.Incarnation]time.Time
 	delay   time.Duration
+	planted Fault
+}
+
+// Fault is a wrong behaviour that a test plants to show that its checks find it.
+type Fault struct {
+	// TwoOwners accepts a submission that has an owner.
+	TwoOwners bool
+	// StaleLease goes on granting leases on the version that was current when the fault was planted.
+	StaleLease bool
+}
+
+// Plant makes the control behave wrongly from now on.
+func (c *Control) Plant(fault Fault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.planted = fault
 }
 
 // Make returns an empty control that takes delay for each command.
@@ -101,7 +117,12 @@
 	if command.Register != nil {
 		c.renewed[command.Register.Registration.Incarnation] = time.Now()
 	}
-	return c.state.Apply(command)
+	outcome := c.state.Apply(command)
+	if c.planted.TwoOwners && command.Accept != nil && outcome.Refusal == vwstate.RefusalExists {
+		outcome.Refusal = vwstate.RefusalNone
+		outcome.Submission.Owner = command.Accept.Owner
+	}
+	return outcome
 }
 
 // expire ends the registrations that were not renewed.
@@ -135,6 +156,9 @@
 		}
 		c.renewed[incarnation] = time.Now()
 	}
+	if c.planted.StaleLease && request.Held > 0 {
+		reply.Version = request.Held
+	}
 	if request.Held < reply.Version {
 		reply.Rules = c.state.Config().Text
 	}
--- a/internal/process/vwhistory/history_test.go
+++ b/internal/process/vwhistory/history_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/process/vwcontroltest"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
@@ -48,6 +49,11 @@
 
 // runHistory runs the history of one seed and returns the broken promises.
 func runHistory(t *testing.T, seed uint64) (found []string, log string) {
+	return runPlantedHistory(t, seed, vwcontroltest.Fault{})
+}
+
+// runPlantedHistory runs a history whose control has a fault from the first rules on.
+func runPlantedHistory(t *testing.T, seed uint64, fault vwcontroltest.Fault) (found []string, log string) {
 	synctest.Test(t, func(t *testing.T) {
 		var buffer bytes.Buffer
 		h := &history{
@@ -58,6 +64,8 @@
 		h.callers = vwgroup.Make(context.Background())
 		time.Sleep(5 * time.Second)
 		h.changeRules(rules)
+		time.Sleep(time.Second)
+		h.cluster.control.Plant(fault)
 		h.run()
 		found = h.finish()
 		h.cluster.stop()
