--- a/internal/process/vwdemo/command.go
+++ b/internal/process/vwdemo/command.go
@@ -66,7 +66,7 @@
 	for _, backend := range cluster.Backends {
 		c.printf("stand-in of %s  %s/Starts\n", backend.Starts().Worker, backend.Address())
 	}
-	c.printf("\ntry it:\n  curl -s http://%s/Requests -d '{\"Service\":\"%s\",\"Team\":\"%s\",\"Payload\":{\"RunMillis\":50,\"Echo\":\"hello\"}}'\n",
+	c.printf("\ntry it:\n  curl -s http://%s/Requests --json '{\"Service\":\"%s\",\"Team\":\"%s\",\"Payload\":{\"RunMillis\":50,\"Echo\":\"hello\"}}'\n",
 		cluster.Entries[0].CallersAddress(), Service, Team)
 }
 
--- a/internal/process/vwdemo/demo_test.go
+++ b/internal/process/vwdemo/demo_test.go
@@ -23,7 +23,8 @@
 	require.NoError(t, command.Run(context.Background()), "%s", &out)
 	require.Contains(t, out.String(), "recorded 901 starts")
 	require.Contains(t, out.String(), "0 tasks started twice")
-	require.Contains(t, out.String(), "curl -s http://127.0.0.1:")
+	// Without --json curl declares another type of body, which an entry refuses.
+	require.Regexp(t, `curl -s http://127\.0\.0\.1:\d+/Requests --json `, out.String())
 }
 
 // An interrupt must end the demo gracefully, whenever it comes.
