Run the histories on the replicated control too

Cause: the histories used a stand-in of one member for control, so entries, agents and a control group had not met random faults together.

--- a/internal/process/vwhistory/cluster_test.go
+++ b/internal/process/vwhistory/cluster_test.go
@@ -191,12 +191,20 @@
 	entries []*entryProcess
 	agents  []*agentProcess
 	log     *slog.Logger
+	// replicated is set when entries use a control group instead of the stand-in.
+	replicated *replicatedControl
 	// supervisors outlive the entries that they replace.
 	supervisors *vwgroup.Group
 }
 
 func startCluster(entries, agents int, log *slog.Logger) *cluster {
-	c := &cluster{
+	c := makeCluster(log)
+	c.start(entries, agents)
+	return c
+}
+
+func makeCluster(log *slog.Logger) *cluster {
+	return &cluster{
 		network: vwlinktest.MakeNetwork(1500 * time.Microsecond),
 		control: vwcontroltest.Make(5 * time.Millisecond),
 		record:  &record{},
@@ -204,6 +212,9 @@
 
 		supervisors: vwgroup.Make(context.Background()),
 	}
+}
+
+func (c *cluster) start(entries, agents int) {
 	for i := range entries {
 		e := &entryProcess{index: i, address: fmt.Sprintf("entry-%d", i)}
 		c.entries = append(c.entries, e)
@@ -215,7 +226,6 @@
 		c.agents = append(c.agents, a)
 		c.startAgent(a)
 	}
-	return c
 }
 
 func (c *cluster) startEntry(e *entryProcess) {
@@ -226,13 +236,18 @@
 	endpoint := c.network.MakeEndpoint(e.address, hello)
 	settings := makeSettings()
 	settings.Process, settings.DataCentre, settings.LinkAddress = hello.Process, hello.DataCentre, e.address
-	control := c.control.Client()
-	entry := vwentry.Make(settings, hello.Incarnation, control, endpoint, c.log)
-	entry.Start()
 	serving := vwgroup.Make(context.Background())
+	standIn := c.control.Client()
+	var control vwentry.Control = standIn
+	var entry *vwentry.Entry
+	if c.replicated != nil {
+		control = c.replicated.client(serving, endpoint, func(version vwid.ConfigVersion) { entry.Announce(version) })
+	}
+	entry = vwentry.Make(settings, hello.Incarnation, control, endpoint, c.log)
+	entry.Start()
 	serving.Run(func(ctx context.Context) { _ = vwlink.Serve(ctx, endpoint, entry) })
 	e.mu.Lock()
-	e.entry, e.control, e.serving = entry, control, serving
+	e.entry, e.control, e.serving = entry, standIn, serving
 	e.mu.Unlock()
 	c.supervisors.Run(func(ctx context.Context) { c.replaceLost(ctx, e, entry) })
 }
@@ -338,6 +353,9 @@
 	for _, a := range c.agents {
 		c.killAgent(a)
 	}
+	if c.replicated != nil {
+		c.replicated.stop()
+	}
 	_ = c.network.Close()
 }
 
--- a/internal/process/vwhistory/history_test.go
+++ b/internal/process/vwhistory/history_test.go
@@ -15,7 +15,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwcontroltest"
+	"vanillawind.example/vanillawind/internal/process/vwentry"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
@@ -33,9 +35,12 @@
 
 // history is one generated run.
 type history struct {
-	t        *testing.T
-	random   *rand.Rand
-	cluster  *cluster
+	t       *testing.T
+	random  *rand.Rand
+	cluster *cluster
+	// control is the way by which the history itself reads; reader holds what that needs.
+	control  vwentry.Control
+	reader   *vwgroup.Group
 	ledger   *ledger
 	outages  []outage
 	outIndex map[vwid.DataCentre]int
@@ -52,22 +57,42 @@
 	return runPlantedHistory(t, seed, vwcontroltest.Fault{})
 }
 
+// runReplicatedHistory runs the history of one seed with a control group of three members.
+func runReplicatedHistory(t *testing.T, seed uint64) (found []string, log string) {
+	return runHistoryOn(t, seed, func(h *history) {
+		h.cluster.replicated = startReplicatedControl(h.cluster)
+		h.reader = vwgroup.Make(context.Background())
+		hello := vwmessage.Hello{Cluster: "test", Process: "reader", Incarnation: vwid.MakeIncarnation(), Role: "Entry"}
+		h.control = h.cluster.replicated.client(h.reader, h.cluster.network.MakeEndpoint("reader", hello), func(vwid.ConfigVersion) {})
+	}, func(*history) {})
+}
+
 // runPlantedHistory runs a history whose control has a fault from the first rules on.
 func runPlantedHistory(t *testing.T, seed uint64, fault vwcontroltest.Fault) (found []string, log string) {
+	return runHistoryOn(t, seed, func(h *history) { h.control = h.cluster.control.Client() },
+		func(h *history) { h.cluster.control.Plant(fault) })
+}
+
+// runHistoryOn prepares the control of a history, runs it, and plants a fault after the first rules.
+func runHistoryOn(t *testing.T, seed uint64, prepare, plant func(*history)) (found []string, log string) {
 	synctest.Test(t, func(t *testing.T) {
 		var buffer bytes.Buffer
 		h := &history{
 			t: t, random: rand.New(rand.NewPCG(seed, 0)), ledger: &ledger{},
 			outIndex: map[vwid.DataCentre]int{}, text: rules, log: &buffer,
 		}
-		h.cluster = startCluster(entryCount, agentCount, slog.New(slog.NewTextHandler(&buffer, nil)))
+		h.cluster = makeCluster(slog.New(slog.NewTextHandler(&buffer, nil)))
+		h.reader = vwgroup.Make(context.Background())
+		prepare(h)
+		h.cluster.start(entryCount, agentCount)
 		h.callers = vwgroup.Make(context.Background())
 		time.Sleep(5 * time.Second)
 		h.changeRules(rules)
 		time.Sleep(time.Second)
-		h.cluster.control.Plant(fault)
+		plant(h)
 		h.run()
 		found = h.finish()
+		_ = h.reader.Stop()
 		h.cluster.stop()
 		log = buffer.String()
 	})
@@ -129,7 +154,12 @@
 	e := h.cluster.entries[h.random.IntN(entryCount)]
 	a := h.cluster.agents[h.random.IntN(agentCount)]
 	duration := time.Duration(200+h.random.IntN(7000)) * time.Millisecond
-	switch h.random.IntN(10) {
+	kind := h.random.IntN(10)
+	if h.cluster.replicated != nil && (kind == 6 || kind == 7) {
+		h.cluster.replicated.fault(h, duration)
+		return
+	}
+	switch kind {
 	case 0:
 		h.cluster.killEntry(e, nil)
 		h.later(duration, func() { h.reviveEntry(e) })
@@ -244,8 +274,17 @@
 }
 
 func (h *history) readRules() {
-	view, err := h.cluster.control.Client().Read(context.Background(), vwstate.Query{Config: true})
-	require.NoError(h.t, err)
+	var view vwstate.View
+	read := func() (err error) {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		defer cancel()
+		view, err = h.control.Read(ctx, vwstate.Query{Config: true})
+		return err
+	}
+	// Without a majority of control nothing can be read; the faults end by themselves.
+	for err := read(); err != nil; err = read() {
+		time.Sleep(500 * time.Millisecond)
+	}
 	require.GreaterOrEqual(h.t, view.Config.Version, h.version, "the version fell")
 	h.version, h.text = view.Config.Version, string(view.Config.Text)
 }
@@ -292,7 +331,7 @@
 
 // logRecords logs what control knows, for the search of the cause.
 func (h *history) logRecords() {
-	client := h.cluster.control.Client()
+	client := h.control
 	seen := map[vwid.SubmissionID]bool{}
 	for _, s := range h.cluster.record.all() {
 		seen[s.submission] = true
@@ -320,8 +359,21 @@
 	runSeeds(t, 1, historyCount)
 }
 
-// runSeeds runs consecutive seeds. HISTORY_SEED in the environment selects a single one.
+// replicatedCount is smaller than historyCount, since these histories take several times as long.
+const replicatedCount = 20
+
+// The same must hold with a replicated control whose members crash, lose what their disks had not synced,
+// and fall silent.
+func TestReplicatedHistories(t *testing.T) {
+	runSeedsOn(t, 1, replicatedCount, runReplicatedHistory)
+}
+
 func runSeeds(t *testing.T, first, count uint64) {
+	runSeedsOn(t, first, count, runHistory)
+}
+
+// runSeedsOn runs consecutive seeds. HISTORY_SEED in the environment selects a single one.
+func runSeedsOn(t *testing.T, first, count uint64, run func(t *testing.T, seed uint64) (found []string, log string)) {
 	if text := os.Getenv("HISTORY_SEED"); text != "" {
 		seed, err := strconv.ParseUint(text, 10, 64)
 		require.NoError(t, err)
@@ -330,7 +382,7 @@
 	for seed := first; seed < first+count; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			t.Parallel()
-			found, log := runHistory(t, seed)
+			found, log := run(t, seed)
 			if len(found) > 0 {
 				t.Log(log)
 			}
