Drop the state of idle teams and services from the queue

Cause: the queue kept state for each name of a team or service that any caller sent, so its memory grew without bound.

TakeExpired drops, once a minute, teams without waiting or sent tasks that were idle for a minute and whose rate limit has recovered, and services without teams and workers.

The Granter still keeps each team name that it has seen.

--- a/internal/process/vwdispatch/doc.go
+++ b/internal/process/vwdispatch/doc.go
@@ -11,6 +11,8 @@
 // time that Granter.Retry tells. An entry answers each recall with a return, of zero credits when it
 // has none left.
 //
+// Queue.TakeExpired also drops the state of teams and services that were idle for a minute.
+//
 // A new connection between the two starts without credits: the entry drops those that it holds with
 // Recall and calls AddWorker again, which keeps what it knows of the worker's failures; the agent
 // calls RemoveEntry and AddEntry.
--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -29,6 +29,8 @@
 	sequence uint64
 	waiting  int
 	bytes    int
+	// swept is when idle state was last dropped.
+	swept time.Time
 }
 
 // MakeQueue returns an empty queue.
@@ -53,6 +55,7 @@
 		bytes += job.Tasks[i].Bytes
 	}
 	team := q.team(job.Team)
+	team.used = now
 	if err := q.admit(now, team, job, bytes); err != nil {
 		return refuse(err)
 	}
@@ -65,6 +68,7 @@
 // job already passed.
 func (q *Queue) Requeue(now time.Time, task Task) {
 	team := q.team(task.Team)
+	team.used = now
 	team.sent = max(0, team.sent-1)
 	q.service(task.Service).team(team).settle(0)
 	if job := q.jobs[task.SubmissionID]; job != nil {
@@ -176,6 +180,7 @@
 // Finish records the end of a task that was sent to worker.
 func (q *Queue) Finish(now time.Time, worker vwid.Incarnation, team vwid.Team, info FinishInfo) {
 	state := q.team(team)
+	state.used = now
 	state.sent = max(0, state.sent-1)
 	if w := q.workers[worker]; w != nil {
 		w.service.team(state).settle(info.RunTime)
@@ -207,6 +212,7 @@
 			q.expire(now, team)
 		}
 	}
+	q.dropIdle(now)
 	expired := q.expired
 	q.expired = nil
 	return expired
--- a/internal/process/vwdispatch/teamstate.go
+++ b/internal/process/vwdispatch/teamstate.go
@@ -15,6 +15,8 @@
 	sent     int
 	tokens   float64
 	refilled time.Time
+	// used is when the team last sent a job or a task of it ended.
+	used time.Time
 }
 
 // refill adds the tokens of the time since the last call.
