--- a/internal/process/vwdispatch/queue.go
+++ b/internal/process/vwdispatch/queue.go
@@ -29,6 +29,8 @@
 	sequence uint64
 	waiting  int
 	bytes    int
+	// swept is when idle state was last dropped.
+	swept time.Time
 }
 
 // MakeQueue returns an empty queue.
@@ -53,6 +55,7 @@
 		bytes += job.Tasks[i].Bytes
 	}
 	team := q.team(job.Team)
+	team.used = now
 	if err := q.admit(now, team, job, bytes); err != nil {
 		return refuse(err)
 	}
@@ -65,6 +68,7 @@
 // job already passed.
 func (q *Queue) Requeue(now time.Time, task Task) {
 	team := q.team(task.Team)
+	team.used = now
 	team.sent = max(0, team.sent-1)
 	q.service(task.Service).team(team).settle(0)
 	if job := q.jobs[task.SubmissionID]; job != nil {
@@ -130,6 +134,19 @@
 	}
 }
 
+// GrantFor adds credits of a worker that its agent granted for the tasks of a team. While the
+// backlog is deep, Next uses them for that team before others of the same priority until it reports false.
+func (q *Queue) GrantFor(worker vwid.Incarnation, team vwid.Team, count int) {
+	q.Grant(worker, count)
+	w := q.workers[worker]
+	if w == nil || !w.usable() || !w.service.deep() {
+		return
+	}
+	if queue := w.service.teams[team]; queue != nil {
+		queue.reserved += max(0, count)
+	}
+}
+
 // Recall gives up to count unused credits back and returns how many.
 func (q *Queue) Recall(worker vwid.Incarnation, count int) int {
 	w := q.workers[worker]
@@ -154,12 +171,16 @@
 			return q.send(now, w, team, job), true
 		}
 	}
+	for _, service := range q.order {
+		service.clearReserved()
+	}
 	return Assignment{}, false
 }
 
 // Finish records the end of a task that was sent to worker.
 func (q *Queue) Finish(now time.Time, worker vwid.Incarnation, team vwid.Team, info FinishInfo) {
 	state := q.team(team)
+	state.used = now
 	state.sent = max(0, state.sent-1)
 	if w := q.workers[worker]; w != nil {
 		w.service.team(state).settle(info.RunTime)
@@ -191,6 +212,7 @@
 			q.expire(now, team)
 		}
 	}
+	q.dropIdle(now)
 	expired := q.expired
 	q.expired = nil
 	return expired
@@ -328,6 +350,7 @@
 		team.jobs.pop()
 		delete(q.jobs, job.SubmissionID)
 	}
+	team.reserved = max(0, team.reserved-1)
 	team.charge(expected)
 	w.credits--
 	w.health.sent(now)
