--- /dev/null
+++ b/internal/process/vwentry/capacity_test.go
@@ -0,0 +1,77 @@
+package vwentry
+
+import (
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwcontroltest"
+	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/version/vwlease"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// BenchmarkRelay measures one round of lease renewals of 90 agents at an entry: the request decoded, the
+// lease relayed and the reply encoded, without the network.
+func BenchmarkRelay(b *testing.B) {
+	const agents = 90
+	for _, count := range []int{8, 24} {
+		b.Run(fmt.Sprintf("entries=%d", count), func(b *testing.B) {
+			e := makeLeased(b, count)
+			var requests []vwmessage.Envelope
+			for range agents {
+				incarnation := vwid.Incarnation(uuid.NewString())
+				e.workers[incarnation] = &worker{Worker: vwdispatch.Worker{Incarnation: incarnation}}
+				envelope, err := vwmessage.Seal(&vwmessage.LeaseRequest{Incarnation: incarnation, Held: 1}, 1, false)
+				require.NoError(b, err)
+				requests = append(requests, envelope)
+			}
+			bytes := 0
+			reply := func(body vwmessage.Body, err error) {
+				require.NoError(b, err)
+				envelope, err := vwmessage.Seal(body, 1, true)
+				require.NoError(b, err)
+				frame, err := vwlink.AppendFrame(nil, &envelope)
+				require.NoError(b, err)
+				bytes += len(frame)
+			}
+			b.ReportAllocs()
+			rounds := 0
+			for b.Loop() {
+				rounds++
+				for i := range requests {
+					body, err := vwmessage.Open(requests[i])
+					require.NoError(b, err)
+					request, ok := body.(*vwmessage.LeaseRequest)
+					require.True(b, ok)
+					e.relayLease(request, reply)
+				}
+			}
+			b.ReportMetric(float64(bytes)/float64(rounds)/agents, "reply-B/agent")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(rounds)/agents, "ns/agent")
+		})
+	}
+}
+
+// makeLeased returns an entry that does not run and holds a lease for an hour that names count entries.
+func makeLeased(b *testing.B, count int) *Entry {
+	e := Make(DefaultSettings(), "i", vwcontroltest.Make(time.Millisecond).Client(), nil, slog.New(slog.DiscardHandler))
+	b.Cleanup(func() { require.NoError(b, e.group.Stop()) })
+	e.holder = vwlease.Make(time.Hour, renewInterval)
+	reply := &vwmessage.LeaseReply{Version: 1, RemainingMilliseconds: time.Hour.Milliseconds(), Rules: []byte("# x\n")}
+	for i := range count {
+		reply.Entries = append(reply.Entries, vwmessage.EntryAddress{
+			Incarnation: vwid.Incarnation(uuid.NewString()), Process: vwid.Process(fmt.Sprintf("entry-%02d", i)),
+			DataCentre: "centre-1", Address: "192.0.2.100:4433",
+		})
+	}
+	e.takeLease(vwlease.Request{Sent: time.Now()}, reply)
+	require.True(b, e.holder.Fresh(time.Now()))
+	return e
+}
--- /dev/null
+++ b/internal/version/vwstate/capacity_test.go
@@ -0,0 +1,151 @@
+package vwstate_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// heapOf returns the live heap bytes that build adds, and what it made.
+func heapOf[T any](build func() T) (T, float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	made := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return made, float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// applyDecoded applies a command as a member does that reads it from the log, so that its strings are its own.
+func applyDecoded(b *testing.B, s *vwstate.State, command vwstate.Command) vwstate.Outcome {
+	data, err := vwstate.Encode(command)
+	require.NoError(b, err)
+	decoded, err := vwstate.Decode(data)
+	require.NoError(b, err)
+	return s.Apply(decoded)
+}
+
+func makeRegistration(role vwstate.Role, number int) vwstate.Registration {
+	return vwstate.Registration{
+		Incarnation: vwid.Incarnation(uuid.NewString()), Process: vwid.Process(fmt.Sprintf("process-%d", number)), Role: role,
+		DataCentre: vwid.DataCentre(fmt.Sprintf("centre-%d", number%8)), Rack: vwid.Rack(fmt.Sprintf("rack-%d", number/3)),
+		Address: "192.0.2.100:4433", Service: "muotoilu", Slots: 8,
+	}
+}
+
+// BenchmarkSubmissions measures what control keeps and does for each submission. Each row is one pass over all
+// records, so run it with -benchtime 1x.
+func BenchmarkSubmissions(b *testing.B) {
+	for _, count := range []int{100_000, 300_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for b.Loop() {
+				measureSubmissions(b, count)
+			}
+		})
+	}
+}
+
+func measureSubmissions(b *testing.B, count int) {
+	now := time.Now().UnixMilli()
+	s := vwstate.Make()
+	entry := makeRegistration(vwstate.RoleEntry, 0)
+	s.Apply(vwstate.Command{At: now, Register: &vwstate.Register{Registration: entry}})
+	ids := make([]vwid.SubmissionID, count)
+	var took, finished time.Duration
+	var encoded int
+	_, heap := heapOf(func() *vwstate.State {
+		for i := range ids {
+			id := vwid.MakeSubmissionID()
+			data, err := vwstate.Encode(vwstate.Command{At: now, Accept: &vwstate.Accept{
+				SubmissionID: id, Owner: entry.Incarnation, Acceptance: vwid.Acceptance(uuid.NewString()), Service: "muotoilu", Digest: make([]byte, 32),
+			}})
+			require.NoError(b, err)
+			encoded = len(data)
+			command, err := vwstate.Decode(data)
+			require.NoError(b, err)
+			begun := time.Now()
+			outcome := s.Apply(command)
+			took += time.Since(begun)
+			require.Empty(b, outcome.Refusal)
+			ids[i] = outcome.Submission.SubmissionID
+		}
+		return s
+	})
+	for _, id := range ids {
+		command := vwstate.Command{At: now, Finish: &vwstate.Finish{SubmissionID: id, Epoch: 1, Owner: entry.Incarnation}}
+		begun := time.Now()
+		s.Apply(command)
+		finished += time.Since(begun)
+	}
+	b.ReportMetric(heap/float64(count), "heap-B/record")
+	b.ReportMetric(float64(encoded), "log-B/accept")
+	b.ReportMetric(float64(took.Nanoseconds())/float64(count), "ns/accept")
+	b.ReportMetric(float64(finished.Nanoseconds())/float64(count), "ns/finish")
+	measureWhole(b, s, now, count)
+	runtime.KeepAlive(ids)
+}
+
+// measureWhole measures what handles all records at once: the sweep, the snapshot and its restoration.
+func measureWhole(b *testing.B, s *vwstate.State, now int64, count int) {
+	const sweeps = 10
+	begun := time.Now()
+	for i := range int64(sweeps) {
+		// The records are younger than the retention all the time, so each sweep visits all of them.
+		s.Apply(vwstate.Command{At: now + (i+1)*10_000})
+	}
+	b.ReportMetric(float64(time.Since(begun).Microseconds())/1000/sweeps, "ms/sweep")
+	begun = time.Now()
+	data, err := s.Save()
+	require.NoError(b, err)
+	b.ReportMetric(float64(time.Since(begun).Microseconds())/1000, "ms/save")
+	b.ReportMetric(float64(len(data))/float64(count), "snapshot-B/record")
+	begun = time.Now()
+	_, err = vwstate.Restore(data)
+	require.NoError(b, err)
+	b.ReportMetric(float64(time.Since(begun).Microseconds())/1000, "ms/restore")
+}
+
+// BenchmarkRegistrations measures memory and the sorted list, which the leader makes for each lease reply.
+func BenchmarkRegistrations(b *testing.B) {
+	for _, count := range []int{730, 1460} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s, heap := heapOf(func() *vwstate.State {
+				s := vwstate.Make()
+				for i := range count {
+					applyDecoded(b, s, vwstate.Command{At: 1, Register: &vwstate.Register{Registration: makeRegistration(vwstate.RoleAgent, i)}})
+				}
+				return s
+			})
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Registrations()
+			}
+			b.ReportMetric(heap/float64(count), "heap-B/registration")
+		})
+	}
+}
+
+// BenchmarkChanges measures the memory of a remembered change, at the bound.
+func BenchmarkChanges(b *testing.B) {
+	for b.Loop() {
+		s, heap := heapOf(func() *vwstate.State {
+			s := vwstate.Make()
+			for i := range vwstate.MaxChanges {
+				applyDecoded(b, s, vwstate.Command{At: 1, ChangeRules: &vwstate.ChangeRules{
+					ChangeID: vwid.ChangeID(uuid.NewString()), Base: vwid.ConfigVersion(i), Text: []byte("# x\n"), By: "Aino Salo",
+				}})
+			}
+			return s
+		})
+		require.Equal(b, vwid.ConfigVersion(vwstate.MaxChanges), s.Version())
+		b.ReportMetric(heap/vwstate.MaxChanges, "heap-B/change")
+	}
+}
