Keep the isolation of the test network by address

An isolation was a fault of each pair of processes that existed at that moment, and its end missed a process that was just restarting, so that this pair stayed cut for good. Change: the network keeps isolated addresses.

--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -32,9 +32,11 @@
 	mu        sync.Mutex
 	endpoints map[string]*Endpoint
 	faults    map[direction]Fault
-	standard  Fault
-	silenced  map[*pipe]bool
-	pipes     map[*pipe]bool
+	// isolated holds addresses and not pairs, because a process may restart while another is isolated.
+	isolated map[string]bool
+	standard Fault
+	silenced map[*pipe]bool
+	pipes    map[*pipe]bool
 }
 
 // MakeNetwork returns a network on which each message takes delay.
@@ -43,6 +45,7 @@
 		group:     vwgroup.Make(context.Background()),
 		endpoints: map[string]*Endpoint{},
 		faults:    map[direction]Fault{},
+		isolated:  map[string]bool{},
 		standard:  Fault{Delay: delay},
 		silenced:  map[*pipe]bool{},
 		pipes:     map[*pipe]bool{},
@@ -70,16 +73,7 @@
 func (n *Network) Isolate(address string, silent bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for other := range n.endpoints {
-		for _, d := range []direction{{address, other}, {other, address}} {
-			fault, ok := n.faults[d]
-			if !ok {
-				fault = n.standard
-			}
-			fault.Silent = silent
-			n.faults[d] = fault
-		}
-	}
+	n.isolated[address] = silent
 }
 
 // SilenceOpen makes all open links between two addresses silent for good, while new ones work.
@@ -115,10 +109,12 @@
 }
 
 func (n *Network) faultBetween(from, to string) Fault {
-	if fault, ok := n.faults[direction{from, to}]; ok {
-		return fault
+	fault, ok := n.faults[direction{from, to}]
+	if !ok {
+		fault = n.standard
 	}
-	return n.standard
+	fault.Silent = fault.Silent || n.isolated[from] || n.isolated[to]
+	return fault
 }
 
 // Endpoint dials and accepts links of one process.
