Say NotRun about a caller's id only when control has no record of it

A caller that has forgotten its earlier call would submit the work under a new id. Change: a refusal of an id that the caller chose is confirmed by a read of control; with a record, or without an answer, its verdict is MayHaveRun. The text of a passed deadline no longer depends on which of two timers is first. The histories check each refusal against the starts before it.

--- a/internal/process/vwentry/decode.go
+++ b/internal/process/vwentry/decode.go
@@ -95,7 +95,7 @@
 	if timeoutMillis > 0 {
 		spec.Deadline = now.Add(time.Duration(timeoutMillis) * time.Millisecond)
 	}
-	return submission{spec: spec, digest: digestOf(spec)}, nil
+	return submission{spec: spec, given: spec.SubmissionID != "", digest: digestOf(spec)}, nil
 }
 
 // maxTimeoutMillis keeps a job from outliving its record in control.
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -248,7 +248,7 @@
 	now := time.Now()
 	for _, expired := range e.queue.TakeExpired(now) {
 		if j := e.jobs[expired.SubmissionID]; j != nil {
-			e.failJob(j, codeDeadline, "the deadline passed before the tasks could start")
+			e.expireJob(j)
 		}
 	}
 	e.forgetAnswers(now)
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -99,11 +99,21 @@
 	e.active++
 	if !j.Deadline.IsZero() {
 		j.expiry = time.AfterFunc(time.Until(j.Deadline), func() {
-			e.post(func() { e.failJob(j, codeDeadline, "the deadline passed before the whole answer was there") })
+			e.post(func() { e.expireJob(j) })
 		})
 	}
 }
 
+// expireJob ends a job whose deadline has passed. The queue and the job's own timer find that at about the
+// same time, so the text must not depend on which of them is first.
+func (e *Entry) expireJob(j *job) {
+	if j.HasStarted() {
+		e.failJob(j, codeDeadline, "the deadline passed before the whole answer was there")
+		return
+	}
+	e.failJob(j, codeDeadline, "the deadline passed before the tasks could start")
+}
+
 // failJob ends a job that has not ended yet.
 func (e *Entry) failJob(j *job, code, message string) {
 	j.Fail(code, message)
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -29,6 +29,8 @@
 type submission struct {
 	spec   vwjob.Spec
 	digest string
+	// given tells that the caller chose the id, so that other calls may carry it too.
+	given bool
 	// start tells that the caller does not wait for the answer.
 	start bool
 }
@@ -43,6 +45,7 @@
 func (e *Entry) submit(ctx context.Context, s submission) (*reply, error) {
 	found, err := e.submitOnce(ctx, s)
 	if err != nil {
+		err = e.confirmNotRun(ctx, s, err)
 		e.record(vwevent.Event{Kind: vwevent.SubmissionRefused, SubmissionID: s.spec.SubmissionID, Verdict: vwverdict.Of(err).String(), Message: err.Error()})
 	}
 	return found, err
@@ -85,14 +88,35 @@
 		Digest:       []byte(s.digest),
 	}})
 	if err != nil {
-		// Even when the record gets into the log later, nothing has started and this entry starts nothing
-		// for it; a resubmission takes the empty job over.
-		return outcome, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control did not accept the submission: "+reasonOf(err))
+		// Even when the record gets into the log later, this entry starts nothing for it, and a resubmission
+		// takes the empty job over. An earlier call with the same id may have started it.
+		verdict := vwverdict.NotRun
+		if s.given {
+			verdict = vwverdict.MayHaveRun
+		}
+		return outcome, refuse(vwapi.CodeUnavailable, verdict, "control did not accept the submission: "+reasonOf(err))
 	}
 	observe(e.observer.Accepted, time.Since(begun))
 	return outcome, nil
 }
 
+// confirmNotRun returns a refusal with the verdict that holds for the id. It may say NotRun about an id that
+// the caller chose only when control has no record of an earlier call with it. A conflict speaks of the
+// body, which has not run.
+func (e *Entry) confirmNotRun(ctx context.Context, s submission, refusal error) error {
+	problem := problemOf(refusal, s.spec.SubmissionID)
+	if !s.given || problem.Verdict != vwverdict.NotRun || problem.Code == vwapi.CodeConflict {
+		return refusal
+	}
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	view, err := e.control.Read(ctx, vwstate.Query{SubmissionID: s.spec.SubmissionID})
+	if err == nil && view.Submission == nil {
+		return refusal
+	}
+	return refuse(problem.Code, vwverdict.MayHaveRun, problem.Detail+"; an earlier call with the same id may have run")
+}
+
 func (e *Entry) explain(refusal vwstate.Refusal) error {
 	switch refusal {
 	case vwstate.RefusalConflict:
--- a/internal/process/vwentry/takeover.go
+++ b/internal/process/vwentry/takeover.go
@@ -48,7 +48,7 @@
 	case vwstate.RefusalUnknown:
 		return nil, e.explain(vwstate.RefusalTooOld)
 	default:
-		return nil, e.explain(outcome.Refusal)
+		return nil, refuse(vwapi.CodeUnavailable, vwverdict.MayHaveRun, "control refused the takeover with "+string(outcome.Refusal)+"; use another entry")
 	}
 	e.log.Info("submission taken over", "submission", string(record.SubmissionID), "epoch", uint64(outcome.Submission.Epoch))
 	e.counters.Takeovers.Add(1)
--- a/internal/process/vwhistory/caller_test.go
+++ b/internal/process/vwhistory/caller_test.go
@@ -22,6 +22,7 @@
 	fault   string
 	verdict vwverdict.Verdict
 	code    string
+	at      time.Time
 }
 
 // ledger collects the outcomes of all calls.
@@ -62,7 +63,7 @@
 	if answer == nil || ctx.Err() != nil || answer.Body.Len() == 0 || answer.Code == http.StatusAccepted {
 		return false
 	}
-	o := outcome{submission: submission.ID}
+	o := outcome{submission: submission.ID, at: time.Now()}
 	if answer.Code == http.StatusOK {
 		o.complete, o.verdict = true, vwverdict.Ran
 		o.fault = checkAnswer(submission, answer.Body.Bytes())
@@ -144,6 +145,13 @@
 			mayRun[o.submission] = true
 		}
 	}
+	for _, s := range starts {
+		for _, o := range outcomes {
+			if o.submission == s.submission && o.verdict == vwverdict.NotRun && s.at.Before(o.at) {
+				found = append(found, fmt.Sprintf("%s was refused as not run with code %s after task %s had started", o.submission, o.code, s.task))
+			}
+		}
+	}
 	for _, o := range outcomes {
 		if o.verdict == vwverdict.NotRun && started[o.submission] && !mayRun[o.submission] {
 			found = append(found, fmt.Sprintf("%s was refused as not run with code %s, but a task of it started", o.submission, o.code))
--- a/internal/process/vwhistory/planted_test.go
+++ b/internal/process/vwhistory/planted_test.go
@@ -56,6 +56,7 @@
 		"late in data centre":   {starts: []start{one}, outages: out(lateBound + time.Second), want: "into outage"},
 		"late at leaving":       {starts: []start{one}, outages: left, want: "into outage"},
 		"within the bound":      {starts: []start{one}, outages: out(lateBound)},
+		"not run after start":   {starts: []start{one}, outcomes: []outcome{{submission: "s", verdict: vwverdict.NotRun, at: begun.Add(time.Second)}, {submission: "s", verdict: vwverdict.Ran}}, want: "refused as not run"},
 		"true not run":          {outcomes: []outcome{notRun}},
 		"not run, then run":     {starts: []start{one}, outcomes: []outcome{notRun, {submission: "s", verdict: vwverdict.Ran}}},
 		"same task, other jobs": {starts: []start{one, {submission: vwid.SubmissionID("r"), task: "0", dataCentre: "Manta"}}},
--- a/internal/request/vwjob/job.go
+++ b/internal/request/vwjob/job.go
@@ -216,12 +216,17 @@
 
 // verdict joins the verdicts of all tasks.
 func (j *Job) verdict() vwverdict.Verdict {
-	if !j.everSent && !j.uncertain {
+	if !j.HasStarted() {
 		return vwverdict.NotRun
 	}
 	return vwverdict.MayHaveRun
 }
 
+// HasStarted reports whether a task may have started, here or at an earlier owner.
+func (j *Job) HasStarted() bool {
+	return j.everSent || j.uncertain
+}
+
 // SetUncertain records whether an earlier owner may have started tasks that are not known here. While
 // it holds, the verdict of a failure is MayHaveRun.
 func (j *Job) SetUncertain(uncertain bool) {
