Shake hands with each peer of a link apart

Cause: Endpoint.Accept handled one hello at a time, so each peer that finished TLS and then said nothing held up all other new links for 2 s, which is a whole lease. Change: each handshake runs in a goroutine of its own.

--- a/internal/connection/vwlink/quic.go
+++ b/internal/connection/vwlink/quic.go
@@ -38,7 +38,8 @@
 	transport *quic.Transport
 	socket    *net.UDPConn
 	listener  *quic.Listener
-	writers   *vwgroup.Group
+	group     *vwgroup.Group
+	accepted  chan Conn
 }
 
 // MakeEndpoint binds address, which may have port 0, and listens there. The certificate in config
@@ -83,7 +84,8 @@
 		},
 		transport: &quic.Transport{Conn: socket},
 		socket:    socket,
-		writers:   vwgroup.Make(context.Background()),
+		group:     vwgroup.Make(context.Background()),
+		accepted:  make(chan Conn),
 	}
 	listener, err := e.transport.Listen(config, e.config)
 	if err != nil {
@@ -91,6 +93,7 @@
 		return nil, trace.Wrap(err)
 	}
 	e.listener = listener
+	e.group.Run(e.acceptAll)
 	return e, nil
 }
 
@@ -104,7 +107,7 @@
 	_ = e.listener.Close()
 	err := e.transport.Close()
 	_ = e.socket.Close()
-	_ = e.writers.Stop()
+	_ = e.group.Stop()
 	return trace.Wrap(err)
 }
 
@@ -132,15 +135,37 @@
 
 // Accept implements Listener. A peer that fails the handshake is refused without an error here.
 func (e *Endpoint) Accept(ctx context.Context) (Conn, error) {
+	select {
+	case <-ctx.Done():
+		return nil, trace.Wrap(ctx.Err())
+	case <-e.group.Context().Done():
+		return nil, trace.Wrap(ErrClosed)
+	case conn := <-e.accepted:
+		return conn, nil
+	}
+}
+
+// acceptAll shakes hands with each peer in a goroutine of its own, so that one that says nothing delays
+// no other.
+func (e *Endpoint) acceptAll(ctx context.Context) {
 	for {
 		connection, err := e.listener.Accept(ctx)
 		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		conn, err := e.acceptHello(ctx, connection)
-		if err == nil {
-			return conn, nil
+			return
 		}
+		e.group.Run(func(ctx context.Context) { e.acceptOne(ctx, connection) })
+	}
+}
+
+func (e *Endpoint) acceptOne(ctx context.Context, connection *quic.Conn) {
+	conn, err := e.acceptHello(ctx, connection)
+	if err != nil {
+		return
+	}
+	select {
+	case e.accepted <- conn:
+	case <-ctx.Done():
+		_ = conn.Close()
 	}
 }
 
@@ -194,7 +219,7 @@
 	}
 	_ = stream.SetReadDeadline(time.Time{})
 	conn := &quicConn{peer: peer, connection: connection, stream: stream, reader: reader, wake: make(chan struct{}, 1)}
-	if !e.writers.Run(conn.write) {
+	if !e.group.Run(conn.write) {
 		return nil, refuseConnection(connection, ErrClosed)
 	}
 	return conn, nil
