Report run times in microseconds

Cause: the queue refused jobs early with "would end 13.4 s after its deadline" in two of seven throughput runs. Agents reported whole milliseconds, so the tasks of that run mostly took zero and now and then 1 ms: the learned run time jumped while the measured throughput stayed near zero, and their quotient is the expected wait. Change: Result carries RunMicroseconds; the throughput measurement needs no timeout of its own.

--- a/internal/connection/vwmessage/capacity_test.go
+++ b/internal/connection/vwmessage/capacity_test.go
@@ -68,7 +68,7 @@
 	}{
 		{"Ping", &vwmessage.Ping{}},
 		{"Start/payload=0", &vwmessage.Start{SubmissionID: id, Epoch: 1, Service: "muotoilu", Team: "team-01", Tasks: []vwmessage.StartTask{{TaskID: "task-100", TimeoutMilliseconds: 1000}}}},
-		{"Result/payload=0", &vwmessage.Result{SubmissionID: id, Epoch: 1, TaskID: "task-100", RunMilliseconds: 250}},
+		{"Result/payload=0", &vwmessage.Result{SubmissionID: id, Epoch: 1, TaskID: "task-100", RunMicroseconds: 250_000}},
 		{"Credit", &vwmessage.Credit{Service: "muotoilu", Count: 1}},
 		{"Demand/teams=1", &vwmessage.Demand{Service: "muotoilu", Teams: teams(1)}},
 		{"Demand/teams=33", &vwmessage.Demand{Service: "muotoilu", Teams: teams(33)}},
--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -209,8 +209,9 @@
 	Failed  bool
 	Message string
 	Payload []byte
-	// RunMilliseconds is how long the backend server took.
-	RunMilliseconds int64
+	// RunMicroseconds is how long the backend server took. The queue learns run times from it, and whole
+	// milliseconds would make most short tasks look like none at all.
+	RunMicroseconds int64
 }
 
 // Acknowledge tells an agent that the records of a submission are no longer needed.
--- a/internal/connection/vwmessage/message_gen.go
+++ b/internal/connection/vwmessage/message_gen.go
@@ -1920,9 +1920,9 @@
 	// string "Payload"
 	o = append(o, 0xa7, 0x50, 0x61, 0x79, 0x6c, 0x6f, 0x61, 0x64)
 	o = msgp.AppendBytes(o, z.Payload)
-	// string "RunMilliseconds"
-	o = append(o, 0xaf, 0x52, 0x75, 0x6e, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73, 0x65, 0x63, 0x6f, 0x6e, 0x64, 0x73)
-	o = msgp.AppendInt64(o, z.RunMilliseconds)
+	// string "RunMicroseconds"
+	o = append(o, 0xaf, 0x52, 0x75, 0x6e, 0x4d, 0x69, 0x63, 0x72, 0x6f, 0x73, 0x65, 0x63, 0x6f, 0x6e, 0x64, 0x73)
+	o = msgp.AppendInt64(o, z.RunMicroseconds)
 	return
 }
 
@@ -2008,10 +2008,10 @@
 				err = msgp.WrapError(err, "Payload")
 				return
 			}
-		case "RunMilliseconds":
-			z.RunMilliseconds, bts, err = msgp.ReadInt64Bytes(bts)
+		case "RunMicroseconds":
+			z.RunMicroseconds, bts, err = msgp.ReadInt64Bytes(bts)
 			if err != nil {
-				err = msgp.WrapError(err, "RunMilliseconds")
+				err = msgp.WrapError(err, "RunMicroseconds")
 				return
 			}
 		default:
--- a/internal/process/vwagent/agent_test.go
+++ b/internal/process/vwagent/agent_test.go
@@ -129,7 +129,7 @@
 		require.NotNil(t, result)
 		require.Equal(t, vwverdict.Ran, result.Verdict)
 		require.Equal(t, "result of t1", string(result.Payload))
-		require.Equal(t, int64(100), result.RunMilliseconds)
+		require.Equal(t, int64(100_000), result.RunMicroseconds)
 		require.Equal(t, 8, e1.held()+e2.held(), "the freed slot is granted again")
 	})
 }
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -132,7 +132,7 @@
 	f := &finished{registration: r, running: running, address: task.Address, err: err, result: vwmessage.Result{
 		SubmissionID: task.SubmissionID, TaskID: task.TaskID,
 		Verdict: vwverdict.Of(err), Payload: payload,
-		RunMilliseconds: time.Since(begun).Milliseconds(),
+		RunMicroseconds: time.Since(begun).Microseconds(),
 	}}
 	if err != nil {
 		f.result.Failed, f.result.Message = true, vwverdict.Reason(err)
--- a/internal/process/vwdemo/measure_long_test.go
+++ b/internal/process/vwdemo/measure_long_test.go
@@ -140,8 +140,6 @@
 			for range jobs {
 				var answer vwapi.Answer
 				job := makeJob(size, 0)
-				// The default deadline refuses jobs while the run times are not known yet.
-				job.TimeoutMillis = (4 * time.Minute).Milliseconds()
 				if err := send(ctx, http.MethodPost, url, job, &answer); err != nil {
 					return err
 				}
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -278,7 +278,7 @@
 		e.recordResult(w, result)
 		e.queue.Finish(time.Now(), w.Incarnation, j.Team, vwdispatch.FinishInfo{
 			Failed:  result.Failed,
-			RunTime: time.Duration(result.RunMilliseconds) * time.Millisecond,
+			RunTime: time.Duration(result.RunMicroseconds) * time.Microsecond,
 		})
 	}
 	e.checkEnd(j)
