Move the entry's loop and dispatching and the commands of submissions to files of their own

Cause: worker.go, entry.go, submit.go and state.go each held several matters. Change: loop.go, dispatch.go and submission.go hold one each; no line of code is changed.

--- /dev/null
+++ b/internal/process/vwentry/dispatch.go
@@ -0,0 +1,77 @@
+package vwentry
+
+import (
+	"time"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// dispatch sends tasks while there are credits, with those of one job for one worker in one message, and
+// then asks the agents for the credits that lack.
+func (e *Entry) dispatch() {
+	now := time.Now()
+	if !e.holder.Fresh(now) {
+		return
+	}
+	for _, batch := range e.collect(now) {
+		e.counters.Starts.Add(int64(len(batch.start.Tasks)))
+		e.recordSent(batch)
+		e.send(batch.worker, batch.start)
+	}
+	for {
+		incarnation, demand, ok := e.queue.NextDemand(now)
+		if !ok {
+			return
+		}
+		e.counters.Demands.Add(1)
+		if w := e.workers[incarnation]; w != nil {
+			if w.asked {
+				e.counters.UnusedDemands.Add(1)
+			}
+			w.asked = true
+			e.send(w, &demand)
+		}
+	}
+}
+
+type batch struct {
+	worker *worker
+	start  *vwmessage.Start
+}
+
+type batchKey struct {
+	worker     vwid.Incarnation
+	submission vwid.SubmissionID
+}
+
+func (e *Entry) collect(now time.Time) []batch {
+	var batches []batch
+	var byKey map[batchKey]int
+	for {
+		assignment, ok := e.queue.Next(now)
+		if !ok {
+			return batches
+		}
+		j, w := e.jobs[assignment.Task.SubmissionID], e.workers[assignment.Worker]
+		if j == nil || w == nil || j.Ended() {
+			continue
+		}
+		if byKey == nil {
+			byKey = map[batchKey]int{}
+		}
+		key := batchKey{assignment.Worker, j.SubmissionID}
+		at, known := byKey[key]
+		if !known {
+			at = len(batches)
+			byKey[key] = at
+			batches = append(batches, batch{worker: w, start: &vwmessage.Start{
+				SubmissionID: j.SubmissionID, Epoch: j.Epoch(), Service: j.Service, Team: j.Team,
+			}})
+		}
+		start := batches[at].start
+		start.Tasks = append(start.Tasks, j.startTask(now, assignment.Task.Index))
+		j.Send(assignment.Task.Index, w.Incarnation)
+		w.jobs[j.SubmissionID] = j
+	}
+}
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -19,7 +19,6 @@
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwunit"
-	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
 // Control is the replicated control state as an entry uses it. The verdict of an error tells whether
@@ -216,76 +215,6 @@
 	e.idle = nil
 }
 
-func (e *Entry) loop(ctx context.Context) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case event := <-e.mailbox:
-			event()
-			e.drain()
-		case <-ticker.C:
-			e.tick()
-		}
-		e.dispatch()
-	}
-}
-
-func (e *Entry) drain() {
-	for range drainLimit {
-		select {
-		case event := <-e.mailbox:
-			event()
-		default:
-			return
-		}
-	}
-}
-
-func (e *Entry) tick() {
-	now := time.Now()
-	for _, expired := range e.queue.TakeExpired(now) {
-		if j := e.jobs[expired.SubmissionID]; j != nil {
-			e.expireJob(j)
-		}
-	}
-	e.forgetAnswers(now)
-	e.recordLease(now)
-	e.publish(now)
-}
-
-// post hands an event to the loop. It reports false after the entry stopped.
-func (e *Entry) post(event func()) bool {
-	if e.group.Context().Err() != nil {
-		return false
-	}
-	select {
-	case e.mailbox <- event:
-		return true
-	case <-e.group.Context().Done():
-		return false
-	}
-}
-
-// ask runs f on the loop and returns its value.
-func ask[T any](ctx context.Context, e *Entry, f func() T) (T, error) {
-	answer := make(chan T, 1)
-	var none T
-	if !e.post(func() { answer <- f() }) {
-		return none, vwverdict.Errorf(vwverdict.NotRun, "the entry has stopped")
-	}
-	select {
-	case value := <-answer:
-		return value, nil
-	case <-ctx.Done():
-		return none, trace.Wrap(ctx.Err())
-	case <-e.group.Context().Done():
-		return none, vwverdict.Errorf(vwverdict.MayHaveRun, "the entry has stopped")
-	}
-}
-
 // Ready reports whether the entry can accept submissions, and otherwise why not.
 func (e *Entry) Ready(ctx context.Context) error {
 	reason, err := ask(ctx, e, func() error {
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -308,36 +308,3 @@
 	}
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
-type pairOf[T any] struct {
-	value T
-	err   error
-}
-
-// askError runs f on the loop and returns its value and error.
-func askError[T any](ctx context.Context, e *Entry, f func() (T, error)) (T, error) {
-	result, err := ask(ctx, e, func() pairOf[T] {
-		value, err := f()
-		return pairOf[T]{value, err}
-	})
-	if err != nil {
-		return result.value, err
-	}
-	return result.value, result.err
-}
-
-func askOnly(ctx context.Context, e *Entry, f func() error) error {
-	_, err := askError(ctx, e, func() (struct{}, error) { return struct{}{}, f() })
-	return err
-}
