Share one Sleep that a context ends

Cause: seven packages had a copy of the same wait. Change: vwgroup.Sleep replaces them; it keeps the rule that a wait of zero makes no timer, which the race detector needs under testing/synctest.

--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -174,7 +174,7 @@
 		<-ctx.Done()
 		return nil, trace.ConnectionProblem(ctx.Err(), "dialling %s", address)
 	}
-	if err := sleep(ctx, there.Delay+back.Delay); err != nil {
+	if err := vwgroup.Sleep(ctx, there.Delay+back.Delay); err != nil {
 		return nil, err
 	}
 	accepted, err := vwlink.CheckHello(target.hello, e.hello)
@@ -196,22 +196,6 @@
 	return makeConn(dialled, reverse, forth), nil
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		// Timers that are due at once run on the goroutines that wait for them. Under the race detector those
-		// of one synctest bubble share a context that only one thread may use, and the runtime crashed.
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 type delivery struct {
 	at       time.Time
 	envelope vwmessage.Envelope
@@ -252,7 +236,7 @@
 		case <-p.done:
 			return
 		case next := <-p.queue:
-			if err := sleep(ctx, time.Until(next.at)); err != nil {
+			if err := vwgroup.Sleep(ctx, time.Until(next.at)); err != nil {
 				return
 			}
 			if p.network.fault(p).Silent {
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -6,6 +6,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 const (
@@ -128,7 +129,7 @@
 		if time.Since(begun) >= stableLink {
 			wait.reset()
 		}
-		if !pause(ctx, wait.wait()) {
+		if vwgroup.Sleep(ctx, wait.wait()) != nil {
 			return
 		}
 	}
@@ -161,17 +162,6 @@
 	return r.endpoint.Dial(ctx, address)
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // takeLease renews the configuration lease from the reply to a request sent at sent.
 func (r *registration) takeLease(now, sent time.Time, l *link, reply *vwmessage.LeaseReply) {
 	if l.retired || r != r.agent.current {
--- a/internal/process/vwcontrol/retry.go
+++ b/internal/process/vwcontrol/retry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -23,20 +24,8 @@
 func (r *retrier) Call(ctx context.Context, request vwmessage.Body) (vwmessage.Body, error) {
 	for {
 		reply, err := r.caller.Call(ctx, request)
-		if !vwverdict.IsNotRun(err) || IsStopped(err) || !pause(ctx) {
+		if !vwverdict.IsNotRun(err) || IsStopped(err) || vwgroup.Sleep(ctx, retryInterval) != nil {
 			return reply, err
 		}
 	}
 }
-
-// pause waits for the next attempt, and reports false when ctx ends first.
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(retryInterval)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/process/vwentry/loop.go
+++ b/internal/process/vwentry/loop.go
@@ -100,14 +100,3 @@
 	_, err := askError(ctx, e, func() (struct{}, error) { return struct{}{}, f() })
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/process/vwentry/propose.go
+++ b/internal/process/vwentry/propose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -20,7 +21,7 @@
 		if err == nil || ctx.Err() != nil || vwverdict.IsNotRun(err) {
 			return outcome, err
 		}
-		if sleep(ctx, proposeAgainInterval) != nil {
+		if vwgroup.Sleep(ctx, proposeAgainInterval) != nil {
 			return outcome, err
 		}
 	}
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -14,6 +14,7 @@
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
@@ -258,7 +259,7 @@
 		if found != nil || err != nil {
 			return found, err
 		}
-		if err := sleep(ctx, lookAgainInterval); err != nil {
+		if err := vwgroup.Sleep(ctx, lookAgainInterval); err != nil {
 			return nil, refuse(vwapi.CodeStillRunning, vwverdict.MayHaveRun, "the owner of the submission cannot be reached yet; ask again")
 		}
 		view, err := e.control.Read(ctx, vwstate.Query{SubmissionID: s.spec.SubmissionID})
--- a/internal/process/vwloadtest/command.go
+++ b/internal/process/vwloadtest/command.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"vanillawind.example/vanillawind/internal/process/vwstandin"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
@@ -56,7 +57,7 @@
 		return Report{}, trace.Wrap(err)
 	}
 	end := time.Now()
-	if err := sleep(ctx, time.Duration(scenario.Settle)); err != nil {
+	if err := vwgroup.Sleep(ctx, time.Duration(scenario.Settle)); err != nil {
 		return Report{}, trace.Wrap(err)
 	}
 	records, lost := t.readRecords(ctx, before)
--- a/internal/process/vwloadtest/driver.go
+++ b/internal/process/vwloadtest/driver.go
@@ -256,19 +256,5 @@
 }
 
 func sleepUntil(ctx context.Context, at time.Time) error {
-	return sleep(ctx, time.Until(at))
-}
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return vwgroup.Sleep(ctx, time.Until(at))
 }
--- a/internal/process/vwloadtest/system_test.go
+++ b/internal/process/vwloadtest/system_test.go
@@ -153,7 +153,7 @@
 		return payload.Echo
 	}
 	if s.fault == faultSlow {
-		_ = sleep(ctx, time.Second)
+		_ = vwgroup.Sleep(ctx, time.Second)
 	}
 	backend := s.takeSlot()
 	defer func() { s.slots <- backend }()
--- a/internal/process/vwstandin/backend.go
+++ b/internal/process/vwstandin/backend.go
@@ -14,6 +14,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
@@ -152,21 +153,7 @@
 	if behaviour.Mode == ModeFail {
 		return true, nil
 	}
-	return payload.Fail, sleep(ctx, payload.runTime(behaviour))
-}
-
-func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
+	return payload.Fail, vwgroup.Sleep(ctx, payload.runTime(behaviour))
 }
 
 func startOf(c *gin.Context) Start {
--- a/pkg/vwclient/pause.go
+++ b/pkg/vwclient/pause.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 // pauses are the growing pauses between the attempts of one call.
@@ -24,12 +26,5 @@
 	if deadline, bounded := ctx.Deadline(); bounded && time.Until(deadline) <= pause {
 		return false
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return vwgroup.Sleep(ctx, pause) == nil
 }
