--- a/internal/connection/vwlink/link.go
+++ b/internal/connection/vwlink/link.go
@@ -43,6 +43,12 @@
 	Close() error
 }
 
+// Endpoint is a process's end of all its links.
+type Endpoint interface {
+	Dialer
+	Listener
+}
+
 // ErrClosed is returned on a link that has ended.
 var ErrClosed = errors.New("link is closed")
 
--- a/internal/connection/vwlink/session.go
+++ b/internal/connection/vwlink/session.go
@@ -14,14 +14,6 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
-const (
-	// PingInterval is how often a session sends something on an idle link.
-	PingInterval = 500 * time.Millisecond
-	// SilenceTimeout ends a session whose peer has sent nothing for so long. Devices between the two
-	// ends can forget a connection without a word, so an open socket proves nothing.
-	SilenceTimeout = 2 * time.Second
-)
-
 // Codes of Failure messages.
 const (
 	CodeUnsupported = "Unsupported"
@@ -69,6 +61,7 @@
 type Session struct {
 	conn    Conn
 	handler Handler
+	timing  Timing
 
 	lastCall  atomic.Uint64
 	heardNano atomic.Int64
@@ -87,7 +80,7 @@
 
 // MakeSession returns a session over conn. Run must be called for it to receive anything.
 func MakeSession(conn Conn, handler Handler) *Session {
-	s := &Session{conn: conn, handler: handler, pending: map[uint64]chan callResult{}, done: make(chan struct{})}
+	s := &Session{conn: conn, handler: handler, timing: timingOf(conn), pending: map[uint64]chan callResult{}, done: make(chan struct{})}
 	now := time.Now().UnixNano()
 	s.heardNano.Store(now)
 	s.sentNano.Store(now)
@@ -123,7 +116,7 @@
 
 // watch sends pings on an idle link and ends the session when the peer is silent.
 func (s *Session) watch(ctx context.Context) error {
-	ticker := time.NewTicker(PingInterval)
+	ticker := time.NewTicker(s.timing.Ping)
 	defer ticker.Stop()
 	for {
 		select {
@@ -132,10 +125,10 @@
 		case <-s.done:
 			return ErrClosed
 		case now := <-ticker.C:
-			if now.UnixNano()-s.heardNano.Load() >= SilenceTimeout.Nanoseconds() {
+			if now.UnixNano()-s.heardNano.Load() >= s.timing.Silence.Nanoseconds() {
 				return ErrSilent
 			}
-			if now.UnixNano()-s.sentNano.Load() < PingInterval.Nanoseconds() {
+			if now.UnixNano()-s.sentNano.Load() < s.timing.Ping.Nanoseconds() {
 				continue
 			}
 			if err := s.Send(ctx, &vwmessage.Ping{}); err != nil {
--- a/internal/connection/vwlink/session_test.go
+++ b/internal/connection/vwlink/session_test.go
@@ -90,7 +90,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		p := openPair(t)
 		defer p.close(t)
-		time.Sleep(10 * vwlink.SilenceTimeout)
+		time.Sleep(10 * vwlink.DefaultTiming.Silence)
 		select {
 		case err := <-p.ended:
 			require.NoError(t, err, "an idle link ended")
@@ -101,7 +101,7 @@
 		_, err := vwlink.Call[*vwmessage.LeaseReply](t.Context(), p.session, &vwmessage.LeaseRequest{})
 		require.Equal(t, vwverdict.MayHaveRun, vwverdict.Of(err))
 		require.True(t, vwlink.IsSilent(err))
-		require.LessOrEqual(t, time.Since(begun), vwlink.SilenceTimeout+vwlink.PingInterval)
+		require.LessOrEqual(t, time.Since(begun), vwlink.DefaultTiming.Silence+vwlink.DefaultTiming.Ping)
 		_, err = vwlink.Call[*vwmessage.LeaseReply](t.Context(), p.session, &vwmessage.LeaseRequest{})
 		require.True(t, vwverdict.IsNotRun(err), "a call on an ended link was not sent")
 	})
--- a/internal/process/vwdemo/cluster_test.go
+++ b/internal/process/vwdemo/cluster_test.go
@@ -139,7 +139,7 @@
 		t.Run(name, func(t *testing.T) {
 			tls, err := vwkeys.TLSConfig(c.keys, "demo")
 			require.NoError(t, err)
-			endpoint, err := vwlink.MakeEndpoint("127.0.0.1:0", tls, vwmessage.Hello{Cluster: c.cluster, Process: c.process, Incarnation: "i", Role: "Agent"})
+			endpoint, err := vwlink.MakeQUICEndpoint("127.0.0.1:0", tls, vwmessage.Hello{Cluster: c.cluster, Process: c.process, Incarnation: "i", Role: "Agent"})
 			require.NoError(t, err)
 			_, err = endpoint.Dial(context.Background(), cluster.Entries[0].LinkAddress())
 			require.ErrorContains(t, err, c.want)
--- a/internal/process/vwdemo/demo.go
+++ b/internal/process/vwdemo/demo.go
@@ -93,7 +93,7 @@
 	}
 	c := &Cluster{config: config, authority: authority, directory: directory}
 	for range config.DataCentres {
-		socket, err := vwlink.Bind(loopback)
+		socket, err := vwlink.BindQUIC(loopback)
 		if err != nil {
 			return nil, trace.NewAggregate(err, c.Stop(context.Background()))
 		}
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -208,7 +208,7 @@
 	e.recordFence(vwevent.FenceSent, w, j)
 	request := &vwmessage.Fence{SubmissionID: j.SubmissionID, Epoch: j.Epoch()}
 	e.group.Run(func(ctx context.Context) {
-		ctx, cancel := context.WithTimeout(ctx, vwlink.SilenceTimeout)
+		ctx, cancel := context.WithTimeout(ctx, vwlink.DefaultTiming.Silence)
 		defer cancel()
 		reply, err := vwlink.Call[*vwmessage.FenceReply](ctx, session, request)
 		if err != nil {
--- a/internal/process/vwprocess/control_test.go
+++ b/internal/process/vwprocess/control_test.go
@@ -36,7 +36,7 @@
 	c := &controls{t: t, authority: authority}
 	var sockets []*net.UDPConn
 	for range count {
-		socket, err := vwlink.Bind(loopback)
+		socket, err := vwlink.BindQUIC(loopback)
 		require.NoError(t, err)
 		sockets = append(sockets, socket)
 		c.members = append(c.members, socket.LocalAddr().String())
--- a/internal/process/vwprocess/incumbent.go
+++ b/internal/process/vwprocess/incumbent.go
@@ -40,7 +40,7 @@
 }
 
 // open opens the links under a new incarnation.
-func (i *incumbent) open() (vwmessage.Hello, *vwlink.Endpoint, error) {
+func (i *incumbent) open() (vwmessage.Hello, vwlink.Endpoint, error) {
 	hello := vwmessage.Hello{
 		Cluster:     i.config.Cluster,
 		Process:     i.config.Settings.Process,
@@ -54,7 +54,7 @@
 }
 
 // begin starts an entry on open links.
-func (i *incumbent) begin(hello vwmessage.Hello, endpoint *vwlink.Endpoint) {
+func (i *incumbent) begin(hello vwmessage.Hello, endpoint vwlink.Endpoint) {
 	settings := i.config.Settings
 	if settings.LinkAddress == "" {
 		settings.LinkAddress = endpoint.Address()
--- a/internal/process/vwprocess/links.go
+++ b/internal/process/vwprocess/links.go
@@ -23,7 +23,7 @@
 	mu       sync.Mutex
 	address  string
 	socket   *net.UDPConn
-	endpoint *vwlink.Endpoint
+	endpoint vwlink.Endpoint
 	group    *vwgroup.Group
 }
 
@@ -33,7 +33,7 @@
 }
 
 // open binds the address and serves links under the incarnation of hello.
-func (l *links) open(hello vwmessage.Hello) (*vwlink.Endpoint, error) {
+func (l *links) open(hello vwmessage.Hello) (vwlink.Endpoint, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	endpoint, err := l.bind(hello)
@@ -46,16 +46,16 @@
 	return endpoint, nil
 }
 
-func (l *links) bind(hello vwmessage.Hello) (*vwlink.Endpoint, error) {
+func (l *links) bind(hello vwmessage.Hello) (vwlink.Endpoint, error) {
 	tls, err := vwkeys.TLSConfig(l.keys, hello.Cluster)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if socket := l.socket; socket != nil {
 		l.socket = nil
-		return vwlink.MakeEndpointOn(socket, tls, hello)
+		return vwlink.MakeQUICEndpointOn(socket, tls, hello)
 	}
-	return vwlink.MakeEndpoint(l.address, tls, hello)
+	return vwlink.MakeQUICEndpoint(l.address, tls, hello)
 }
 
 // Address returns the bound address, or the one to bind before open.
@@ -93,10 +93,10 @@
 	return trace.Wrap(err)
 }
 
-func makeEndpoint(address string, keys vwkeys.Source, hello vwmessage.Hello) (*vwlink.Endpoint, error) {
+func makeEndpoint(address string, keys vwkeys.Source, hello vwmessage.Hello) (vwlink.Endpoint, error) {
 	tls, err := vwkeys.TLSConfig(keys, hello.Cluster)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return vwlink.MakeEndpoint(address, tls, hello)
+	return vwlink.MakeQUICEndpoint(address, tls, hello)
 }
