--- a/internal/version/vwrule/document_test.go
+++ b/internal/version/vwrule/document_test.go
@@ -14,7 +14,7 @@
 	page, err := os.ReadFile("../../../docs/operator/rules.md")
 	require.NoError(t, err)
 	blocks := regexp.MustCompile("(?s)```toml\n(.*?)```").FindAllStringSubmatch(string(page), -1)
-	require.Len(t, blocks, 4)
+	require.Len(t, blocks, 5)
 	for _, block := range blocks {
 		_, err := Parse("rules.md", []byte(block[1]))
 		require.NoError(t, err)
@@ -39,7 +39,12 @@
 		require.NoError(t, err)
 	}
 	for _, f := range fields {
-		_, err := Parse(f.name, []byte(names+string(f.kind)+".All.All = { "+f.name+" = "+f.example+" } # x"))
+		line := string(f.kind) + ".All.All = { " + f.name + " = " + f.example + " } # x"
+		if f.kind.isDetail() {
+			line = strings.Replace(f.kind.example(), "{ ", "{ "+f.name+" = "+f.example+", ", 1)
+			line = strings.Replace(line, ", "+f.name+" = "+f.example, "", 1)
+		}
+		_, err := Parse(f.name, []byte(names+line))
 		require.NoError(t, err)
 	}
 }
--- a/internal/version/vwrule/line.go
+++ b/internal/version/vwrule/line.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"regexp"
+	"strconv"
 	"strings"
 	"unicode/utf8"
 
@@ -27,17 +28,21 @@
 // declarationPattern finds the name in a declaration whose line has a fault of syntax.
 var declarationPattern = regexp.MustCompile(`^\s*(Service|Team|DataCentre)\s*\.\s*([A-Za-z0-9_-]+)`)
 
+// simpleNumber matches numbers that are written in the same way in TOML and in Go.
+var simpleNumber = regexp.MustCompile(`^-?(0|[1-9][0-9]*)(\.[0-9]+)?$`)
+
 // lineReader reads the syntax of one line. Lines are read one by one, so that a fault in one does not
 // hide the faults of the next.
 type lineReader struct {
 	file   string
 	number int
 	text   []byte
-	parser unstable.Parser
+	// parser is shared by the lines of a file, because it keeps its memory.
+	parser *unstable.Parser
 	faults []Fault
 }
 
-// read returns the rule on the line, without the fields that have faults. It returns nil for a line
+// read returns the rule on the line, in which fields that have faults change nothing. It returns nil for a line
 // without a rule and for one whose key has a fault.
 func (l *lineReader) read() *rule {
 	if !utf8.Valid(l.text) {
@@ -62,19 +67,69 @@
 }
 
 func (l *lineReader) readRule(node *unstable.Node) *rule {
+	values, simple := l.readSimple(node)
 	var document map[string]any
-	if err := toml.Unmarshal(l.text, &document); err != nil {
-		return l.salvage(err)
+	if !simple {
+		if err := toml.Unmarshal(l.text, &document); err != nil {
+			return l.salvage(err)
+		}
 	}
 	r := &rule{line: l.number}
 	if !l.readKey(node, r) {
 		return nil
 	}
 	l.readComment(node, r)
-	l.readTable(node, r, r.valuesIn(document))
+	if !simple {
+		values = r.valuesIn(document)
+	}
+	l.readTable(node, r, values)
 	return r
 }
 
+// readSimple returns the values of an inline table of plain strings, numbers and flags without a second
+// pass of the decoder, which takes most of the time of a text with hundreds of routes. It reports false for
+// all else.
+func (l *lineReader) readSimple(node *unstable.Node) (map[string]any, bool) {
+	if node.Value().Kind != unstable.InlineTable {
+		return nil, false
+	}
+	values := map[string]any{}
+	for children := node.Value().Children(); children.Next(); {
+		child := children.Node()
+		if child.Kind != unstable.KeyValue {
+			return nil, false
+		}
+		keys := child.Key()
+		keys.Next()
+		name := string(keys.Node().Data)
+		value, simple := simpleValue(child.Value())
+		if _, repeated := values[name]; repeated || !simple || keys.Next() {
+			return nil, false
+		}
+		values[name] = value
+	}
+	return values, true
+}
+
+// simpleValue returns a value whose text TOML and Go read alike.
+func simpleValue(node *unstable.Node) (any, bool) {
+	text := string(node.Data)
+	switch node.Kind {
+	case unstable.String:
+		return text, utf8.ValidString(text)
+	case unstable.Bool:
+		return text == "true", true
+	case unstable.Integer:
+		n, err := strconv.ParseInt(text, 10, 64)
+		return n, err == nil && simpleNumber.MatchString(text)
+	case unstable.Float:
+		n, err := strconv.ParseFloat(text, 64)
+		return n, err == nil && simpleNumber.MatchString(text)
+	default:
+		return nil, false
+	}
+}
+
 // salvage reports a fault of syntax. It returns the declaration that the line seems to hold, so that the
 // rules that use the name are not reported as well.
 func (l *lineReader) salvage(err error) *rule {
@@ -151,7 +206,7 @@
 			l.readField(child, r, values)
 		}
 	}
-	if r.kind.isPolicy() && !value.Child().Valid() {
+	if (r.kind.isPolicy() || r.kind.isDetail()) && !value.Child().Valid() {
 		l.reportAt(r.column, r.key()+" sets nothing", "set a field, as in "+r.kind.example()+", or delete the line")
 	}
 }
@@ -169,7 +224,7 @@
 		change, accepted := f.read(values[s.name])
 		if !accepted {
 			l.reportAt(s.column, fmt.Sprintf("%s cannot be %s", s.name, s.text), fmt.Sprintf("write %s, as in %s = %s", f.want, f.name, f.example))
-			return
+			change = func(*draft) {}
 		}
 		s.apply = change
 		r.settings = append(r.settings, s)
--- a/internal/version/vwrule/parse.go
+++ b/internal/version/vwrule/parse.go
@@ -7,15 +7,17 @@
 	"slices"
 
 	"github.com/gravitational/trace"
+	"github.com/pelletier/go-toml/v2/unstable"
 
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwsuggest"
 	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
-// MaxText bounds the size of a rules file. The text crosses the network to each process at each change;
-// 33 teams with a rule of every kind at four services need 55 KiB (BenchmarkParse).
-const MaxText = 256 * vwunit.KiB
+// MaxText bounds the size of a rules file. The text crosses the network to each entry at each change; 33
+// teams with a rule of every kind at four services need 55 KiB (BenchmarkParse), and a thousand routes
+// 220 KiB.
+const MaxText = 2 * vwunit.MiB
 
 // Parse reads and checks a rules file. File is the name that faults show. When the text has faults it
 // returns an ErrRules with all of them.
@@ -45,9 +47,10 @@
 
 func (c *checker) readLines(text []byte) {
 	number := 0
+	var parser unstable.Parser
 	for line := range bytes.Lines(text) {
 		number++
-		reader := lineReader{file: c.file, number: number, text: trimLineEnd(line)}
+		reader := lineReader{file: c.file, number: number, text: trimLineEnd(line), parser: &parser}
 		if r := reader.read(); r != nil {
 			c.add(r)
 		}
@@ -71,11 +74,12 @@
 	}
 	c.byKey[r.key()] = r
 	c.rules.rules = append(c.rules.rules, r)
-	if r.kind.isPolicy() {
+	switch {
+	case r.kind.isPolicy():
 		c.byScope[r.scope()] = append(c.byScope[r.scope()], r)
-		return
+	case !r.kind.isDetail():
+		c.declare(r)
 	}
-	c.declare(r)
 }
 
 func (c *checker) declare(r *rule) {
@@ -110,7 +114,9 @@
 	for _, r := range c.rules.rules {
 		c.checkDeadline(r)
 		c.checkQuota(r)
+		c.addDetail(r)
 	}
+	c.rules.sortRoutes()
 }
 
 // checkNames reports names that the file does not declare.
@@ -118,6 +124,10 @@
 	switch {
 	case r.kind == KindOut && r.names[0].text != All:
 		checkDeclared(c, r, r.names[0], KindDataCentre, c.rules.dataCentres)
+	case r.kind == KindBackend:
+		checkDeclared(c, r, r.names[0], KindService, c.rules.services)
+	case r.kind == KindIntake && r.names[0].text != All:
+		c.report(r, r.names[0].column, "an intake rule is for every entry", "write "+string(KindIntake)+"."+All)
 	case r.kind.isPolicy():
 		c.checkScope(r)
 	}
--- a/internal/version/vwrule/rule.go
+++ b/internal/version/vwrule/rule.go
@@ -52,6 +52,13 @@
 	return scope{service: vwid.Service(r.names[0].text), team: vwid.Team(r.names[1].text)}
 }
 
+// applyTo applies the fields of the rule to a draft.
+func (r *rule) applyTo(d *draft) {
+	for _, s := range r.settings {
+		s.apply(d)
+	}
+}
+
 // find returns the field called field, and false when the rule does not set it.
 func (r *rule) find(field string) (setting, bool) {
 	for _, s := range r.settings {
--- a/internal/version/vwrule/rules.go
+++ b/internal/version/vwrule/rules.go
@@ -32,6 +32,12 @@
 	out         map[vwid.DataCentre]bool
 	// policies holds the effective policy of each scope that a rule names.
 	policies map[scope]TeamPolicy
+	// editions holds the number of the newest edition of each source of rules.
+	editions map[string]uint64
+	backends map[vwid.Service]Backend
+	intake   Intake
+	// routes holds the routes of each host, the longest prefix first.
+	routes map[string][]Route
 }
 
 // Empty returns the rules of an empty file, which permit everything.
@@ -42,6 +48,10 @@
 		dataCentres: map[vwid.DataCentre]bool{},
 		out:         map[vwid.DataCentre]bool{},
 		policies:    map[scope]TeamPolicy{{All, All}: DefaultPolicy()},
+		editions:    map[string]uint64{},
+		backends:    map[vwid.Service]Backend{},
+		intake:      defaultIntake,
+		routes:      map[string][]Route{},
 	}
 }
 
@@ -99,21 +109,19 @@
 
 // resolve computes the policy of a scope from the rules of its parents and its own.
 func (r *Rules) resolve(own scope, byScope map[scope][]*rule) TeamPolicy {
-	policy := DefaultPolicy()
+	d := draft{policy: DefaultPolicy()}
 	limited := false
 	for _, s := range own.chain() {
 		for _, rule := range byScope[s] {
 			_, sets := rule.find("Default")
 			limited = limited || sets
-			for _, setting := range rule.settings {
-				setting.apply(&policy)
-			}
+			rule.applyTo(&d)
 		}
 	}
 	if !limited {
-		policy.Deadlines.Default = min(policy.Deadlines.Default, policy.Deadlines.Maximum)
+		d.policy.Deadlines.Default = min(d.policy.Deadlines.Default, d.policy.Deadlines.Maximum)
 	}
-	return policy
+	return d.policy
 }
 
 // chain returns the scopes that contain s, the widest first and s itself last.
