Let control members find a cluster that they are told a part of

Cause: on the users' platform a member is told three addresses of an unknown number of members. Members may be replaced at other addresses, removed while they are cut off, and suspended without their clock showing it. Change: a member that hears of no leader asks those it knows and is admitted as a learner; an even number of voters drops one that was silent for 2.5 s; Joins forbids a member with an empty disk to make a log; ticks count the time of a suspension. Reads may be local, lease replies and views name the members, the source of translated rules is stored with them, and a restarted process ends its earlier registration.

--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -120,6 +120,8 @@
 	// Entries are the live entries. They are left out when the request named their EntriesDigest.
 	Entries       []EntryAddress
 	EntriesDigest uint64 `msg:",omitempty"`
+	// Members are the addresses of the control members, left out like Entries.
+	Members []string `msg:",omitempty"`
 	// Expired lists those of the renewed registrations that are no longer valid.
 	Expired []vwid.Incarnation
 }
--- a/internal/connection/vwmessage/message_gen.go
+++ b/internal/connection/vwmessage/message_gen.go
@@ -1192,13 +1192,17 @@
 func (z *LeaseReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.EntriesDigest == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1228,11 +1232,19 @@
 			o = append(o, 0xad, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
 			o = msgp.AppendUint64(o, z.EntriesDigest)
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Members"
+			o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+			for za0002 := range z.Members {
+				o = msgp.AppendString(o, z.Members[za0002])
+			}
+		}
 		// string "Expired"
 		o = append(o, 0xa7, 0x45, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Expired)))
-		for za0002 := range z.Expired {
-			o = msgp.AppendString(o, string(z.Expired[za0002]))
+		for za0003 := range z.Expired {
+			o = msgp.AppendString(o, string(z.Expired[za0003]))
 		}
 	}
 	return
@@ -1303,27 +1315,46 @@
 				err = msgp.WrapError(err, "EntriesDigest")
 				return
 			}
-		case "Expired":
+		case "Members":
 			var zb0004 uint32
 			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0004) {
+				z.Members = (z.Members)[:zb0004]
+			} else {
+				z.Members = make([]string, zb0004)
+			}
+			for za0002 := range z.Members {
+				z.Members[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+			}
+		case "Expired":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Expired")
 				return
 			}
-			if cap(z.Expired) >= int(zb0004) {
-				z.Expired = (z.Expired)[:zb0004]
+			if cap(z.Expired) >= int(zb0005) {
+				z.Expired = (z.Expired)[:zb0005]
 			} else {
-				z.Expired = make([]vwid.Incarnation, zb0004)
+				z.Expired = make([]vwid.Incarnation, zb0005)
 			}
-			for za0002 := range z.Expired {
+			for za0003 := range z.Expired {
 				{
-					var zb0005 string
-					zb0005, bts, err = msgp.ReadStringBytes(bts)
+					var zb0006 string
+					zb0006, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Expired", za0002)
+						err = msgp.WrapError(err, "Expired", za0003)
 						return
 					}
-					z.Expired[za0002] = vwid.Incarnation(zb0005)
+					z.Expired[za0003] = vwid.Incarnation(zb0006)
 				}
 			}
 		default:
@@ -1345,8 +1376,12 @@
 		s += z.Entries[za0001].Msgsize()
 	}
 	s += 14 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Expired {
-		s += msgp.StringPrefixSize + len(string(z.Expired[za0002]))
+	for za0002 := range z.Members {
+		s += msgp.StringPrefixSize + len(z.Members[za0002])
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0003 := range z.Expired {
+		s += msgp.StringPrefixSize + len(string(z.Expired[za0003]))
 	}
 	return
 }
--- a/internal/process/vwagent/entry_test.go
+++ b/internal/process/vwagent/entry_test.go
@@ -88,7 +88,7 @@
 		if e.leasing {
 			copied := e.lease
 			copied.Entries = nil
-			vwmessage.MakeEntryList(e.lease.Entries).Write(body, &copied)
+			vwmessage.MakeEntryList(e.lease.Entries, nil).Write(body, &copied)
 			reply(&copied, nil)
 		}
 	case *vwmessage.Credit:
--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -55,9 +55,9 @@
 	c.raft = settings.raft(loaded.Member)
 	c.now = time.Now()
 	c.leases.restart(c.now)
-	c.clock = makeClock(settings.Tick)
+	c.clock = makeClock(settings.Tick, settings.Suspended)
 	c.proposals, c.reads, c.forwards = makeProposals(), makeReads(), makeForwards()
-	c.peers, c.discovery = makePeers(), makeDiscovery(loaded.Empty())
+	c.peers, c.discovery = makePeers(), makeDiscovery(loaded.Empty(), c.now)
 	if err := c.restore(loaded); err != nil {
 		return nil, trace.NewAggregate(err, store.Close())
 	}
@@ -81,12 +81,16 @@
 // advance accounts for the time that has passed. It precedes everything that reaches the log.
 func (c *core) advance() {
 	now := time.Now()
-	if now.Sub(c.now) > stallLimit {
+	ticks, suspended := c.clock.due(now, int64(4*c.raft.ElectionTicks))
+	if suspended > 0 {
+		c.settings.Logger.Warn("the machine was suspended", "duration", suspended.String())
+	}
+	if now.Sub(c.now)+suspended > stallLimit {
 		c.leases.postpone(now)
 	}
 	c.now = now
 	// More ticks than two election timeouts end every lease and every leadership anyway.
-	for range c.clock.due(now, int64(4*c.raft.ElectionTicks)) {
+	for range ticks {
 		c.node.Tick()
 	}
 }
--- a/internal/process/vwcontrol/discovery.go
+++ b/internal/process/vwcontrol/discovery.go
@@ -10,14 +10,23 @@
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
-// discovery is how a member with an empty log finds its cluster.
+// lostAfter is how long a member with a log hears of no leader before it asks whether the membership still
+// has it. It is longer than an election takes.
+const lostAfter = 1500 * time.Millisecond
+
+// discovery is how a member finds a cluster that does not know it.
 //
 // The rule of the first start: the member with the lowest of the initial addresses creates the log, and
 // only when the members at all other initial addresses have answered that their logs are empty too.
 // The others wait for that member. A member with an empty log that hears of a log waits until the
 // leader has admitted it as a learner under its new id.
+//
+// A member that was removed while it was out of reach keeps its log and its id. It hears of no leader, asks
+// the members that it knows, and is admitted as a learner too.
 type discovery struct {
 	empty bool
+	// led is when this member last knew a leader.
+	led time.Time
 	// found are the members that answered, by address.
 	found map[string]vwid.Member
 	// joining is set once any member has a log: this one then never creates another.
@@ -30,8 +39,8 @@
 	next    time.Time
 }
 
-func makeDiscovery(empty bool) discovery {
-	return discovery{empty: empty, found: map[string]vwid.Member{}, probers: map[string]vwid.Member{}}
+func makeDiscovery(empty bool, now time.Time) discovery {
+	return discovery{empty: empty, led: now, found: map[string]vwid.Member{}, probers: map[string]vwid.Member{}}
 }
 
 func (d *discovery) superseded(from vwraft.Voter) bool {
@@ -39,28 +48,43 @@
 	return d.empty && ok && newer != from.Member
 }
 
-// discover probes the initial members as long as this member's log is empty.
+// discover looks for the other members while this one's log is empty or it knows no leader for long.
 func (c *core) discover() error {
 	d := &c.discovery
-	if !d.empty || c.writer.busy() {
+	if c.writer.busy() {
 		return nil
 	}
-	if c.node.Status().Last > 0 {
-		d.empty = false
-		return nil
+	status := c.node.Status()
+	d.empty = d.empty && status.Last == 0
+	if status.Leader.Member != "" {
+		d.led = c.now
 	}
-	if c.now.Before(d.next) {
+	if !d.empty && c.now.Sub(d.led) < lostAfter || c.now.Before(d.next) {
 		return nil
 	}
 	d.next = c.now.Add(c.settings.ProbeInterval)
-	addresses := append([]string{d.leader}, c.settings.Initial...)
+	c.probe(status.Membership)
+	if !d.empty {
+		return nil
+	}
+	return c.bootstrap()
+}
+
+// probe asks every member that this one knows of.
+func (c *core) probe(membership vwraft.Membership) {
+	addresses := append([]string{c.discovery.leader}, c.settings.Initial...)
+	for _, member := range membership.All() {
+		addresses = append(addresses, member.Address)
+	}
+	for _, heard := range c.peers.addresses {
+		addresses = append(addresses, heard)
+	}
 	slices.Sort(addresses)
 	for _, address := range slices.Compact(addresses) {
 		if address != "" && address != c.self.Address {
-			c.sendPacket(vwraft.Voter{Address: address}, Packet{Probe: &Probe{Empty: true}})
+			c.sendPacket(vwraft.Voter{Address: address}, Packet{Probe: &Probe{Empty: c.discovery.empty}})
 		}
 	}
-	return c.bootstrap()
 }
 
 func (c *core) handleProbe(from vwraft.Voter, probe Probe) {
@@ -82,7 +106,7 @@
 // bootstrap creates the log when the rule of the first start permits it.
 func (c *core) bootstrap() error {
 	d := &c.discovery
-	if d.joining || c.self.Address != slices.Min(c.settings.Initial) {
+	if d.joining || c.settings.Joins || c.self.Address != slices.Min(c.settings.Initial) {
 		return nil
 	}
 	membership := vwraft.Membership{}
--- a/internal/process/vwcontrol/lease.go
+++ b/internal/process/vwcontrol/lease.go
@@ -122,10 +122,20 @@
 	if !c.state.IsLive(request.Incarnation) {
 		reply.RemainingMilliseconds = 0
 	}
-	vwmessage.MakeEntryList(c.liveEntries()).Write(request, reply)
+	vwmessage.MakeEntryList(c.liveEntries(), c.memberAddresses()).Write(request, reply)
 	return reply
 }
 
+// memberAddresses returns where the control members are reached, the voters first.
+func (c *core) memberAddresses() []string {
+	membership := c.node.Status().Membership
+	addresses := make([]string, 0, len(membership.Voters)+len(membership.Learners))
+	for _, member := range membership.All() {
+		addresses = append(addresses, member.Address)
+	}
+	return addresses
+}
+
 func (c *core) liveEntries() []vwmessage.EntryAddress {
 	var entries []vwmessage.EntryAddress
 	for _, r := range c.state.RegistrationsWhere(func(r *vwstate.Registration) bool { return r.Role == vwstate.RoleEntry && !r.Ended() }) {
--- a/internal/process/vwcontrol/serve.go
+++ b/internal/process/vwcontrol/serve.go
@@ -10,6 +10,10 @@
 // serve handles a request. A member that does not lead forwards it once when mayForward is set.
 func (c *core) serve(body vwmessage.Body, answer Answer, mayForward bool) {
 	c.advance()
+	if message, reads := body.(*vwmessage.Read); reads {
+		c.serveRead(message, answer, mayForward)
+		return
+	}
 	if !c.node.IsLeader() {
 		c.forward(body, answer, mayForward)
 		return
@@ -17,8 +21,6 @@
 	switch message := body.(type) {
 	case *vwmessage.Propose:
 		c.propose(message, answer)
-	case *vwmessage.Read:
-		c.query(message, answer)
 	case *vwmessage.LeaseRequest:
 		c.renew(message, answer)
 	default:
@@ -78,21 +80,36 @@
 	c.proposals.add(index, proposal{term: term, deadline: c.now.Add(c.settings.RequestTimeout), answer: answer})
 }
 
-func (c *core) query(message *vwmessage.Read, answer Answer) {
+// serveRead answers a local read from what this member has applied, and any other read at the leader.
+func (c *core) serveRead(message *vwmessage.Read, answer Answer, mayForward bool) {
 	var query vwstate.Query
 	if _, err := query.UnmarshalMsg(message.Query); err != nil {
 		answer(nil, vwverdict.Wrap(vwverdict.NotRun, err))
 		return
 	}
-	c.whenCurrent(func(err error) {
-		if err != nil {
-			answer(nil, err)
-			return
-		}
-		view := c.state.Read(query)
-		data, err := view.MarshalMsg(nil)
-		answer(&vwmessage.View{View: data}, vwverdict.Wrap(vwverdict.NotRun, err))
-	})
+	switch {
+	case query.Local && c.applied == 0:
+		answer(nil, vwverdict.Errorf(vwverdict.NotRun, "the member has not joined a log yet"))
+	case query.Local:
+		c.view(query, answer)
+	case !c.node.IsLeader():
+		c.forward(message, answer, mayForward)
+	default:
+		c.whenCurrent(func(err error) {
+			if err != nil {
+				answer(nil, err)
+				return
+			}
+			c.view(query, answer)
+		})
+	}
+}
+
+func (c *core) view(query vwstate.Query, answer Answer) {
+	view := c.state.Read(query)
+	view.Members = c.memberAddresses()
+	data, err := view.MarshalMsg(nil)
+	answer(&vwmessage.View{View: data}, vwverdict.Wrap(vwverdict.NotRun, err))
 }
 
 // whenCurrent calls finish once the state holds everything that was committed before this call.
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -19,17 +19,27 @@
 	LeaseDuration = 2 * time.Second
 	// RegistrationPeriod is the default of Settings.Registration.
 	RegistrationPeriod = 4 * time.Second
-	// MaxMembers bounds the voters and learners: each one costs the leader messages.
+	// MaxMembers is the default of Settings.MaxMembers.
 	MaxMembers = 7
+	// ReplaceAfter is the default of Settings.ReplaceAfter. It is longer than a restart of a process takes.
+	ReplaceAfter = 2500 * time.Millisecond
 )
 
 // Settings are the fixed parameters of a Member.
 type Settings struct {
 	// Address is where the other members reach this one.
 	Address string
-	// Initial are the addresses of all members of the first start, this one's included. They are only
-	// used while the data directory is empty.
+	// Initial are the addresses of the members that make the log at the first start. Others, and members
+	// that the membership has lost, find the cluster through them.
 	Initial []string
+	// Joins forbids this member to create a log, for a cluster that has started before. Its disk may be
+	// empty because it was lost.
+	Joins bool
+	// MaxMembers bounds the voters and learners: each one costs the leader messages.
+	MaxMembers int
+	// ReplaceAfter is how long a voter must be silent before the leader removes it from an even number of
+	// voters, which tolerates no more losses than one voter fewer does.
+	ReplaceAfter time.Duration
 	// Tick is the interval of vwraft's ticks.
 	Tick time.Duration
 	// Heartbeat is the interval of the leader's heartbeats.
@@ -52,6 +62,9 @@
 	SegmentBytes int64
 	// MaxWaiting bounds the requests that wait for the member.
 	MaxWaiting int
+	// Suspended returns for how long the machine has been suspended since its start, which the runtime's
+	// clock does not count. A leader that was suspended must not trust its lease.
+	Suspended func() time.Duration
 	// Random draws the election timeouts.
 	Random rand.Source
 	Logger *slog.Logger
@@ -69,6 +82,9 @@
 		Election:        time.Second,
 		Lease:           LeaseDuration,
 		Registration:    RegistrationPeriod,
+		MaxMembers:      MaxMembers,
+		ReplaceAfter:    ReplaceAfter,
+		Suspended:       func() time.Duration { return 0 },
 		ProbeInterval:   500 * time.Millisecond,
 		RequestTimeout:  5 * time.Second,
 		SnapshotEntries: 500,
@@ -83,8 +99,8 @@
 	switch {
 	case s.Address == "" || len(s.Initial) == 0:
 		return trace.BadParameter("the address of the member and the initial addresses must be set")
-	case len(s.Initial) > MaxMembers:
-		return trace.BadParameter("%d initial members exceed the limit of %d", len(s.Initial), MaxMembers)
+	case len(s.Initial) > s.MaxMembers:
+		return trace.BadParameter("%d initial members exceed the limit of %d", len(s.Initial), s.MaxMembers)
 	case len(slices.Compact(slices.Sorted(slices.Values(s.Initial)))) != len(s.Initial):
 		return trace.BadParameter("an initial address is named twice")
 	case s.Tick <= 0 || s.ProbeInterval <= 0 || s.RequestTimeout <= 0:
@@ -95,8 +111,10 @@
 		return trace.BadParameter("the registration (%v) must be longer than the lease (%v)", s.Registration, s.Lease)
 	case s.SnapshotEntries < 1 || s.SegmentBytes < 1 || s.MaxWaiting < 1:
 		return trace.BadParameter("sizes and bounds must be positive")
-	case s.Random == nil || s.Logger == nil:
-		return trace.BadParameter("Random and Logger must be set")
+	case s.ReplaceAfter <= s.Election:
+		return trace.BadParameter("ReplaceAfter (%v) must be longer than the election timeout (%v)", s.ReplaceAfter, s.Election)
+	case s.Random == nil || s.Logger == nil || s.Suspended == nil:
+		return trace.BadParameter("Random, Logger and Suspended must be set")
 	}
 	return nil
 }
--- a/internal/process/vwcontroltest/control.go
+++ b/internal/process/vwcontroltest/control.go
@@ -171,7 +171,7 @@
 			})
 		}
 	}
-	vwmessage.MakeEntryList(entries).Write(request, reply)
+	vwmessage.MakeEntryList(entries, nil).Write(request, reply)
 	return reply
 }
 
--- a/internal/process/vwentry/capacity_test.go
+++ b/internal/process/vwentry/capacity_test.go
@@ -78,7 +78,7 @@
 			DataCentre: "centre-1", Address: "192.0.2.100:4433",
 		})
 	}
-	reply.EntriesDigest = vwmessage.MakeEntryList(reply.Entries).Digest
+	reply.EntriesDigest = vwmessage.MakeEntryList(reply.Entries, nil).Digest
 	e.takeLease(vwlease.Request{Sent: time.Now()}, reply)
 	require.True(b, e.holder.Fresh(time.Now()))
 	return e
--- a/internal/process/vwraft/leader.go
+++ b/internal/process/vwraft/leader.go
@@ -64,6 +64,14 @@
 	return recent && p.match+n.settings.CaughtUp >= n.log.last()
 }
 
+// SilentTicks returns for how many ticks nothing was heard from a member, zero when this one does not lead.
+func (n *Node) SilentTicks(member vwid.Member) uint64 {
+	if p, ok := n.progress[member]; ok {
+		return n.tick - p.heardTick
+	}
+	return 0
+}
+
 func (n *Node) append(kind EntryKind, data []byte) Index {
 	entry := Entry{Index: n.log.last() + 1, Term: n.term, Kind: kind, Data: data}
 	if err := n.log.push(entry); err != nil {
--- a/internal/version/vwstate/command.go
+++ b/internal/version/vwstate/command.go
@@ -128,6 +128,8 @@
 	Text     []byte
 	// By names the operator.
 	By string
+	// Source is the document that Text was translated from, empty when operators wrote Text themselves.
+	Source []byte `msg:",omitempty"`
 }
 
 // Refusal says why a command changed nothing.
@@ -192,6 +194,8 @@
 	Text          []byte
 	By            string
 	ChangedMillis int64
+	// Source is the document that Text was translated from, for reading it back.
+	Source []byte `msg:",omitempty"`
 }
 
 // Query asks for a part of the state.
@@ -200,6 +204,9 @@
 	Config        bool              `msg:",omitempty"`
 	Registrations bool              `msg:",omitempty"`
 	Change        vwid.ChangeID     `msg:",omitempty"`
+	// Local asks the member itself for what it has applied, which may be out of date. It is answered
+	// without a leader.
+	Local bool `msg:",omitempty"`
 }
 
 // View answers a Query. Parts that were not asked for or do not exist are nil.
@@ -209,6 +216,8 @@
 	Config        *Config        `msg:",omitempty"`
 	Registrations []Registration `msg:",omitempty"`
 	Change        *ChangeOutcome `msg:",omitempty"`
+	// Members are the addresses of the control members.
+	Members []string `msg:",omitempty"`
 }
 
 // Snapshot is the whole state, in a fixed order.
--- a/internal/version/vwstate/command_gen.go
+++ b/internal/version/vwstate/command_gen.go
@@ -196,19 +196,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *ChangeRules) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "ChangeID"
-	o = append(o, 0x84, 0xa8, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x49, 0x44)
-	o = msgp.AppendString(o, string(z.ChangeID))
-	// string "Base"
-	o = append(o, 0xa4, 0x42, 0x61, 0x73, 0x65)
-	o = msgp.AppendUint64(o, uint64(z.Base))
-	// string "Text"
-	o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
-	o = msgp.AppendBytes(o, z.Text)
-	// string "By"
-	o = append(o, 0xa2, 0x42, 0x79)
-	o = msgp.AppendString(o, z.By)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Source == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "ChangeID"
+		o = append(o, 0xa8, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x49, 0x44)
+		o = msgp.AppendString(o, string(z.ChangeID))
+		// string "Base"
+		o = append(o, 0xa4, 0x42, 0x61, 0x73, 0x65)
+		o = msgp.AppendUint64(o, uint64(z.Base))
+		// string "Text"
+		o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
+		o = msgp.AppendBytes(o, z.Text)
+		// string "By"
+		o = append(o, 0xa2, 0x42, 0x79)
+		o = msgp.AppendString(o, z.By)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Source"
+			o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
+			o = msgp.AppendBytes(o, z.Source)
+		}
+	}
 	return
 }
 
@@ -262,6 +280,12 @@
 				err = msgp.WrapError(err, "By")
 				return
 			}
+		case "Source":
+			z.Source, bts, err = msgp.ReadBytesBytes(bts, z.Source)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -276,7 +300,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *ChangeRules) Msgsize() (s int) {
-	s = 1 + 9 + msgp.StringPrefixSize + len(string(z.ChangeID)) + 5 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Text) + 3 + msgp.StringPrefixSize + len(z.By)
+	s = 1 + 9 + msgp.StringPrefixSize + len(string(z.ChangeID)) + 5 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Text) + 3 + msgp.StringPrefixSize + len(z.By) + 7 + msgp.BytesPrefixSize + len(z.Source)
 	return
 }
 
@@ -804,19 +828,37 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Config) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 4
-	// string "Version"
-	o = append(o, 0x84, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendUint64(o, uint64(z.Version))
-	// string "Text"
-	o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
-	o = msgp.AppendBytes(o, z.Text)
-	// string "By"
-	o = append(o, 0xa2, 0x42, 0x79)
-	o = msgp.AppendString(o, z.By)
-	// string "ChangedMillis"
-	o = append(o, 0xad, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
-	o = msgp.AppendInt64(o, z.ChangedMillis)
+	// check for omitted fields
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
+	_ = zb0001Mask
+	if z.Source == nil {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Version"
+		o = append(o, 0xa7, 0x56, 0x65, 0x72, 0x73, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendUint64(o, uint64(z.Version))
+		// string "Text"
+		o = append(o, 0xa4, 0x54, 0x65, 0x78, 0x74)
+		o = msgp.AppendBytes(o, z.Text)
+		// string "By"
+		o = append(o, 0xa2, 0x42, 0x79)
+		o = msgp.AppendString(o, z.By)
+		// string "ChangedMillis"
+		o = append(o, 0xad, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65, 0x64, 0x4d, 0x69, 0x6c, 0x6c, 0x69, 0x73)
+		o = msgp.AppendInt64(o, z.ChangedMillis)
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Source"
+			o = append(o, 0xa6, 0x53, 0x6f, 0x75, 0x72, 0x63, 0x65)
+			o = msgp.AppendBytes(o, z.Source)
+		}
+	}
 	return
 }
 
@@ -866,6 +908,12 @@
 				err = msgp.WrapError(err, "ChangedMillis")
 				return
 			}
+		case "Source":
+			z.Source, bts, err = msgp.ReadBytesBytes(bts, z.Source)
+			if err != nil {
+				err = msgp.WrapError(err, "Source")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -880,7 +928,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Config) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Text) + 3 + msgp.StringPrefixSize + len(z.By) + 14 + msgp.Int64Size
+	s = 1 + 8 + msgp.Uint64Size + 5 + msgp.BytesPrefixSize + len(z.Text) + 3 + msgp.StringPrefixSize + len(z.By) + 14 + msgp.Int64Size + 7 + msgp.BytesPrefixSize + len(z.Source)
 	return
 }
 
@@ -1278,8 +1326,8 @@
 func (z *Query) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.SubmissionID == "" {
 		zb0001Len--
@@ -1297,6 +1345,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Local == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1322,6 +1374,11 @@
 			o = append(o, 0xa6, 0x43, 0x68, 0x61, 0x6e, 0x67, 0x65)
 			o = msgp.AppendString(o, string(z.Change))
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Local"
+			o = append(o, 0xa5, 0x4c, 0x6f, 0x63, 0x61, 0x6c)
+			o = msgp.AppendBool(o, z.Local)
+		}
 	}
 	return
 }
@@ -1376,6 +1433,12 @@
 				}
 				z.Change = vwid.ChangeID(zb0003)
 			}
+		case "Local":
+			z.Local, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Local")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1390,7 +1453,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Query) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 7 + msgp.BoolSize + 14 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(string(z.Change))
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 7 + msgp.BoolSize + 14 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(string(z.Change)) + 6 + msgp.BoolSize
 	return
 }
 
@@ -2151,8 +2214,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(5)
-	var zb0001Mask uint8 /* 5 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Submission == nil {
 		zb0001Len--
@@ -2170,6 +2233,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x10
 	}
+	if z.Members == nil {
+		zb0001Len--
+		zb0001Mask |= 0x20
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2229,6 +2296,14 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
+			// string "Members"
+			o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
+			for za0002 := range z.Members {
+				o = msgp.AppendString(o, z.Members[za0002])
+			}
+		}
 	}
 	return
 }
@@ -2327,6 +2402,25 @@
 					return
 				}
 			}
+		case "Members":
+			var zb0003 uint32
+			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Members")
+				return
+			}
+			if cap(z.Members) >= int(zb0003) {
+				z.Members = (z.Members)[:zb0003]
+			} else {
+				z.Members = make([]string, zb0003)
+			}
+			for za0002 := range z.Members {
+				z.Members[za0002], bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Members", za0002)
+					return
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2363,5 +2457,9 @@
 	} else {
 		s += z.Change.Msgsize()
 	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Members {
+		s += msgp.StringPrefixSize + len(z.Members[za0002])
+	}
 	return
 }
--- a/internal/version/vwstate/state.go
+++ b/internal/version/vwstate/state.go
@@ -105,12 +105,26 @@
 		registration.SinceMillis = found.SinceMillis
 	} else {
 		registration.SinceMillis = s.nowMillis
+		s.supersede(&registration)
 	}
 	registration.EndedMillis = 0
 	s.registrations[registration.Incarnation] = &registration
 	return Outcome{}
 }
 
+// supersede ends the registrations of earlier runs of a process. A process that registers anew has
+// restarted, and waiting for its earlier lease would only keep a dead address in the lists.
+func (s *State) supersede(next *Registration) {
+	if next.Process == "" {
+		return
+	}
+	for _, found := range s.registrations {
+		if found.Process == next.Process && found.Role == next.Role && !found.Ended() {
+			found.EndedMillis = max(s.nowMillis, 1)
+		}
+	}
+}
+
 func (s *State) expire(command Expire) Outcome {
 	for _, incarnation := range command.Incarnations {
 		found, ok := s.registrations[incarnation]
@@ -129,7 +143,7 @@
 	if command.Base != s.config.Version {
 		outcome = Outcome{Refusal: RefusalVersion, Version: s.config.Version}
 	} else {
-		s.config = Config{Version: s.config.Version + 1, Text: command.Text, By: command.By, ChangedMillis: s.nowMillis}
+		s.config = Config{Version: s.config.Version + 1, Text: command.Text, By: command.By, Source: command.Source, ChangedMillis: s.nowMillis}
 		outcome.Version = s.config.Version
 	}
 	s.rememberChange(ChangeOutcome{ChangeID: command.ChangeID, Refusal: outcome.Refusal, Version: outcome.Version})
