Keep account of runs at workers that grant leases

Cause: workers of the users' platform start whatever they are told to, kill everything when a lease ends, and answer some orders late or never. Nothing in the product could say when such a run has certainly ended.

--- /dev/null
+++ b/internal/request/vwrun/seeds_long_test.go
@@ -0,0 +1,6 @@
+//go:build long
+
+package vwrun
+
+// historySeeds is how many histories are played.
+const historySeeds = 4000
--- /dev/null
+++ b/internal/request/vwrun/settings.go
@@ -0,0 +1,54 @@
+package vwrun
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Settings are the times by which a Book works. The agent's promise that a run has ended rests on Lease and
+// Drift, so Lease must not exceed what the worker grants.
+type Settings struct {
+	// Lease is how long a run may go on after the last order that extended the worker's lease.
+	Lease time.Duration
+	// Renew is the longest time between two orders that extend the lease while runs exist.
+	Renew time.Duration
+	// Answer is how long an order may take, beside the wait that it asks for, before it counts as unanswered.
+	Answer time.Duration
+	// Stop is how long the end of a stopped run may take. After that the lease is no longer extended until
+	// the run has ended, so that a lost stop order cannot leave a run behind.
+	Stop time.Duration
+	// Drift is by which share the worker's clock may be slower than the agent's.
+	Drift float64
+}
+
+// DefaultSettings returns settings for workers that grant leases of a second. Three orders in a row may be
+// lost before a lease ends.
+func DefaultSettings() Settings {
+	return Settings{
+		Lease:  500 * time.Millisecond,
+		Renew:  125 * time.Millisecond,
+		Answer: 120 * time.Millisecond,
+		Stop:   100 * time.Millisecond,
+		Drift:  0.02,
+	}
+}
+
+// Check returns an error when one lost order would end the lease.
+func (s Settings) Check() error {
+	switch {
+	case s.Renew <= 0 || s.Answer <= 0 || s.Stop <= 0:
+		return trace.BadParameter("Renew, Answer and Stop must be positive")
+	case s.Lease < 2*(s.Renew+s.Answer):
+		return trace.BadParameter("the lease (%v) must outlast two orders of %v each", s.Lease, s.Renew+s.Answer)
+	case s.Drift < 0 || s.Drift >= 0.5:
+		return trace.BadParameter("the drift must be from 0 to 0.5, not %v", s.Drift)
+	}
+	return nil
+}
+
+// Longest returns the longest time from the moment at which an agent no longer keeps a run to the certain end
+// of that run, however its worker answers.
+func (s Settings) Longest() time.Duration {
+	return s.Stop + time.Duration(float64(s.Lease)/(1-s.Drift))
+}
--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -21,6 +21,8 @@
 	Rack string
 	// Service names what a backend server offers.
 	Service string
+	// Worker identifies one worker to its agent and in logs. A worker that restarts may keep it.
+	Worker string
 	// Team names a group of callers with a share of the capacity.
 	Team string
 	// SubmissionID identifies a submission across resubmissions. It is a UUIDv7.
