--- a/internal/connection/vwmessage/kind.go
+++ b/internal/connection/vwmessage/kind.go
@@ -74,3 +74,24 @@
 
 // MessageKind implements Body.
 func (*ConfigAnnounce) MessageKind() Kind { return KindConfigAnnounce }
+
+// MessageKind implements Body.
+func (*Resume) MessageKind() Kind { return KindResume }
+
+// MessageKind implements Body.
+func (*Load) MessageKind() Kind { return KindLoad }
+
+// MessageKind implements Body.
+func (*Run) MessageKind() Kind { return KindRun }
+
+// MessageKind implements Body.
+func (*RunEnd) MessageKind() Kind { return KindRunEnd }
+
+// MessageKind implements Body.
+func (*StopRuns) MessageKind() Kind { return KindStopRuns }
+
+// MessageKind implements Body.
+func (*Want) MessageKind() Kind { return KindWant }
+
+// MessageKind implements Body.
+func (*Offer) MessageKind() Kind { return KindOffer }
--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -47,6 +47,13 @@
 	KindCreditRecall   Kind = 23
 	KindRegister       Kind = 24
 	KindConfigAnnounce Kind = 25
+	KindResume         Kind = 26
+	KindLoad           Kind = 27
+	KindRun            Kind = 28
+	KindRunEnd         Kind = 29
+	KindStopRuns       Kind = 30
+	KindWant           Kind = 31
+	KindOffer          Kind = 32
 )
 
 var constructors = map[Kind]func() Body{
@@ -75,6 +82,13 @@
 	KindCreditRecall:   func() Body { return new(CreditRecall) },
 	KindRegister:       func() Body { return new(Register) },
 	KindConfigAnnounce: func() Body { return new(ConfigAnnounce) },
+	KindResume:         func() Body { return new(Resume) },
+	KindLoad:           func() Body { return new(Load) },
+	KindRun:            func() Body { return new(Run) },
+	KindRunEnd:         func() Body { return new(RunEnd) },
+	KindStopRuns:       func() Body { return new(StopRuns) },
+	KindWant:           func() Body { return new(Want) },
+	KindOffer:          func() Body { return new(Offer) },
 }
 
 // Hello is the first message on a link, sent by both ends.
--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -17,6 +17,8 @@
 	"vanillawind.example/vanillawind/internal/connection/vwbackend"
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/connection/vwworker"
+	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -25,6 +27,9 @@
 const (
 	// tick is how often the agent looks for timeouts that no event announces.
 	tick = 100 * time.Millisecond
+	// runnerTick is the same for an agent with a worker that grants leases. An unanswered stop is repeated at
+	// such times, and orphanGrace is checked.
+	runnerTick = 40 * time.Millisecond
 	// expireInterval is how often old start records are searched for.
 	expireInterval = 10 * time.Second
 	// eventQueue holds the events of one pass of the control goroutine. A full queue makes the
@@ -51,8 +56,19 @@
 	MakeEndpoint func(hello vwmessage.Hello) (Endpoint, error)
 	// MakeLease returns an empty lease. It is called again for each new incarnation.
 	MakeLease func() Lease
-	Logger    *slog.Logger
-	Observer  Observer
+	// Worker, if it is set, runs the tasks of best-effort jobs. An agent needs it or Backend.
+	Worker vwworker.Worker
+	// Runs are the times by which runs at the worker are kept.
+	Runs vwrun.Settings
+	// Token is the fencing token for the worker. It must be above those of earlier runs of the agent if it can
+	// be told.
+	Token uint64
+	// Timing is that of the agent's links; zero means the default.
+	Timing vwlink.Timing
+	// Find returns entries, for an agent whose settings name none. It is called until one is linked.
+	Find     func(ctx context.Context) ([]vwmessage.EntryAddress, error)
+	Logger   *slog.Logger
+	Observer Observer
 }
 
 // Agent is the agent process.
@@ -66,8 +82,10 @@
 	events   chan event
 	done     chan struct{}
 	once     sync.Once
+	timing   vwlink.Timing
 
 	// The control goroutine owns the rest.
+	runner     *runner
 	backend    announced
 	current    *registration
 	stopping   bool
@@ -92,23 +110,46 @@
 
 // Make returns an agent that Run starts.
 func Make(options Options) (*Agent, error) {
-	settings, err := options.Settings.Check()
+	settings, err := options.check()
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if options.Backend == nil || options.MakeEndpoint == nil || options.MakeLease == nil {
-		return nil, trace.BadParameter("an agent needs a backend, an endpoint and a lease")
-	}
 	if options.Logger == nil {
 		options.Logger = slog.New(slog.DiscardHandler)
 	}
-	return &Agent{
+	if options.Timing == (vwlink.Timing{}) {
+		options.Timing = vwlink.DefaultTiming
+	}
+	a := &Agent{
 		settings: settings,
 		options:  options,
 		logger:   options.Logger.With("Process", string(settings.Process)),
 		events:   make(chan event, eventQueue),
 		done:     make(chan struct{}),
-	}, nil
+		timing:   options.Timing,
+	}
+	if options.Worker != nil {
+		a.runner = makeRunner(a)
+	}
+	return a, nil
+}
+
+// check returns the settings with defaults, or an error when a part is missing.
+func (o *Options) check() (Settings, error) {
+	settings, err := o.Settings.Check()
+	switch {
+	case err != nil:
+		return settings, err
+	case settings.FindsEntries && o.Find == nil:
+		return settings, trace.BadParameter("FindsEntries is set, but there is no way to find them")
+	case o.MakeEndpoint == nil || o.MakeLease == nil:
+		return settings, trace.BadParameter("an agent needs an endpoint and a lease")
+	case o.Backend == nil && o.Worker == nil:
+		return settings, trace.BadParameter("an agent needs a backend or a worker")
+	case o.Worker != nil:
+		return settings, o.Runs.Check()
+	}
+	return settings, nil
 }
 
 // Counters returns the counters of the agent.
@@ -123,6 +164,9 @@
 		a.once.Do(func() { close(a.done) })
 		return err
 	}
+	if a.options.Find != nil {
+		a.group.Run(a.find)
+	}
 	a.loop(a.group.Context())
 	a.once.Do(func() { close(a.done) })
 	err := a.group.Stop()
@@ -133,7 +177,11 @@
 }
 
 func (a *Agent) loop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
+	interval := tick
+	if a.runner != nil {
+		interval = runnerTick
+	}
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	a.retry = time.NewTimer(tick)
 	defer a.retry.Stop()
@@ -201,6 +249,9 @@
 		return
 	}
 	r.dirty = true
+	if a.runner != nil {
+		a.runner.tick(now)
+	}
 	if now.Sub(r.expired) >= expireInterval {
 		r.expired = now
 		r.records.Expire(now)
@@ -215,6 +266,9 @@
 		r.pump(now)
 		r.decide(now)
 	}
+	if a.runner != nil {
+		a.runner.settle(now)
+	}
 	a.checkEnd(now)
 }
 
--- a/internal/process/vwagent/backoff.go
+++ b/internal/process/vwagent/backoff.go
@@ -9,7 +9,7 @@
 	// minBackoff is short, because most links end by the restart of an entry or by a lost connection state.
 	minBackoff = 50 * time.Millisecond
 	// maxBackoff bounds how long a returned entry waits for its agents.
-	maxBackoff = 2 * time.Second
+	maxBackoff = 500 * time.Millisecond
 )
 
 // backoff gives the waits between dials: doubling, with jitter, so that agents that lost the same
--- a/internal/process/vwagent/configlease.go
+++ b/internal/process/vwagent/configlease.go
@@ -39,3 +39,9 @@
 	current := l.holder.Current()
 	return current.Rules(), current.IsFresh(now)
 }
+
+// RulesWithin implements Lease.
+func (l *configLease) RulesWithin(now time.Time, staleness time.Duration) (*vwrule.Rules, bool) {
+	current := l.holder.Current()
+	return current.Rules(), current.IsRecent(now, staleness)
+}
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -35,9 +35,13 @@
 
 	// The control goroutine owns the rest.
 	retired bool
+	// silent tells that the link ended because the entry was not heard of.
+	silent bool
 	// draining is set once the address is no longer chosen. The link ends when its tasks have.
 	draining bool
 	credits  int
+	// renewNow asks for a renewal over this link, because its entry knows of a newer configuration.
+	renewNow bool
 	// offer is what this link is to register next; nil when nothing changed.
 	offer      *vwmessage.Register
 	registered bool
@@ -58,7 +62,10 @@
 	group.Go(func(ctx context.Context) error { return l.repeat(ctx, l.offered, l.registerOffer) })
 	group.Go(func(ctx context.Context) error { return l.repeat(ctx, l.wake, l.renewLease) })
 	err := group.Wait()
-	r.agent.do(func(time.Time) { r.retire(l) })
+	r.agent.do(func(time.Time) {
+		l.silent = vwlink.IsSilent(err)
+		r.retire(l)
+	})
 	return err
 }
 
@@ -171,8 +178,10 @@
 	r := l.registration
 	registered := false
 	request := &vwmessage.LeaseRequest{Incarnation: r.incarnation}
-	if !r.agent.do(func(time.Time) {
+	if !r.agent.do(func(now time.Time) {
 		request.Held, request.EntriesDigest, registered = r.lease.Held(), l.entries.Digest, l.registered
+		// An agent without a backend server is not in control's list, so any entry may renew its lease.
+		registered = registered || r.agent.runner != nil && r.agent.backend.service == "" && r.renewsOver(now, l)
 	}) {
 		return false
 	}
@@ -187,6 +196,24 @@
 	return r.agent.do(func(now time.Time) { r.takeLease(now, sent, l, reply) })
 }
 
+// renewsOver reports whether an agent that any entry may renew asks over this link. It asks over one while the
+// lease is long enough, and over all when that one fails to renew it.
+func (r *registration) renewsOver(now time.Time, l *link) bool {
+	if l.renewNow {
+		l.renewNow = false
+		return true
+	}
+	if _, recent := r.lease.Rules(now.Add(maxLease / 2)); !recent {
+		return true
+	}
+	for _, other := range r.links {
+		if other.target.address < l.target.address {
+			return false
+		}
+	}
+	return true
+}
+
 // HandleMessage implements vwlink.Handler.
 func (l *link) HandleMessage(_ *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
 	l.registration.agent.post(&received{link: l, body: body, reply: reply})
@@ -221,10 +248,29 @@
 		r.onCancel(now, body)
 	case *vwmessage.ConfigAnnounce:
 		if body.Version > r.lease.Held() {
+			m.link.renewNow = true
 			signal(m.link.wake)
 		}
+	case *vwmessage.Run, *vwmessage.StopRuns, *vwmessage.Want:
+		m.applyToRunner(a, now)
 	default:
 		a.counters.Unexpected.Add(1)
 		m.reply(nil, vwverdict.Errorf(vwverdict.NotRun, "an agent does not serve message kind %d", body.MessageKind()))
 	}
 }
+
+func (m *received) applyToRunner(a *Agent, now time.Time) {
+	if a.runner == nil {
+		a.counters.Unexpected.Add(1)
+		a.logger.Warn("message for a worker that grants leases, but there is none", "Entry", string(m.link.entry))
+		return
+	}
+	switch body := m.body.(type) {
+	case *vwmessage.Run:
+		a.runner.onRun(now, m.link, body)
+	case *vwmessage.StopRuns:
+		a.runner.onStopRuns(now, m.link, body)
+	case *vwmessage.Want:
+		a.runner.onWant(now, m.link, body)
+	}
+}
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -183,6 +183,9 @@
 	r.agent.record(vwevent.Event{Kind: vwevent.ConnectionOpened, Peer: l.session.Peer().Process})
 	r.agent.logger.Info("link opened", "Entry", string(l.session.Peer().Process), "Address", l.target.address)
 	l.setOffer()
+	if r.agent.runner != nil {
+		r.agent.runner.attach(time.Now(), l)
+	}
 	return true
 }
 
@@ -223,6 +226,9 @@
 		r.granter.RemoveEntry(l.entry)
 	}
 	r.dropWaiting(func(w *waitingTask) bool { return w.link == l })
+	if r.agent.runner != nil {
+		r.agent.runner.detach(time.Now(), l)
+	}
 	r.dirty = true
 	_ = l.session.Close()
 }
--- a/internal/process/vwagent/settings.go
+++ b/internal/process/vwagent/settings.go
@@ -32,6 +32,8 @@
 	Rack       vwid.Rack
 	// Entries are link addresses of entries to start with. Lease replies name the others.
 	Entries []string
+	// FindsEntries tells that the agent is given a way to find entries, so that Entries may be empty.
+	FindsEntries bool
 	// MaxEntries bounds the number of links.
 	MaxEntries int
 	// Slots bounds the tasks that run at a time, whatever the backend server announces.
@@ -58,7 +60,7 @@
 	switch {
 	case s.Cluster == "" || s.Process == "" || s.DataCentre == "":
 		return s, trace.BadParameter("Cluster, Process and DataCentre must be set")
-	case len(s.Entries) == 0:
+	case len(s.Entries) == 0 && !s.FindsEntries:
 		return s, trace.BadParameter("Entries names no entry; an agent cannot find the first one by itself")
 	case s.MaxEntries < 1:
 		return s, trace.BadParameter("MaxEntries must be at least 1, not %d", s.MaxEntries)
--- a/internal/process/vwagent/stop.go
+++ b/internal/process/vwagent/stop.go
@@ -78,7 +78,7 @@
 // isDelivered reports whether no task runs and each result is acknowledged, or AckTimeout has
 // passed since the last task ended.
 func (r *registration) isDelivered(now time.Time) bool {
-	if len(r.running) > 0 || len(r.waiting) > 0 {
+	if len(r.running) > 0 || len(r.waiting) > 0 || r.agent.runner != nil && !r.agent.runner.idle() {
 		r.endBefore = time.Time{}
 		return false
 	}
--- a/internal/process/vwcontrol/linkcaller.go
+++ b/internal/process/vwcontrol/linkcaller.go
@@ -29,6 +29,22 @@
 	return &LinkCaller{pool: pool, addresses: slices.Clone(addresses)}
 }
 
+// SetAddresses replaces the addresses. The preferred one stays if it is among them.
+func (c *LinkCaller) SetAddresses(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := slices.DeleteFunc(slices.Clone(c.addresses), func(known string) bool { return !slices.Contains(addresses, known) })
+	for _, address := range addresses {
+		if !slices.Contains(kept, address) {
+			kept = append(kept, address)
+		}
+	}
+	c.addresses = kept
+}
+
 // Call implements Caller by one attempt at the preferred member. After a failure another one is preferred.
 func (c *LinkCaller) Call(ctx context.Context, request vwmessage.Body) (vwmessage.Body, error) {
 	address := c.preferred()
--- a/internal/process/vwcontrol/member.go
+++ b/internal/process/vwcontrol/member.go
@@ -136,6 +136,11 @@
 	return m.post(request{run: func() { m.core.watchers = append(m.core.watchers, notify) }})
 }
 
+// SetInitial replaces the addresses through which the member finds a cluster that does not know it.
+func (m *Member) SetInitial(addresses []string) error {
+	return m.post(request{run: func() { m.core.settings.Initial = addresses }})
+}
+
 // Wait waits for the end of the member, and returns the failure that ended it.
 func (m *Member) Wait() error {
 	return m.group.Wait()
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -45,6 +45,10 @@
 	// QueueTasks and QueueBytes bound the queue on top of the rules; zero leaves it to them.
 	QueueTasks int
 	QueueBytes vwunit.Bytes
+	// RemoteFactor is how much longer a task of a best-effort job runs far from its data.
+	RemoteFactor float64
+	// MaxWaitingJobs bounds the best-effort jobs that wait.
+	MaxWaitingJobs int
 	// AnswerBytes bounds the answers that are kept for resubmissions.
 	AnswerBytes vwunit.Bytes
 }
@@ -52,10 +56,13 @@
 // DefaultSettings returns settings with all bounds set.
 func DefaultSettings() Settings {
 	return Settings{
-		MaxBody:     64 * vwunit.MiB,
-		MaxPayload:  vwunit.MiB,
-		MaxTasks:    100_000,
-		AnswerBytes: 256 * vwunit.MiB,
+		MaxBody:    64 * vwunit.MiB,
+		MaxPayload: vwunit.MiB,
+		MaxTasks:   100_000,
+
+		RemoteFactor:   1,
+		MaxWaitingJobs: 10_000,
+		AnswerBytes:    256 * vwunit.MiB,
 	}
 }
 
@@ -102,6 +109,7 @@
 	active     int
 	settling   int
 	registered bool
+	effort     *bestEffort
 	// leased is whether the lease was fresh when that was recorded last.
 	leased   bool
 	stopping bool
@@ -130,6 +138,7 @@
 		workers:     map[vwid.Incarnation]*worker{},
 		budgets:     map[vwid.Team]*retryBudget{},
 	}
+	e.effort = makeBestEffort(e)
 	e.group = vwgroup.Make(context.Background())
 	e.peers = vwlink.MakePool(e.group.Context(), dialer, e)
 	return e
@@ -206,7 +215,7 @@
 }
 
 func (e *Entry) signalIdle() {
-	if !e.stopping || e.active > 0 {
+	if !e.stopping || e.active > 0 || e.effort.queue.Len() > 0 {
 		return
 	}
 	for _, idle := range e.idle {
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -161,6 +161,7 @@
 	if !changed {
 		return
 	}
+	e.effort.apply(e.rules, e.applied)
 	e.recordConfig(before, e.rules)
 	e.log.Info("configuration in force", "version", uint64(e.applied))
 	announce := &vwmessage.ConfigAnnounce{Version: e.applied}
--- a/internal/process/vwentry/loop.go
+++ b/internal/process/vwentry/loop.go
@@ -23,6 +23,7 @@
 			e.tick()
 		}
 		e.dispatch()
+		e.effort.settle(time.Now())
 	}
 }
 
@@ -44,6 +45,7 @@
 			e.expireJob(j)
 		}
 	}
+	e.effort.tick(now)
 	e.forgetAnswers(now)
 	e.recordLease(now)
 	e.publish(now)
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -55,6 +55,9 @@
 		reply(&vwmessage.Ping{}, nil)
 		return
 	}
+	if e.effort.handle(time.Now(), session, body) {
+		return
+	}
 	w := e.workers[session.Peer().Incarnation]
 	if w == nil || w.session != session {
 		// A message of a link that was replaced; the records of the agent settle what it was about.
@@ -175,6 +178,7 @@
 }
 
 func (e *Entry) closeLink(session *vwlink.Session, cause error) {
+	e.effort.close(time.Now(), session, cause)
 	w := e.workers[session.Peer().Incarnation]
 	if w == nil || w.session != session {
 		return
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -11,35 +11,49 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwbackend"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/process/vwagent"
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/internal/process/vwmetrics"
+	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 // AgentConfig describes an agent process.
 type AgentConfig struct {
 	Settings vwagent.Settings
-	// LinkAddress is the UDP address that links are dialled from.
+	// Links tells how links run.
+	Links LinkConfig
+	// LinkAddress is the address that links are dialled from.
 	LinkAddress string
-	// BackendAddress is where the backend server announces itself.
+	// BackendAddress is where a plain backend server announces itself. An empty one is not served.
 	BackendAddress string
-	// OperatorsAddress serves health, metrics and profiles.
+	// OperatorsAddress serves health, metrics and profiles. An empty one is not served.
 	OperatorsAddress string
-	Keys             vwkeys.Source
-	Log              *slog.Logger
+	// Services returns further interfaces of the running process.
+	Services func(*Agent) []Service
+	// ControlMembers are link addresses of control members, for an agent whose settings name no entries.
+	ControlMembers []string
+	// Worker, if it is set, grants leases and runs the tasks of best-effort jobs.
+	Worker vwworker.Worker
+	Runs   vwrun.Settings
+	// Token is the fencing token for the worker.
+	Token uint64
+	Keys  vwkeys.Source
+	Log   *slog.Logger
 	// Events is the event log; nil is off.
 	Events *vwevent.Log
 }
 
 // Agent is a running agent process.
 type Agent struct {
-	app      *fx.App
-	agent    *vwagent.Agent
-	listener net.Listener
-	// operators is set unless the start has failed.
+	app       *fx.App
+	agent     *vwagent.Agent
+	listener  net.Listener
 	operators *webServer
+	services  *services
+	finder    *finder
 	group     *vwgroup.Group
 	failed    chan error
 	metrics   *vwmetrics.Metrics
@@ -54,8 +68,8 @@
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
 		fx.Supply(config, process),
-		fx.Provide(provideBackend, provideAgent, provideAnnouncements, provideAgentServer),
-		fx.Populate(&process.agent, &process.listener),
+		fx.Provide(provideBackend, provideAgent, provideAgentServers),
+		fx.Populate(&process.agent),
 		fx.Invoke(runAgent),
 	)
 	if err := process.app.Start(ctx); err != nil {
@@ -72,6 +86,9 @@
 
 // BackendAddress returns the bound address for announcements.
 func (p *Agent) BackendAddress() string {
+	if p.listener == nil {
+		return ""
+	}
 	return p.listener.Addr().String()
 }
 
@@ -92,9 +109,8 @@
 
 // Kill stops at once, as a crash would.
 func (p *Agent) Kill() {
-	if p.operators != nil {
-		p.operators.kill()
-	}
+	p.services.kill()
+	p.operators.kill()
 	if p.listener != nil {
 		_ = p.listener.Close()
 	}
@@ -111,31 +127,46 @@
 }
 
 func provideAgent(config AgentConfig, process *Agent, backend *vwbackend.Client) (*vwagent.Agent, error) {
-	return vwagent.Make(vwagent.Options{
-		Settings: config.Settings,
-		Backend:  backend,
-		MakeEndpoint: func(hello vwmessage.Hello) (vwagent.Endpoint, error) {
-			return makeEndpoint(config.LinkAddress, config.Keys, hello)
-		},
-		MakeLease: vwagent.MakeConfigLease,
-		Logger:    config.Log,
-		Observer:  process.observer,
-	})
+	makeLinkEnd := func(hello vwmessage.Hello) (vwagent.Endpoint, error) {
+		return config.Links.makeEndpoint(config.LinkAddress, config.Keys, hello)
+	}
+	options := vwagent.Options{
+		Settings: config.Settings, Backend: backend, MakeEndpoint: makeLinkEnd, MakeLease: vwagent.MakeConfigLease,
+		Worker: config.Worker, Runs: config.Runs, Token: config.Token, Timing: config.Links.timing(),
+		Logger: config.Log, Observer: process.observer,
+	}
+	if len(config.ControlMembers) > 0 {
+		process.finder = &finder{config: config, seeds: config.ControlMembers}
+		options.Settings.FindsEntries, options.Find = true, process.finder.find
+	}
+	return vwagent.Make(options)
 }
 
-func provideAnnouncements(config AgentConfig) (net.Listener, error) {
-	return listen(config.BackendAddress)
+type agentServers struct {
+	operators *webServer
+	services  *services
 }
 
-func provideAgentServer(config AgentConfig, process *Agent, agent *vwagent.Agent) (*webServer, error) {
+func provideAgentServers(config AgentConfig, process *Agent, agent *vwagent.Agent) (agentServers, error) {
 	vwmetrics.WatchAgent(process.metrics, agent.Counters())
 	vwmetrics.WatchAgentState(process.metrics, agent.Gauges())
-	server, err := listenWeb(config.OperatorsAddress, makeOperators(agent.Ready, process.metrics))
-	process.operators = server
-	return server, err
+	process.agent = agent
+	var err error
+	if process.operators, err = listenWeb(config.OperatorsAddress, makeOperators(agent.Ready, process.metrics)); err != nil {
+		return agentServers{}, err
+	}
+	if config.BackendAddress != "" {
+		if process.listener, err = listen(config.BackendAddress); err != nil {
+			return agentServers{}, err
+		}
+	}
+	if config.Services != nil {
+		process.services, err = listenServices(config.Services(process))
+	}
+	return agentServers{operators: process.operators, services: process.services}, err
 }
 
-func runAgent(lifecycle fx.Lifecycle, agent *vwagent.Agent, listener net.Listener, operators *webServer, process *Agent) {
+func runAgent(lifecycle fx.Lifecycle, agent *vwagent.Agent, servers agentServers, process *Agent) {
 	group := process.group
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -144,12 +175,28 @@
 					process.failed <- err
 				}
 			})
-			group.Run(func(ctx context.Context) { _ = vwagent.Serve(ctx, listener, agent) })
-			operators.start()
+			if process.listener != nil {
+				group.Run(func(ctx context.Context) { _ = vwagent.Serve(ctx, process.listener, agent) })
+			}
+			if servers.services != nil {
+				servers.services.start()
+			}
+			servers.operators.start()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			return trace.NewAggregate(agent.Stop(ctx), operators.stop(ctx), group.Stop())
+			errs := []error{agent.Stop(ctx)}
+			if servers.services != nil {
+				errs = append(errs, servers.services.stop(ctx))
+			}
+			return trace.NewAggregate(append(errs, servers.operators.stop(ctx), group.Stop())...)
 		},
 	})
 }
+
+// SetSeeds replaces the addresses of control members that the process was told of.
+func (p *Agent) SetSeeds(seeds []string) {
+	if p.finder != nil {
+		p.finder.setSeeds(seeds)
+	}
+}
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -25,15 +25,20 @@
 	Process    vwid.Process
 	DataCentre vwid.DataCentre
 	Rack       vwid.Rack
+	// Links tells how links run.
+	Links LinkConfig
 	// LinkAddress is bound unless LinkSocket is already.
 	LinkAddress string
 	LinkSocket  *net.UDPConn
 	// ControlMembers are the link addresses of all members, this one's included. Empty means it is alone.
-	ControlMembers   []string
-	Member           MemberConfig
+	ControlMembers []string
+	Member         MemberConfig
+	// OperatorsAddress serves health, metrics and profiles. An empty one is not served.
 	OperatorsAddress string
-	Keys             vwkeys.Source
-	Log              *slog.Logger
+	// Services returns further interfaces of the running process.
+	Services func(*Control) []Service
+	Keys     vwkeys.Source
+	Log      *slog.Logger
 	// Events is the event log; nil is off.
 	Events *vwevent.Log
 }
@@ -45,6 +50,7 @@
 	router    *router
 	group     *vwgroup.Group
 	operators *webServer
+	services  *services
 	member    *member
 	failed    chan error
 	metrics   *vwmetrics.Metrics
@@ -82,6 +88,16 @@
 	return p.member.Member
 }
 
+// Control returns the process's way to the leader of control.
+func (p *Control) Control() vwcontrol.Client {
+	return p.member.Client()
+}
+
+// SetSeeds replaces the addresses through which the member finds a cluster that does not know it.
+func (p *Control) SetSeeds(seeds []string) error {
+	return p.member.SetInitial(seeds)
+}
+
 // Failed implements process. It yields the failure of the disk that ended the member.
 func (p *Control) Failed() <-chan error {
 	return p.failed
@@ -94,9 +110,8 @@
 
 // Kill stops at once, as a crash would.
 func (p *Control) Kill() {
-	if p.operators != nil {
-		p.operators.kill()
-	}
+	p.services.kill()
+	p.operators.kill()
 	if p.member != nil {
 		p.member.kill()
 	}
@@ -107,9 +122,12 @@
 }
 
 func provideControlServer(config ControlConfig, process *Control) (*webServer, error) {
-	process.links = makeLinks(config.LinkAddress, config.LinkSocket, config.Keys, process.router)
+	process.links = makeLinks(config.Links, config.LinkAddress, config.LinkSocket, config.Keys, process.router)
 	server, err := listenWeb(config.OperatorsAddress, makeOperators(process.ready, process.metrics))
 	process.operators = server
+	if err == nil && config.Services != nil {
+		process.services, err = listenServices(config.Services(process))
+	}
 	return server, err
 }
 
@@ -145,10 +163,17 @@
 			}
 			process.group.Run(process.watch)
 			operators.start()
+			if process.services != nil {
+				process.services.start()
+			}
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			return trace.NewAggregate(process.member.stop(), operators.stop(ctx), process.links.close(), process.group.Stop())
+			var errs []error
+			if process.services != nil {
+				errs = append(errs, process.services.stop(ctx))
+			}
+			return trace.NewAggregate(append(errs, process.member.stop(), operators.stop(ctx), process.links.close(), process.group.Stop())...)
 		},
 	})
 }
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -6,6 +6,8 @@
 	"context"
 	"log/slog"
 	"net"
+	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/fx"
@@ -25,17 +27,27 @@
 type EntryConfig struct {
 	Cluster  vwid.Cluster
 	Settings vwentry.Settings
+	// Links tells how links run.
+	Links LinkConfig
 	// LinkAddress is bound unless LinkSocket is already.
-	LinkAddress      string
-	LinkSocket       *net.UDPConn
+	LinkAddress string
+	LinkSocket  *net.UDPConn
+	// CallersAddress and OperatorsAddress serve the product's own interfaces. An empty one is not served.
 	CallersAddress   string
 	OperatorsAddress string
+	// Services returns further interfaces of the running process.
+	Services func(*Entry) []Service
+	// Linger is how long a stop goes on to accept requests after the process has said that it is not ready,
+	// until a balancer has taken it out.
+	Linger time.Duration
 	// CallerConnections bounds the open connections of callers; zero means no limit.
 	CallerConnections int
 	Keys              vwkeys.Source
-	// ControlMembers are the link addresses of all control members. They may be empty only for an entry
+	// ControlMembers are the link addresses of control members. They may be empty only for an entry
 	// that is the single member itself.
 	ControlMembers []string
+	// LearnsMembers tells that ControlMembers are only some of them, and that the process learns the others.
+	LearnsMembers bool
 	// Member makes the process a control member as well. It may be nil.
 	Member *MemberConfig
 	Log    *slog.Logger
@@ -60,8 +72,12 @@
 	member    *member
 	pool      *vwlink.Pool
 	control   vwcontrol.Client
+	directory *directory
 	callers   *webServer
 	operators *webServer
+	services  *services
+	stopping  atomic.Bool
+	linger    time.Duration
 }
 
 // StartEntry starts an entry process.
@@ -69,7 +85,7 @@
 	if err := config.check(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	process := &Entry{group: vwgroup.Make(context.Background()), watch: vwgroup.Make(context.Background())}
+	process := &Entry{group: vwgroup.Make(context.Background()), watch: vwgroup.Make(context.Background()), linger: config.Linger}
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
@@ -117,6 +133,18 @@
 	return p.operators.address()
 }
 
+// SetSeeds replaces the addresses of control members that the process was told of.
+func (p *Entry) SetSeeds(seeds []string) {
+	if p.directory != nil {
+		p.directory.setSeeds(seeds)
+	}
+}
+
+// IsStopping reports whether the process has been asked to stop.
+func (p *Entry) IsStopping() bool {
+	return p.stopping.Load()
+}
+
 // Failed implements process. An entry goes on without its own control member.
 func (p *Entry) Failed() <-chan error {
 	return nil
@@ -129,10 +157,9 @@
 
 // Kill stops at once, as a crash would.
 func (p *Entry) Kill() {
+	p.services.kill()
 	for _, server := range []*webServer{p.callers, p.operators} {
-		if server != nil {
-			server.kill()
-		}
+		server.kill()
 	}
 	_ = p.watch.Stop()
 	_ = p.group.Stop()
@@ -151,7 +178,7 @@
 }
 
 func provideLinks(config EntryConfig, process *Entry, r *router) *links {
-	process.links = makeLinks(config.LinkAddress, config.LinkSocket, config.Keys, r)
+	process.links = makeLinks(config.Links, config.LinkAddress, config.LinkSocket, config.Keys, r)
 	return process.links
 }
 
@@ -175,6 +202,11 @@
 	if process.operators, err = listenWeb(config.OperatorsAddress, &i.operators); err != nil {
 		return entryServers{}, err
 	}
+	if config.Services != nil {
+		if process.services, err = listenServices(config.Services(process)); err != nil {
+			return entryServers{}, err
+		}
+	}
 	return entryServers{callers: process.callers, operators: process.operators}, nil
 }
 
@@ -199,23 +231,40 @@
 		}
 	}
 	p.pool = vwlink.MakePool(p.group.Context(), p.links, r)
-	p.control = makeControlClient(p.member, p.pool, config.ControlMembers, p.links.Address())
+	p.control = p.makeControl(config)
 	p.incumbent.control = p.control
 	p.incumbent.begin(hello, endpoint)
 	p.watch.Run(p.incumbent.watch)
 	servers.operators.start()
 	servers.callers.start()
+	if p.services != nil {
+		p.services.start()
+	}
 	return nil
 }
 
+func (p *Entry) makeControl(config EntryConfig) vwcontrol.Client {
+	if !config.LearnsMembers {
+		return makeControlClient(p.member, p.pool, config.ControlMembers, p.links.Address())
+	}
+	p.directory = makeDirectory(p.pool, config.ControlMembers, config.Log)
+	p.group.Run(p.directory.keep)
+	return p.directory.client
+}
+
 func (p *Entry) memberObserver(config EntryConfig) memberObserver {
 	return memberObserver{log: config.Log, events: config.Events, metrics: p.incumbent.metrics}
 }
 
 func (p *Entry) stop(ctx context.Context) error {
+	p.stopping.Store(true)
 	_ = p.watch.Stop()
-	err := p.Entry().Drain(ctx)
-	errs := []error{err, p.callers.stop(ctx), p.Entry().Stop(ctx), p.operators.stop(ctx)}
+	_ = vwgroup.Sleep(ctx, p.linger)
+	var errs []error
+	if p.services != nil {
+		errs = append(errs, p.services.stop(ctx))
+	}
+	errs = append(errs, p.Entry().Drain(ctx), p.callers.stop(ctx), p.Entry().Stop(ctx), p.operators.stop(ctx))
 	if p.member != nil {
 		errs = append(errs, p.member.stop())
 	}
--- a/internal/process/vwprocess/links.go
+++ b/internal/process/vwprocess/links.go
@@ -14,9 +14,48 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
+// Transport is what links run over.
+type Transport uint8
+
+// The transports.
+const (
+	// QUIC is the default.
+	QUIC Transport = iota
+	// TCP runs TLS over TCP.
+	TCP
+)
+
+// LinkConfig tells how the links of a process run. All processes of a cluster must have the same.
+type LinkConfig struct {
+	Transport Transport
+	// Timing is for TCP; zero means the default.
+	Timing vwlink.Timing
+}
+
+// timing returns the timing of the links.
+func (c LinkConfig) timing() vwlink.Timing {
+	if c.Transport == QUIC || c.Timing == (vwlink.Timing{}) {
+		return vwlink.DefaultTiming
+	}
+	return c.Timing
+}
+
+// makeEndpoint opens an end of links. An empty address is only dialled from.
+func (c LinkConfig) makeEndpoint(address string, keys vwkeys.Source, hello vwmessage.Hello) (vwlink.Endpoint, error) {
+	tls, err := vwkeys.TLSConfig(keys, hello.Cluster)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if c.Transport == TCP {
+		return vwlink.MakeTCPEndpoint(address, tls, hello, c.timing())
+	}
+	return vwlink.MakeQUICEndpoint(address, tls, hello)
+}
+
 // links is a process's end of all its links. The endpoint is replaced together with the incarnation that
 // it presents to peers; the address stays. It is the Dialer of parts that outlive one incarnation.
 type links struct {
+	config  LinkConfig
 	keys    vwkeys.Source
 	handler vwlink.Handler
 
@@ -28,8 +67,8 @@
 }
 
 // makeLinks returns links on address. A socket that is bound already is used for the first endpoint.
-func makeLinks(address string, socket *net.UDPConn, keys vwkeys.Source, handler vwlink.Handler) *links {
-	return &links{address: address, socket: socket, keys: keys, handler: handler}
+func makeLinks(config LinkConfig, address string, socket *net.UDPConn, keys vwkeys.Source, handler vwlink.Handler) *links {
+	return &links{config: config, address: address, socket: socket, keys: keys, handler: handler}
 }
 
 // open binds the address and serves links under the incarnation of hello.
@@ -47,15 +86,16 @@
 }
 
 func (l *links) bind(hello vwmessage.Hello) (vwlink.Endpoint, error) {
+	socket := l.socket
+	if socket == nil {
+		return l.config.makeEndpoint(l.address, l.keys, hello)
+	}
+	l.socket = nil
 	tls, err := vwkeys.TLSConfig(l.keys, hello.Cluster)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if socket := l.socket; socket != nil {
-		l.socket = nil
-		return vwlink.MakeQUICEndpointOn(socket, tls, hello)
-	}
-	return vwlink.MakeQUICEndpoint(l.address, tls, hello)
+	return vwlink.MakeQUICEndpointOn(socket, tls, hello)
 }
 
 // Address returns the bound address, or the one to bind before open.
@@ -92,11 +132,3 @@
 	_ = group.Stop()
 	return trace.Wrap(err)
 }
-
-func makeEndpoint(address string, keys vwkeys.Source, hello vwmessage.Hello) (vwlink.Endpoint, error) {
-	tls, err := vwkeys.TLSConfig(keys, hello.Cluster)
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return vwlink.MakeQUICEndpoint(address, tls, hello)
-}
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -25,6 +25,14 @@
 	// Heartbeat and Election are the times of vwsettings; zero takes the defaults of the log.
 	Heartbeat time.Duration
 	Election  time.Duration
+	// Registration is how long a registration outlasts its last renewal; zero takes the default.
+	Registration time.Duration
+	// Joins forbids the member to make a log; see vwcontrol.Settings.
+	Joins bool
+	// MaxMembers bounds the members; zero takes the default.
+	MaxMembers int
+	// Suspended returns for how long the machine has been suspended. Nil means never.
+	Suspended func() time.Duration
 }
 
 // member is a control member behind the links of its process.
@@ -67,8 +75,18 @@
 	return m, trace.NewAggregate(server.Attach(group, started), started.Watch(announce))
 }
 
-// apply sets the times. Two ticks are one Heartbeat.
+// apply sets what differs from the defaults. Two ticks are one Heartbeat.
 func (c MemberConfig) apply(settings *vwcontrol.Settings) {
+	settings.Joins = c.Joins
+	if c.Registration > 0 {
+		settings.Registration = c.Registration
+	}
+	if c.MaxMembers > 0 {
+		settings.MaxMembers = c.MaxMembers
+	}
+	if c.Suspended != nil {
+		settings.Suspended = c.Suspended
+	}
 	if c.Heartbeat <= 0 || c.Election <= 0 {
 		return
 	}
--- a/internal/process/vwprocess/web.go
+++ b/internal/process/vwprocess/web.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"golang.org/x/net/netutil"
 
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
@@ -27,7 +26,11 @@
 	group    *vwgroup.Group
 }
 
+// listenWeb binds an address. With an empty one it returns nil, whose methods do nothing.
 func listenWeb(address string, handler http.Handler) (*webServer, error) {
+	if address == "" {
+		return nil, nil
+	}
 	listener, err := listen(address)
 	if err != nil {
 		return nil, trace.Wrap(err, "binding %s", address)
@@ -39,29 +42,34 @@
 	}, nil
 }
 
-// limit bounds the open connections; further ones wait. Zero means no limit.
-func (s *webServer) limit(connections int) {
-	if connections > 0 {
-		s.listener = netutil.LimitListener(s.listener, connections)
-	}
-}
-
 func (s *webServer) address() string {
+	if s == nil {
+		return ""
+	}
 	return s.listener.Addr().String()
 }
 
 func (s *webServer) start() {
+	if s == nil {
+		return
+	}
 	s.group.Run(func(context.Context) { _ = s.server.Serve(s.listener) })
 }
 
 // stop waits for the requests in progress.
 func (s *webServer) stop(ctx context.Context) error {
+	if s == nil {
+		return nil
+	}
 	err := s.server.Shutdown(ctx)
 	_ = s.group.Stop()
 	return trace.Wrap(err)
 }
 
 func (s *webServer) kill() {
+	if s == nil {
+		return
+	}
 	_ = s.server.Close()
 	_ = s.listener.Close()
 	_ = s.group.Stop()
--- a/internal/request/vwrun/book.go
+++ b/internal/request/vwrun/book.go
@@ -181,12 +181,12 @@
 	return b.runs[task] != nil
 }
 
-// Held returns the tasks of an entry that have not certainly ended.
-func (b *Book) Held(owner vwid.Incarnation) []vwworker.Task {
-	var held []vwworker.Task
-	for task, r := range b.runs {
+// Held returns what an entry has asked for that has not certainly ended.
+func (b *Book) Held(owner vwid.Incarnation) []Spec {
+	var held []Spec
+	for _, r := range b.runs {
 		if r.spec.Owner == owner {
-			held = append(held, task)
+			held = append(held, r.spec)
 		}
 	}
 	return held
@@ -216,6 +216,15 @@
 	}
 }
 
+// StopJob ends the runs of a job that an entry has asked for.
+func (b *Book) StopJob(now time.Time, owner vwid.Incarnation, job vwid.SubmissionID, reason string) {
+	for task, r := range b.runs {
+		if task.Job == job && r.spec.Owner == owner {
+			b.stop(now, r, true, reason)
+		}
+	}
+}
+
 // StopOwned ends all runs of an entry.
 func (b *Book) StopOwned(now time.Time, owner vwid.Incarnation, reason string) {
 	for _, r := range b.runs {
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -15,9 +15,13 @@
 	// Attempt is the number of this start of the task, from 1.
 	Attempt int
 	// Owner is the entry that gets the result.
-	Owner   vwid.Incarnation
+	Owner vwid.Incarnation
+	// Team is whose task it is, for logs.
+	Team    vwid.Team
 	Needs   vwresource.Amount
 	Payload []byte
+	// Expected is how long the run is expected to take.
+	Expected time.Duration
 	// EndBefore is when the run is of no more use and is stopped; the zero value means never.
 	EndBefore time.Time
 }
--- a/internal/version/vwlease/grant.go
+++ b/internal/version/vwlease/grant.go
@@ -44,6 +44,12 @@
 	return now.Before(l.until)
 }
 
+// IsRecent reports whether the lease is fresh or has ended no longer ago than staleness. Version 0 is never
+// recent, since nothing was ever granted.
+func (l *Lease) IsRecent(now time.Time, staleness time.Duration) bool {
+	return l.version > 0 && now.Before(l.until.Add(staleness))
+}
+
 // Version returns the version of the rules.
 func (l *Lease) Version() vwid.ConfigVersion {
 	return l.version
