Serve the whole path on the users' platform

Rules that several operators change are edited by one package, vweditor. Logs are written in the background with a bound. A process of the platform issues its own certificate from the authority that the build makes.

--- a/cmd/vanillawind/keys_authority.go
+++ b/cmd/vanillawind/keys_authority.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"time"
+
+	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
@@ -8,13 +11,32 @@
 )
 
 const keysAuthorityHelp = `Makes the certificate authority of a cluster. It refuses to replace one, because every certificate that the
-existing one issued would become useless.`
+existing one issued would become useless; with --keep an existing one stays and the command succeeds.`
 
 func makeKeysAuthority() *cobra.Command {
-	cluster := ""
+	cluster, from, keep := "", "", false
 	cmd := makeKeysCommand("authority", "Make the authority of a cluster", keysAuthorityHelp, cobra.NoArgs,
-		func(command vwkeys.Command, _ []string) error { return command.MakeAuthority(vwid.Cluster(cluster)) })
+		func(command vwkeys.Command, _ []string) error {
+			err := makeAuthority(command, vwid.Cluster(cluster), from)
+			if keep && trace.IsAlreadyExists(err) {
+				return nil
+			}
+			return err
+		})
 	cmd.Flags().StringVar(&cluster, "cluster", "", "name of the cluster, as in the settings")
+	cmd.Flags().StringVar(&from, "from", "", "first day of its validity, like 2026-01-31, where clocks of processes may be far behind (default an hour ago)")
+	cmd.Flags().BoolVar(&keep, "keep", false, "leave an existing authority as it is")
 	_ = cmd.MarkFlagRequired("cluster")
 	return cmd
 }
+
+func makeAuthority(command vwkeys.Command, cluster vwid.Cluster, from string) error {
+	if from == "" {
+		return command.MakeAuthority(cluster)
+	}
+	date, err := time.Parse(time.DateOnly, from)
+	if err != nil {
+		return trace.BadParameter("--from must be a day like 2026-01-31, not %q", from)
+	}
+	return command.MakeAuthorityFrom(cluster, date)
+}
--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -26,6 +26,7 @@
 	makeStatus,
 	makeSettings,
 	makeStandIn,
+	makePlatform,
 	makeTimeline,
 }
 
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -33,7 +33,9 @@
 
 // WorkerOffer is what a worker that grants leases announces of itself.
 type WorkerOffer struct {
-	Life     vwworker.Life
+	Life vwworker.Life
+	// Sequence rises with each announcement of one life.
+	Sequence uint64
 	Service  vwid.Service
 	Labels   []string
 	Capacity vwresource.Amount
@@ -109,6 +111,10 @@
 		r.agent.logger.Warn("announcement of an earlier life is ignored", "Worker", string(offer.Life.ID), "Born", offer.Life.Born)
 		return
 	}
+	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence {
+		r.agent.logger.Info("announcement that was overtaken is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", r.offer.Sequence)
+		return
+	}
 	changed := !r.sameOffer(&offer)
 	if changed {
 		r.agent.logger.Info("worker is announced", "Worker", string(offer.Life.ID), "Born", offer.Life.Born, "Service", string(offer.Service),
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -13,6 +13,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
@@ -201,7 +202,7 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{e.incarnation}}}
-	if _, err := e.propose(ctx, expire); err != nil {
+	if _, err := vweditor.Propose(ctx, e.control, expire); err != nil {
 		e.log.Warn("registration not ended; it expires with its lease", "error", err)
 	}
 	e.Kill()
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -6,6 +6,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
@@ -195,7 +196,7 @@
 	e.group.Run(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
-		if _, err := e.propose(limited, vwstate.Command{Finish: command}); err != nil {
+		if _, err := vweditor.Propose(limited, e.control, vwstate.Command{Finish: command}); err != nil {
 			e.log.Warn("end of submission not recorded", "submission", string(command.SubmissionID), "error", err)
 		}
 		e.post(func() {
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -8,6 +8,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/version/vwlease"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -66,7 +67,7 @@
 func (e *Entry) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	outcome, err := e.propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: vwstate.Registration{
+	outcome, err := vweditor.Propose(ctx, e.control, vwstate.Command{Register: &vwstate.Register{Registration: vwstate.Registration{
 		Incarnation: e.incarnation,
 		Process:     e.settings.Process,
 		Role:        vwstate.RoleEntry,
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -12,6 +12,7 @@
 	"github.com/gin-gonic/gin"
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
@@ -38,11 +39,11 @@
 func (e *Entry) readConfig(ctx context.Context) (vwstate.Config, error) {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	view, err := e.control.Read(ctx, vwstate.Query{Config: true})
+	config, err := vweditor.Read(ctx, e.control)
 	if err != nil {
-		return vwstate.Config{}, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err))
+		return config, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err))
 	}
-	return *view.Config, nil
+	return config, nil
 }
 
 func (e *Entry) getRules(c *gin.Context) {
@@ -96,11 +97,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	outcome, err := e.propose(ctx, vwstate.Command{ChangeRules: &vwstate.ChangeRules{
+	outcome, err := vweditor.Propose(ctx, e.control, vwstate.Command{ChangeRules: &vwstate.ChangeRules{
 		ChangeID: change.ChangeID, Base: change.Base, Text: []byte(change.Text), By: change.By,
 	}})
 	if err != nil {
-		return nil, refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+reasonOf(err))
+		return nil, unconfirmed(err)
 	}
 	if outcome.Refusal == vwstate.RefusalVersion {
 		return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "another change came first; read the rules again and apply the change to that version")
@@ -179,9 +180,6 @@
 	return list, nil
 }
 
-// maxEdits bounds how often an edit of one line is tried again after other operators came first.
-const maxEdits = 5
-
 func (e *Entry) postDataCentre(c *gin.Context) {
 	var order vwapi.DataCentreOrder
 	if err := readBody(c, maxRules, &order); err != nil {
@@ -213,33 +211,30 @@
 	},
 }
 
-// editRules applies an edit to the current rules. When another change comes first the edit is applied
-// to that one. Each try has a change id of its own, derived from the operator's, so that a resent order
-// repeats the tries and gets their outcomes.
+// editRules applies an edit to the newest rules.
 func (e *Entry) editRules(ctx context.Context, order vwapi.DataCentreOrder, edit func([]byte) ([]byte, error)) (*vwapi.RulesChanged, error) {
-	for try := range maxEdits {
-		config, err := e.readConfig(ctx)
-		if err != nil {
-			return nil, err
-		}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	version, err := vweditor.Edit(ctx, e.control, vweditor.Change{ID: order.ChangeID, By: order.By}, func(config vwstate.Config) (vweditor.Revision, error) {
 		text, err := edit(config.Text)
 		if err != nil {
-			return nil, invalid(err.Error())
-		}
-		if string(text) == string(config.Text) {
-			return &vwapi.RulesChanged{Version: config.Version}, nil
-		}
-		changed, err := e.changeRules(ctx, vwapi.RulesChange{
-			ChangeID: order.ChangeID + vwid.ChangeID("/"+string(rune('0'+try))), Base: config.Version, Text: string(text), By: order.By,
-		})
-		if err == nil || !isConflict(err) {
-			return changed, err
+			return vweditor.Revision{}, invalid(err.Error())
 		}
+		return vweditor.Revision{Text: text, Source: config.Source}, nil
+	})
+	var problem *vwapi.Problem
+	switch {
+	case err == nil:
+		return &vwapi.RulesChanged{Version: version}, nil
+	case errors.As(err, &problem):
+		return nil, err
+	case vweditor.IsConflict(err):
+		return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "other changes came first each time; try again")
 	}
-	return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "other changes came first each time; try again")
+	return nil, unconfirmed(err)
 }
 
-func isConflict(err error) bool {
-	var problem *vwapi.Problem
-	return errors.As(err, &problem) && problem.Code == vwapi.CodeConflict
+// unconfirmed refuses a change whose fate only a resend tells.
+func unconfirmed(err error) error {
+	return refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+reasonOf(err))
 }
--- a/internal/process/vwentry/peer.go
+++ b/internal/process/vwentry/peer.go
@@ -7,6 +7,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
@@ -97,7 +98,7 @@
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
-		if _, err := e.propose(ctx, command); err != nil {
+		if _, err := vweditor.Propose(ctx, e.control, command); err != nil {
 			e.log.Warn("submission not released", "submission", string(request.SubmissionID), "error", err)
 		}
 		e.post(func() { delete(e.releasing, request.SubmissionID) })
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
@@ -81,7 +82,7 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	begun := time.Now()
-	outcome, err := e.propose(ctx, vwstate.Command{Accept: &vwstate.Accept{
+	outcome, err := vweditor.Propose(ctx, e.control, vwstate.Command{Accept: &vwstate.Accept{
 		SubmissionID: s.spec.SubmissionID,
 		Owner:        e.incarnation,
 		Acceptance:   vwid.MakeAcceptance(),
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -9,6 +9,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwdispatch"
+	"vanillawind.example/vanillawind/internal/process/vweditor"
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
@@ -128,7 +129,7 @@
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 		defer cancel()
-		outcome, err := e.propose(ctx, vwstate.Command{Register: &vwstate.Register{Registration: registration}})
+		outcome, err := vweditor.Propose(ctx, e.control, vwstate.Command{Register: &vwstate.Register{Registration: registration}})
 		if err != nil {
 			reply(nil, err)
 			return
--- a/internal/process/vwkeys/authority.go
+++ b/internal/process/vwkeys/authority.go
@@ -38,10 +38,16 @@
 
 // MakeAuthority returns a new authority with its own key.
 func MakeAuthority(cluster vwid.Cluster) (*Authority, error) {
+	return MakeAuthorityFrom(cluster, time.Now().Add(-backdate))
+}
+
+// MakeAuthorityFrom returns a new authority that is valid from a given time, for processes whose clocks may be
+// far behind the issuer's.
+func MakeAuthorityFrom(cluster vwid.Cluster, from time.Time) (*Authority, error) {
 	if cluster == "" {
 		return nil, trace.BadParameter("an authority needs the name of its cluster")
 	}
-	template, err := makeTemplate(AuthorityLifetime, pkix.Name{
+	template, err := makeTemplate(from, time.Now().Add(AuthorityLifetime), pkix.Name{
 		CommonName:   "authority of " + string(cluster),
 		Organization: []string{string(cluster)},
 	})
@@ -75,14 +81,15 @@
 // Issue returns a new key and certificate for process. The common name is the process and the
 // organisation is the cluster.
 func (a *Authority) Issue(process vwid.Process) (*tls.Certificate, error) {
-	return a.issue(process, CertificateLifetime)
+	now := time.Now()
+	return a.issue(process, now.Add(-backdate), now.Add(CertificateLifetime))
 }
 
-func (a *Authority) issue(process vwid.Process, lifetime time.Duration) (*tls.Certificate, error) {
+func (a *Authority) issue(process vwid.Process, from, until time.Time) (*tls.Certificate, error) {
 	if process == "" {
 		return nil, trace.BadParameter("a certificate needs the name of its process")
 	}
-	template, err := makeTemplate(lifetime, pkix.Name{
+	template, err := makeTemplate(from, until, pkix.Name{
 		CommonName:   string(process),
 		Organization: []string{string(a.Cluster())},
 	})
@@ -102,17 +109,16 @@
 	return &tls.Certificate{Certificate: [][]byte{leaf.Raw}, PrivateKey: key, Leaf: leaf}, nil
 }
 
-func makeTemplate(lifetime time.Duration, subject pkix.Name) (*x509.Certificate, error) {
+func makeTemplate(from, until time.Time, subject pkix.Name) (*x509.Certificate, error) {
 	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	now := time.Now()
 	return &x509.Certificate{
 		SerialNumber:          serial,
 		Subject:               subject,
-		NotBefore:             now.Add(-backdate),
-		NotAfter:              now.Add(lifetime),
+		NotBefore:             from,
+		NotAfter:              until,
 		BasicConstraintsValid: true,
 	}, nil
 }
--- a/internal/process/vwkeys/command.go
+++ b/internal/process/vwkeys/command.go
@@ -19,7 +19,12 @@
 
 // MakeAuthority makes the authority of cluster.
 func (c Command) MakeAuthority(cluster vwid.Cluster) error {
-	authority, err := MakeAuthority(cluster)
+	return c.MakeAuthorityFrom(cluster, time.Now().Add(-backdate))
+}
+
+// MakeAuthorityFrom makes the authority of cluster, valid from a given time.
+func (c Command) MakeAuthorityFrom(cluster vwid.Cluster, from time.Time) error {
+	authority, err := MakeAuthorityFrom(cluster, from)
 	if err != nil {
 		return trace.Wrap(err)
 	}
--- a/internal/process/vwkeys/source.go
+++ b/internal/process/vwkeys/source.go
@@ -40,3 +40,8 @@
 func (m *Memory) Authorities() ([]*x509.Certificate, error) {
 	return m.authorities, nil
 }
+
+// Cluster returns the cluster that the certificate is for.
+func (m *Memory) Cluster() vwid.Cluster {
+	return clusterOf(m.certificate.Leaf)
+}
--- a/internal/process/vwkeys/tls_test.go
+++ b/internal/process/vwkeys/tls_test.go
@@ -25,7 +25,8 @@
 
 func makeMemory(t *testing.T, authority *Authority, lifetime time.Duration, trusted ...*x509.Certificate) *Memory {
 	t.Helper()
-	certificate, err := authority.issue("agent-1", lifetime)
+	now := time.Now()
+	certificate, err := authority.issue("agent-1", now.Add(-backdate), now.Add(lifetime))
 	require.NoError(t, err)
 	return &Memory{certificate: certificate, authorities: append(trusted, authority.Certificate())}
 }
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -97,7 +97,7 @@
 	return p.operators.address()
 }
 
-// Failed implements process. It yields why the agent could not begin its work.
+// Failed implements Process. It yields why the agent could not begin its work.
 func (p *Agent) Failed() <-chan error {
 	return p.failed
 }
--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -11,12 +11,13 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
+	"vanillawind.example/vanillawind/internal/process/vwlog"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 )
 
-// startTimeout bounds the opening of files and addresses at the start.
-const startTimeout = 30 * time.Second
+// StartTimeout bounds the opening of files and addresses at the start.
+const StartTimeout = 30 * time.Second
 
 // Command is the command of one role. It runs a process by its settings file.
 type Command struct {
@@ -27,8 +28,9 @@
 	Log io.Writer
 }
 
-// process is a running process of any role.
-type process interface {
+// Process is a running process of any role.
+type Process interface {
+	// Stop is the graceful shutdown, and Kill ends at once what is left.
 	Stop(ctx context.Context) error
 	Kill()
 	// Failed yields the failure that has ended the process's work, if one does.
@@ -44,30 +46,37 @@
 	if settings.Role != c.Role {
 		return trace.Wrap(roleFault(c, settings.Role))
 	}
-	log := makeLogger(c.Log, settings)
+	out := vwlog.MakeWriter(c.Log)
+	log := makeLogger(out, settings)
 	events, err := openEvents(settings)
 	if err != nil {
-		return trace.Wrap(err)
+		return trace.NewAggregate(err, out.Close())
 	}
-	return trace.NewAggregate(run(ctx, settings, log, events.Log), events.close())
+	return trace.NewAggregate(run(ctx, settings, log, events.Log), events.close(), out.Close())
 }
 
 func run(ctx context.Context, settings vwsettings.Settings, log *slog.Logger, events *vwevent.Log) error {
-	starting, cancel := context.WithTimeout(ctx, startTimeout)
+	starting, cancel := context.WithTimeout(ctx, StartTimeout)
 	defer cancel()
 	running, err := start(starting, settings, log, events)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	err = Await(ctx, running, log)
+	events.Record(vwevent.Event{Kind: vwevent.ProcessStopping})
+	return trace.NewAggregate(err, ShutDown(ctx, running, time.Duration(settings.Timeouts.Stop), log))
+}
+
+// Await waits until ctx ends or the process fails, and returns its failure.
+func Await(ctx context.Context, running Process, log *slog.Logger) error {
 	log.Info("process started")
 	select {
 	case <-ctx.Done():
-		err = nil
-	case err = <-running.Failed():
+		return nil
+	case err := <-running.Failed():
 		log.Error("process failed", "error", err)
+		return err
 	}
-	events.Record(vwevent.Event{Kind: vwevent.ProcessStopping})
-	return trace.NewAggregate(err, shutDown(ctx, running, time.Duration(settings.Timeouts.Stop), log))
 }
 
 func roleFault(c Command, role vwstate.Role) error {
@@ -78,8 +87,8 @@
 	}}}
 }
 
-// shutDown stops the process and cuts what still runs after the bound.
-func shutDown(ctx context.Context, running process, bound time.Duration, log *slog.Logger) error {
+// ShutDown stops the process and cuts what still runs after the bound.
+func ShutDown(ctx context.Context, running Process, bound time.Duration, log *slog.Logger) error {
 	log.Info("process stops", "bound", bound.String())
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), bound)
 	defer cancel()
@@ -92,7 +101,7 @@
 	return nil
 }
 
-func start(ctx context.Context, settings vwsettings.Settings, log *slog.Logger, events *vwevent.Log) (process, error) {
+func start(ctx context.Context, settings vwsettings.Settings, log *slog.Logger, events *vwevent.Log) (Process, error) {
 	keys, err := vwkeys.OpenSeparate(settings.Keys.Certificate, settings.Keys.Key, settings.Keys.Authority, log)
 	if err != nil {
 		return nil, trace.Wrap(err, "Keys")
@@ -111,14 +120,5 @@
 	var level slog.Level
 	// Check has accepted the level, and slog knows all that it accepts.
 	_ = level.UnmarshalText([]byte(settings.Log.Level))
-	handler := slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: shortenError})
-	return slog.New(handler).With("role", string(settings.Role), "process", string(settings.Process))
-}
-
-// shortenError writes errors as their message. A traced error would become an object with its stack.
-func shortenError(_ []string, attribute slog.Attr) slog.Attr {
-	if err, ok := attribute.Value.Any().(error); ok {
-		attribute.Value = slog.StringValue(trace.UserMessage(err))
-	}
-	return attribute
+	return vwlog.MakeLogger(out, level).With("role", string(settings.Role), "process", string(settings.Process))
 }
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -98,7 +98,7 @@
 	return p.member.SetInitial(seeds)
 }
 
-// Failed implements process. It yields the failure of the disk that ended the member.
+// Failed implements Process. It yields the failure of the disk that ended the member.
 func (p *Control) Failed() <-chan error {
 	return p.failed
 }
@@ -125,9 +125,6 @@
 	process.links = makeLinks(config.Links, config.LinkAddress, config.LinkSocket, config.Keys, process.router)
 	server, err := listenWeb(config.OperatorsAddress, makeOperators(process.ready, process.metrics))
 	process.operators = server
-	if err == nil && config.Services != nil {
-		process.services, err = listenServices(config.Services(process))
-	}
 	return server, err
 }
 
@@ -163,7 +160,10 @@
 			}
 			process.group.Run(process.watch)
 			operators.start()
-			if process.services != nil {
+			if config.Services != nil {
+				if process.services, err = listenServices(config.Services(process)); err != nil {
+					return trace.Wrap(err)
+				}
 				process.services.start()
 			}
 			return nil
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -145,7 +145,7 @@
 	return p.stopping.Load()
 }
 
-// Failed implements process. An entry goes on without its own control member.
+// Failed implements Process. An entry goes on without its own control member.
 func (p *Entry) Failed() <-chan error {
 	return nil
 }
--- a/internal/process/vwprocess/settings.go
+++ b/internal/process/vwprocess/settings.go
@@ -18,7 +18,7 @@
 // agentLinks is where an agent dials from. Nobody dials an agent.
 const agentLinks = "0.0.0.0:0"
 
-func startEntryBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) (process, error) {
+func startEntryBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) (Process, error) {
 	config := EntryConfig{
 		Cluster:           s.Cluster,
 		Settings:          entrySettings(s),
@@ -57,7 +57,7 @@
 	return MemberConfig{Files: files, Heartbeat: time.Duration(s.Timeouts.Heartbeat), Election: time.Duration(s.Timeouts.Election)}, nil
 }
 
-func startControlBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) (process, error) {
+func startControlBySettings(ctx context.Context, s vwsettings.Settings, keys vwkeys.Source, log *slog.Logger, events *vwevent.Log) (Process, error) {
 	member, err := memberConfig(s)
 	if err != nil {
 		return nil, trace.Wrap(err)
