--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -155,7 +155,9 @@
 
 // Tick ends the jobs whose time is over and the runs that have certainly ended at agents without a link.
 func (q *Queue) Tick(now time.Time) {
-	for _, w := range q.order {
+	// loseWorker takes workers off the list, so it is walked from its end.
+	for i := len(q.order) - 1; i >= 0; i-- {
+		w := q.order[i]
 		if !w.linked && !w.settleAt.IsZero() && !now.Before(w.settleAt) {
 			q.loseWorker(now, w)
 		}
--- /dev/null
+++ b/internal/process/vwplace/queue_test.go
@@ -0,0 +1,218 @@
+package vwplace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/request/vwrun"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwresource"
+	"vanillawind.example/vanillawind/pkg/vwunit"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
+)
+
+const (
+	testService = vwid.Service("muotoilu")
+	testTeam    = vwid.Team("lauseet")
+	testCentre  = vwid.DataCentre("etela-a")
+	// settle is how long runs may go on after the link to an agent was lost.
+	settle = 1200 * time.Millisecond
+)
+
+// testStart is when the tests begin. The queue takes the time from its caller.
+var testStart = time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time {
+	return testStart.Add(d)
+}
+
+// cores returns an amount of whole cores with memory that is never short.
+func cores(count int) vwresource.Amount {
+	return vwresource.Amount{CPU: vwresource.MilliCPU(1000 * count), Memory: vwunit.Bytes(count) * vwunit.MiB}
+}
+
+// fixture is a queue with the messages that it has for agents.
+type fixture struct {
+	*testing.T
+	queue *Queue
+	sent  []Send
+}
+
+func makeFixture(t *testing.T) *fixture {
+	t.Helper()
+	return &fixture{T: t, queue: MakeQueue(Settings{DataCentre: testCentre, RemoteFactor: 1.5, MaxWaiting: 100, Random: rand.NewPCG(1, 2)})}
+}
+
+// open links a worker with so many free cores.
+func (f *fixture) open(now time.Time, name string, free int, change ...func(*Worker, *vwmessage.Resume)) {
+	f.Helper()
+	description := Worker{
+		Incarnation: vwid.Incarnation(name), Process: vwid.Process("side-" + name), DataCentre: testCentre, Service: testService,
+		Labels: []string{"a", "rack-" + name}, Capacity: cores(free), Settle: settle,
+	}
+	resume := &vwmessage.Resume{Load: vwmessage.Load{Accepting: true, Free: cores(free), Slowdown: 1}}
+	for _, apply := range change {
+		apply(&description, resume)
+	}
+	f.queue.Open(now, description, resume)
+}
+
+// job returns a job of tasks of one core that are expected to run for 100 ms.
+func makeJob(id string, count int, change ...func(*Job)) Job {
+	job := Job{
+		ID: vwid.SubmissionID(id), Service: testService, Team: testTeam, Level: 5, Payload: []byte(`"x"`), Count: count,
+		Needs: cores(1), Estimate: 100 * time.Millisecond, Slowdown: 1.6, Target: 60 * time.Millisecond, Attempts: 2,
+	}
+	for _, apply := range change {
+		apply(&job)
+	}
+	return job
+}
+
+func (f *fixture) submit(now time.Time, id string, count int, change ...func(*Job)) {
+	f.Helper()
+	require.NoError(f, f.queue.Submit(now, makeJob(id, count, change...)))
+}
+
+// dispatch returns the tasks that are sent now, as worker:job/index#attempt.
+func (f *fixture) dispatch(now time.Time) []string {
+	f.Helper()
+	var tasks []string
+	for _, send := range f.queue.Dispatch(now) {
+		f.sent = append(f.sent, send)
+		for _, task := range send.Run.Tasks {
+			tasks = append(tasks, fmt.Sprintf("%s:%s/%d#%d", send.Worker, send.Run.JobID, task.Index, task.Attempt))
+		}
+	}
+	return tasks
+}
+
+// finish reports the end of an attempt of a task.
+func (f *fixture) finish(now time.Time, worker, job string, index, attempt int, outcome vwrun.Outcome) bool {
+	f.Helper()
+	return f.queue.TakeEnd(now, vwid.Incarnation(worker), &vwmessage.RunEnd{
+		Ref:     vwmessage.RunRef{JobID: vwid.SubmissionID(job), Index: index, Attempt: attempt},
+		Outcome: uint8(outcome), RunMicroseconds: (100 * time.Millisecond).Microseconds(),
+		Load: vwmessage.Load{Accepting: true, Free: cores(4), Slowdown: 1, Received: uint64(len(f.sent))},
+	})
+}
+
+// answer returns the only answer since the last call.
+func (f *fixture) answer() Answer {
+	f.Helper()
+	answers := f.queue.TakeAnswers()
+	require.Len(f, answers, 1)
+	return answers[0]
+}
+
+// A job is complete when each of its tasks is done once, whatever order their ends come in, and says that it ran.
+func TestJobCompletes(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 2)
+	f.submit(at(0), "j1", 3)
+	require.Equal(t, []string{"w1:j1/0#1", "w1:j1/1#1"}, f.dispatch(at(0)))
+	require.Empty(t, f.dispatch(at(time.Millisecond)), "no room is left")
+	require.True(t, f.finish(at(100*time.Millisecond), "w1", "j1", 1, 1, vwrun.OutcomeDone))
+	require.Equal(t, []string{"w1:j1/2#1"}, f.dispatch(at(100*time.Millisecond)))
+	require.True(t, f.finish(at(101*time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeDone))
+	require.Empty(t, f.queue.TakeAnswers())
+	require.False(t, f.finish(at(102*time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeDone), "an end that was told twice must not count twice")
+	require.True(t, f.finish(at(200*time.Millisecond), "w1", "j1", 2, 1, vwrun.OutcomeDone))
+	answer := f.answer()
+	require.Equal(t, OutcomeCompleted, answer.Outcome)
+	require.Equal(t, vwverdict.Ran, answer.Verdict)
+	require.Equal(t, 200*time.Millisecond, answer.Took)
+	require.Zero(t, f.queue.Len())
+}
+
+// A job whose tasks were never sent is refused truthfully; once one was, nobody may say that it has not run.
+func TestJobsThatFindNoRoom(t *testing.T) {
+	cases := map[string]struct {
+		workers int
+		outcome Outcome
+		verdict vwverdict.Verdict
+	}{
+		"nothing sent": {0, OutcomeRefused, vwverdict.NotRun},
+		"some sent":    {1, OutcomeGivenUp, vwverdict.MayHaveRun},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := makeFixture(t)
+			for i := range c.workers {
+				f.open(at(0), fmt.Sprintf("w%d", i), 1)
+			}
+			f.submit(at(0), "j1", 2)
+			f.dispatch(at(0))
+			f.queue.Tick(at(time.Minute))
+			answer := f.answer()
+			require.Equal(t, c.outcome, answer.Outcome)
+			require.Equal(t, c.verdict, answer.Verdict)
+			stops := f.queue.TakeStops()
+			require.Len(t, stops, c.workers, "runs of a job that has ended must be stopped")
+		})
+	}
+}
+
+// A task that was refused has not run: its job may still be refused truthfully.
+func TestRefusedTaskHasNotRun(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 1)
+	f.submit(at(0), "j1", 1)
+	f.dispatch(at(0))
+	require.True(t, f.finish(at(time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeRefused))
+	f.queue.Close(at(2*time.Millisecond), "w1")
+	f.queue.Tick(at(time.Minute))
+	require.Equal(t, OutcomeRefused, f.answer().Outcome)
+}
+
+// A task fails its job only after as many failures as the job allows; lost runs are not failures of the task.
+func TestAttempts(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 4)
+	f.submit(at(0), "j1", 1)
+	require.Equal(t, []string{"w1:j1/0#1"}, f.dispatch(at(0)))
+	f.finish(at(time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeLost)
+	require.Equal(t, []string{"w1:j1/0#2"}, f.dispatch(at(2*time.Millisecond)))
+	f.finish(at(3*time.Millisecond), "w1", "j1", 0, 2, vwrun.OutcomeFailed)
+	require.Equal(t, []string{"w1:j1/0#3"}, f.dispatch(at(4*time.Millisecond)))
+	f.finish(at(5*time.Millisecond), "w1", "j1", 0, 3, vwrun.OutcomeFailed)
+	require.Equal(t, OutcomeFailed, f.answer().Outcome)
+}
+
+// Runs at an agent without a link may go on for a while. Starting their tasks elsewhere before that is over would
+// run them twice at the same time.
+func TestRunsOfLostAgentsSettleFirst(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 1)
+	f.submit(at(0), "j1", 1, func(j *Job) { j.Estimate = 2 * time.Second })
+	f.dispatch(at(0))
+	f.open(at(0), "w2", 1)
+	f.queue.Close(at(100*time.Millisecond), "w1")
+	f.queue.Tick(at(100*time.Millisecond + settle - time.Millisecond))
+	require.Empty(t, f.dispatch(at(100*time.Millisecond+settle-time.Millisecond)))
+	f.queue.Tick(at(100*time.Millisecond + settle))
+	require.Equal(t, []string{"w2:j1/0#2"}, f.dispatch(at(100*time.Millisecond+settle)))
+}
+
+// Agents that are lost at the same moment are all forgotten. Removing workers from the list while it was walked
+// made the entry read a worker that was not there any more, and end.
+func TestAgentsLostTogether(t *testing.T) {
+	f := makeFixture(t)
+	for i := range 4 {
+		f.open(at(0), fmt.Sprintf("w%d", i), 1)
+	}
+	f.submit(at(0), "j1", 4, func(j *Job) { j.Estimate = 2 * time.Second })
+	f.dispatch(at(0))
+	for i := range 4 {
+		f.queue.Close(at(0), vwid.Incarnation(fmt.Sprintf("w%d", i)))
+	}
+	f.queue.Tick(at(settle))
+	require.Zero(t, f.queue.Workers())
+	f.open(at(settle), "w9", 4)
+	require.Len(t, f.dispatch(at(settle)), 4)
+}
--- a/pkg/vwboot/clock.go
+++ b/pkg/vwboot/clock.go
@@ -25,17 +25,19 @@
 
 // Suspended returns for how long the machine has been suspended since it booted.
 func Suspended() time.Duration {
-	var between, boot time.Duration
+	suspended, tightest := time.Duration(0), time.Duration(-1)
 	for range maxReads {
 		before := read(unix.CLOCK_MONOTONIC)
-		boot = read(unix.CLOCK_BOOTTIME)
-		after := read(unix.CLOCK_MONOTONIC)
-		between = before + (after-before)/2
-		if after-before <= exact {
+		boot := read(unix.CLOCK_BOOTTIME)
+		apart := read(unix.CLOCK_MONOTONIC) - before
+		if tightest < 0 || apart < tightest {
+			suspended, tightest = boot-before-apart/2, apart
+		}
+		if apart <= exact {
 			break
 		}
 	}
-	return max((boot - between).Round(precision), 0)
+	return max(suspended.Round(precision), 0)
 }
 
 func read(clock int32) time.Duration {
