--- a/internal/process/vweditor/editor.go
+++ b/internal/process/vweditor/editor.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -43,14 +44,33 @@
 	Source []byte
 }
 
-// Read returns the newest rules. An error means that no one can tell now which they are.
+// ErrUnreadable is returned when nobody can tell now which rules are the newest. Nothing has changed.
+type ErrUnreadable struct{ Err error }
+
+// Error implements error.
+func (e ErrUnreadable) Error() string {
+	return "control cannot be read: " + vwverdict.Reason(e.Err)
+}
+
+// Unwrap returns the cause.
+func (e ErrUnreadable) Unwrap() error {
+	return e.Err
+}
+
+// IsUnreadable reports whether err tells that the newest rules could not be read.
+func IsUnreadable(err error) bool {
+	var unreadable ErrUnreadable
+	return errors.As(err, &unreadable)
+}
+
+// Read returns the newest rules, or an ErrUnreadable.
 func Read(ctx context.Context, control Control) (vwstate.Config, error) {
 	view, err := control.Read(ctx, vwstate.Query{Config: true})
-	if err != nil {
-		return vwstate.Config{}, err
+	if err == nil && view.Config == nil {
+		err = trace.NotFound("the answer holds no rules")
 	}
-	if view.Config == nil {
-		return vwstate.Config{}, vwverdict.Errorf(vwverdict.NotRun, "control answered without the rules")
+	if err != nil {
+		return vwstate.Config{}, vwverdict.Wrap(vwverdict.NotRun, ErrUnreadable{Err: err})
 	}
 	return *view.Config, nil
 }
--- a/internal/process/vwentry/operator.go
+++ b/internal/process/vwentry/operator.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	config, err := vweditor.Read(ctx, e.control)
 	if err != nil {
-		return config, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err))
+		return config, unreadable(err)
 	}
 	return config, nil
 }
@@ -228,12 +228,19 @@
 		return &vwapi.RulesChanged{Version: version}, nil
 	case errors.As(err, &problem):
 		return nil, err
+	case vweditor.IsUnreadable(err):
+		return nil, unreadable(err)
 	case vweditor.IsConflict(err):
 		return nil, refuse(vwapi.CodeConflict, vwverdict.NotRun, "other changes came first each time; try again")
 	}
 	return nil, unconfirmed(err)
 }
 
+// unreadable refuses a call because the newest rules cannot be read.
+func unreadable(err error) error {
+	return refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "control cannot be read: "+reasonOf(err))
+}
+
 // unconfirmed refuses a change whose fate only a resend tells.
 func unconfirmed(err error) error {
 	return refuse(vwapi.CodeUnavailable, vwverdict.Of(err), "control did not confirm the change; send it again with the same ChangeID: "+reasonOf(err))
--- a/internal/process/vwprocess/idle_long_test.go
+++ b/internal/process/vwprocess/idle_long_test.go
@@ -134,7 +134,7 @@
 func openEndpoint(t *testing.T, authority *vwkeys.Authority, process vwid.Process) vwlink.Endpoint {
 	keys, err := vwkeys.MakeMemory(authority, process)
 	require.NoError(t, err)
-	endpoint, err := makeEndpoint("127.0.0.1:0", keys, vwmessage.Hello{Cluster: "c", Process: process, Incarnation: vwid.Incarnation(process) + "-1"})
+	endpoint, err := LinkConfig{}.makeEndpoint("127.0.0.1:0", keys, vwmessage.Hello{Cluster: "c", Process: process, Incarnation: vwid.Incarnation(process) + "-1"})
 	require.NoError(t, err)
 	return endpoint
 }
