--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -92,6 +92,11 @@
 	return p.listener.Addr().String()
 }
 
+// ServiceAddresses returns the bound addresses of the further interfaces, in their order.
+func (p *Agent) ServiceAddresses() []string {
+	return p.services.addresses()
+}
+
 // OperatorsAddress returns the bound address for operators.
 func (p *Agent) OperatorsAddress() string {
 	return p.operators.address()
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -78,6 +78,11 @@
 	return p.links.Address()
 }
 
+// ServiceAddresses returns the bound addresses of the further interfaces, in their order.
+func (p *Control) ServiceAddresses() []string {
+	return p.services.addresses()
+}
+
 // OperatorsAddress returns the bound address for operators.
 func (p *Control) OperatorsAddress() string {
 	return p.operators.address()
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -128,6 +128,11 @@
 	return p.callers.address()
 }
 
+// ServiceAddresses returns the bound addresses of the further interfaces, in their order.
+func (p *Entry) ServiceAddresses() []string {
+	return p.services.addresses()
+}
+
 // OperatorsAddress returns the bound address for operators.
 func (p *Entry) OperatorsAddress() string {
 	return p.operators.address()
--- a/internal/process/vwprocess/service.go
+++ b/internal/process/vwprocess/service.go
@@ -45,6 +45,17 @@
 	return s, nil
 }
 
+// addresses returns the bound addresses in the order of the configs.
+func (s *services) addresses() []string {
+	var addresses []string
+	if s != nil {
+		for _, server := range s.running {
+			addresses = append(addresses, server.address())
+		}
+	}
+	return addresses
+}
+
 func (s *services) start() {
 	for _, server := range s.running {
 		server.start()
