Refuse jobs without room after a sixth of their objective

Cause: the wait of a quarter was measured with the caller's estimate, which is up to 40 percent too high, so that most refusals came after a quarter of the true objective and were charged as late. Change: a sixth.

--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -120,10 +120,13 @@
 	return time.Duration(float64(j.expected)*j.Slowdown) + j.Target
 }
 
-// shedAt is when a job of which nothing was sent is refused. A caller that hears of a refusal within a quarter of
-// its objective can still go elsewhere.
+// refusalPart is the part of its objective for which a job may wait for room. A caller that hears of a refusal
+// within a quarter of it can still go elsewhere, and estimates are up to 40 percent too high.
+const refusalPart = 6
+
+// shedAt is when a job of which nothing was sent is refused.
 func (j *job) shedAt() time.Time {
-	return j.arrived.Add(j.objective() / 4)
+	return j.arrived.Add(j.objective() / refusalPart)
 }
 
 // endAt is when nobody waits for the answer any more.
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -216,3 +216,16 @@
 	f.open(at(settle), "w9", 4)
 	require.Len(t, f.dispatch(at(settle)), 4)
 }
+
+// A caller must hear of a refusal early enough to go elsewhere, also when its estimate was 40 percent too high.
+func TestRefusalsComeEarly(t *testing.T) {
+	f := makeFixture(t)
+	const trueObjective = 160*time.Millisecond*10/14 + 60*time.Millisecond
+	f.submit(at(0), "j1", 1)
+	f.queue.Tick(at(trueObjective / 8))
+	require.Empty(t, f.queue.TakeAnswers(), "room may still become free")
+	f.queue.Tick(at(trueObjective / 4))
+	answer := f.answer()
+	require.Equal(t, OutcomeRefused, answer.Outcome)
+	require.Positive(t, answer.RetryAfter)
+}
