--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -166,7 +166,7 @@
 		}
 	}
 	if config.Services != nil {
-		process.services, err = listenServices(config.Services(process))
+		process.services, err = listenServices(config.Services(process), config.Log)
 	}
 	return agentServers{operators: process.operators, services: process.services}, err
 }
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -166,7 +166,7 @@
 			process.group.Run(process.watch)
 			operators.start()
 			if config.Services != nil {
-				if process.services, err = listenServices(config.Services(process)); err != nil {
+				if process.services, err = listenServices(config.Services(process), config.Log); err != nil {
 					return trace.Wrap(err)
 				}
 				process.services.start()
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -208,7 +208,7 @@
 		return entryServers{}, err
 	}
 	if config.Services != nil {
-		if process.services, err = listenServices(config.Services(process)); err != nil {
+		if process.services, err = listenServices(config.Services(process), config.Log); err != nil {
 			return entryServers{}, err
 		}
 	}
--- a/internal/process/vwprocess/service.go
+++ b/internal/process/vwprocess/service.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"log/slog"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -22,68 +25,149 @@
 	IdleTimeout   time.Duration
 	// Connections bounds the open connections; further ones wait. Zero means no limit.
 	Connections int
+	// Serves tells whether the interface can be of use yet. Until it is, nothing listens, so that callers who find
+	// the address closed try again instead of being refused. Nil means from the start.
+	Serves func() bool
 }
 
-// services are the running services of a process.
+// serveInterval is how often a service that does not listen yet is asked again.
+const serveInterval = 5 * time.Millisecond
+
+// services are the services of a process.
 type services struct {
+	configs []Service
+	log     *slog.Logger
+	group   *vwgroup.Group
+
+	mu sync.Mutex
+	// running holds the server of each config, nil while that does not listen.
 	running []*webServer
+	closed  bool
 }
 
-// listenServices binds all addresses, or none.
-func listenServices(configs []Service) (*services, error) {
-	s := &services{}
-	for _, config := range configs {
-		server, err := listenWeb(config.Address, config.Handler)
-		if err != nil {
+// listenServices binds the addresses of all services that listen from the start, or none.
+func listenServices(configs []Service, log *slog.Logger) (*services, error) {
+	s := &services{configs: configs, log: log, group: vwgroup.Make(context.Background()), running: make([]*webServer, len(configs))}
+	for i := range configs {
+		if configs[i].Serves != nil {
+			continue
+		}
+		if err := s.listen(i); err != nil {
 			s.kill()
 			return nil, trace.Wrap(err)
 		}
-		server.limit(config.Connections)
-		server.bound(config)
-		s.running = append(s.running, server)
 	}
 	return s, nil
 }
 
-// addresses returns the bound addresses in the order of the configs.
+// listen binds the address of one service.
+func (s *services) listen(i int) error {
+	config := &s.configs[i]
+	server, err := listenWeb(config.Address, config.Handler)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	server.limit(config.Connections)
+	server.bound(config)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		server.kill()
+		return nil
+	}
+	s.running[i] = server
+	return nil
+}
+
+// servers returns the servers of the services that listen.
+func (s *services) servers() []*webServer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(s.running), func(server *webServer) bool { return server == nil })
+}
+
+// addresses returns the bound addresses in the order of the configs, empty ones for those that do not listen yet.
 func (s *services) addresses() []string {
-	var addresses []string
-	if s != nil {
-		for _, server := range s.running {
-			addresses = append(addresses, server.address())
-		}
+	if s == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	addresses := make([]string, len(s.running))
+	for i, server := range s.running {
+		addresses[i] = server.address()
 	}
 	return addresses
 }
 
 func (s *services) start() {
-	for _, server := range s.running {
+	for _, server := range s.servers() {
 		server.start()
 	}
+	for i := range s.configs {
+		if s.configs[i].Serves != nil {
+			s.group.Run(func(ctx context.Context) { s.startWhenServing(ctx, i) })
+		}
+	}
+}
+
+// startWhenServing begins to listen once the service is of use.
+func (s *services) startWhenServing(ctx context.Context, i int) {
+	for !s.configs[i].Serves() {
+		if vwgroup.Sleep(ctx, serveInterval) != nil {
+			return
+		}
+	}
+	for {
+		err := s.listen(i)
+		if err == nil {
+			break
+		}
+		s.log.Error("address cannot be bound", "address", s.configs[i].Address, "error", err)
+		if vwgroup.Sleep(ctx, time.Second) != nil {
+			return
+		}
+	}
+	s.mu.Lock()
+	server := s.running[i]
+	s.mu.Unlock()
+	server.start()
+	s.log.Info("service listens", "address", s.configs[i].Address)
 }
 
 // stop waits for the requests in progress of all services.
 func (s *services) stop(ctx context.Context) error {
-	errs := make([]error, len(s.running))
+	s.close()
+	servers := s.servers()
+	errs := make([]error, len(servers))
 	group := vwgroup.Make(context.Background())
-	for i, server := range s.running {
+	for i, server := range servers {
 		group.Run(func(context.Context) { errs[i] = server.stop(ctx) })
 	}
 	_ = group.Wait()
 	return trace.NewAggregate(errs...)
 }
 
+// close keeps services that do not listen yet from beginning to.
+func (s *services) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	_ = s.group.Stop()
+}
+
 func (s *services) kill() {
 	if s == nil {
 		return
 	}
-	for _, server := range s.running {
+	s.close()
+	for _, server := range s.servers() {
 		server.kill()
 	}
 }
 
 // bound sets the bounds of a service.
-func (s *webServer) bound(config Service) {
+func (s *webServer) bound(config *Service) {
 	if s == nil {
 		return
 	}
