--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -247,7 +247,7 @@
 	for call := range calls.waiting {
 		call <- answer
 	}
-	b.log(&calls.job, &answer)
+	b.log(now, &calls.job, &answer)
 	if answer.Outcome == vwplace.OutcomeCompleted || answer.Outcome == vwplace.OutcomeFailed {
 		b.answers[answer.JobID] = answer
 		b.oldest = append(b.oldest, answered{id: answer.JobID, at: now})
@@ -256,9 +256,9 @@
 }
 
 // log writes how a job has ended.
-func (b *bestEffort) log(job *vwplace.Job, answer *vwplace.Answer) {
+func (b *bestEffort) log(now time.Time, job *vwplace.Job, answer *vwplace.Answer) {
 	b.entry.log.Info("job has ended", "job", string(job.ID), "team", string(job.Team), "tasks", job.Count, "estimate", job.Estimate.String(),
-		"outcome", answer.Outcome.String(), "verdict", answer.Verdict.String(), "reason", answer.Reason,
+		"patience", (job.Deadline.Sub(now) + answer.Took).Round(time.Millisecond).String(), "outcome", answer.Outcome.String(), "verdict", answer.Verdict.String(), "reason", answer.Reason,
 		"waited", answer.Waited.String(), "took", answer.Took.String(), "version", uint64(b.entry.applied))
 }
 
