--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
@@ -323,12 +324,26 @@
 	for _, order := range r.book.TakeOrders(now) {
 		r.agent.group.Run(func(ctx context.Context) { r.call(ctx, order) })
 	}
-	for _, result := range r.book.TakeResults() {
+	results := r.book.TakeResults()
+	for i := range results {
+		r.health.take(now, &results[i])
+	}
+	// Freed room is kept for the most urgent task first. An entry that is told of it with a result would send
+	// a task of its own, and be refused.
+	kept := r.keep(now)
+	for _, result := range results {
 		r.agent.counters.Finished.Add(1)
-		r.health.take(now, &result)
 		r.finish(now, result)
 	}
-	r.tellLoads(now)
+	r.tellLoads(now, kept)
+}
+
+// keep keeps free room for those who want it and returns the entries to be told.
+func (r *runner) keep(now time.Time) []vwid.Incarnation {
+	if r.gate(now) != "" {
+		return nil
+	}
+	return r.share.Keep(now, r.free())
 }
 
 // call makes one call of the worker and posts its answer.
@@ -390,21 +405,14 @@
 		"Reason", result.Reason, "Milliseconds", result.Ran.Milliseconds(), "Worker", string(r.offer.Life.ID), "Free", r.book.Free().String())
 }
 
-// tellLoads keeps freed room for those who want it and tells entries what has changed.
-func (r *runner) tellLoads(now time.Time) {
-	var kept []vwid.Incarnation
-	if r.gate(now) == "" {
-		kept = r.share.Keep(now, r.free())
-	}
+// tellLoads tells entries what has changed, and that room is kept for them.
+func (r *runner) tellLoads(now time.Time, kept []vwid.Incarnation) {
 	for entry, o := range r.owners {
 		if o.link == nil || !o.resumed {
 			continue
 		}
 		load := r.load(now, o, entry)
-		urgent := load.Accepting != o.told.Accepting
-		for _, told := range kept {
-			urgent = urgent || told == entry
-		}
+		urgent := load.Accepting != o.told.Accepting || slices.Contains(kept, entry)
 		if urgent || now.Sub(o.toldAt) >= loadInterval && r.differs(&load, &o.told) {
 			o.told, o.toldAt = load, now
 			o.link.send(&load)
--- a/internal/process/vwplace/simulation_test.go
+++ b/internal/process/vwplace/simulation_test.go
@@ -297,7 +297,7 @@
 		s.messages++
 		s.send(e, a, func() {
 			a.share.SetWant(s.at(), e.id, &message)
-			a.tell()
+			a.tell(nil)
 		})
 	}
 }
@@ -376,7 +376,7 @@
 		duration := time.Duration(float64(decodeDuration(run.Payload, task.Index)) * a.slowdown / a.speed)
 		s.after(s.delays.notice+duration, func() { a.end(&spec, duration) })
 	}
-	a.tell()
+	a.tell(nil)
 }
 
 func (a *simulatedAgent) end(spec *vwrun.Spec, duration time.Duration) {
@@ -386,8 +386,9 @@
 	if a.stopped[spec.Task.Job] {
 		outcome = vwrun.OutcomeStopped
 	}
+	kept := a.share.Keep(a.sim.at(), a.free())
 	a.finish(spec, outcome, duration)
-	a.tell()
+	a.tell(kept)
 }
 
 // stop only marks the job; its runs end when they would have.
@@ -420,10 +421,10 @@
 }
 
 // tell keeps freed room and tells entries what has changed, as the agent does.
-func (a *simulatedAgent) tell() {
+func (a *simulatedAgent) tell(told []vwid.Incarnation) {
 	s := a.sim
 	kept := map[vwid.Incarnation]bool{}
-	for _, id := range a.share.Keep(s.at(), a.free()) {
+	for _, id := range append(told, a.share.Keep(s.at(), a.free())...) {
 		kept[id] = true
 	}
 	for index, e := range s.entries {
