--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -35,6 +35,7 @@
 	// isolated holds addresses and not pairs, because a process may restart while another is isolated.
 	isolated map[string]bool
 	standard Fault
+	timing   vwlink.Timing
 	silenced map[*pipe]bool
 	pipes    map[*pipe]bool
 }
@@ -47,6 +48,7 @@
 		faults:    map[direction]Fault{},
 		isolated:  map[string]bool{},
 		standard:  Fault{Delay: delay},
+		timing:    vwlink.DefaultTiming,
 		silenced:  map[*pipe]bool{},
 		pipes:     map[*pipe]bool{},
 	}
@@ -62,6 +64,13 @@
 	return n.group.Stop()
 }
 
+// SetTiming gives all links that are opened from now on a timing.
+func (n *Network) SetTiming(timing vwlink.Timing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.timing = timing
+}
+
 // SetFault sets what happens to messages from one address to another.
 func (n *Network) SetFault(from, to string, fault Fault) {
 	n.mu.Lock()
@@ -273,6 +282,13 @@
 	return c.peer
 }
 
+// Timing implements vwlink.Timed.
+func (c *conn) Timing() vwlink.Timing {
+	c.out.network.mu.Lock()
+	defer c.out.network.mu.Unlock()
+	return c.out.network.timing
+}
+
 // Send implements vwlink.Conn.
 func (c *conn) Send(_ context.Context, envelope vwmessage.Envelope) error {
 	select {
--- a/internal/connection/vwworkertest/worker.go
+++ b/internal/connection/vwworkertest/worker.go
@@ -46,6 +46,9 @@
 	// held before.
 	Started func(run vwworker.Run, held bool)
 
+	// Ended, if it is set, hears of each end with the lock held, also of those that a crash brings; then nobody is
+	// told how.
+	Ended func(run vwworker.Run, how vwworker.How)
 	// Filled, if it is set, hears after each start with the lock held how much is in use.
 	Filled func(used vwresource.Amount)
 
@@ -127,8 +130,9 @@
 }
 
 func (w *Worker) end() {
-	for _, r := range w.running {
+	for id, r := range w.running {
 		r.timer.Stop()
+		w.tellEnd(id, vwworker.Unknown)
 	}
 	clear(w.running)
 	if w.lapse != nil {
@@ -136,6 +140,12 @@
 	}
 }
 
+func (w *Worker) tellEnd(id vwworker.Run, how vwworker.How) {
+	if w.Ended != nil {
+		w.Ended(id, how)
+	}
+}
+
 // Life returns the present life.
 func (w *Worker) Life() vwworker.Life {
 	w.mu.Lock()
@@ -143,6 +153,13 @@
 	return vwworker.Life{ID: w.id, Born: w.born}
 }
 
+// IsUp reports whether the worker takes calls.
+func (w *Worker) IsUp() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.up
+}
+
 // Now returns the worker's clock.
 func (w *Worker) Now() vwworker.Clock {
 	w.mu.Lock()
@@ -252,6 +269,7 @@
 	}
 	r.timer.Stop()
 	delete(w.running, id)
+	w.tellEnd(id, how)
 	w.highest[id.Task] = max(w.highest[id.Task], id.Number)
 	w.number++
 	w.ended = append(w.ended, vwworker.Ended{Number: w.number, Run: id, How: how})
