Ignore messages that waited out a stall of the process

Cause: an agent that was frozen for 2 s found tasks in the buffers of its links when it woke, and started them. Their entry had heard nothing for 500 ms, had closed the link, and ran them elsewhere after the settle time. Change: a session ends when a message comes later than the silence time-out after the one before it, and an agent does not start tasks that waited that long between receipt and handling. Sessions keep times on the monotonic clock: a step of the wall clock ended links. Tests of the runner with a recorded link are added.

--- a/internal/connection/vwlink/session.go
+++ b/internal/connection/vwlink/session.go
@@ -63,9 +63,14 @@
 	handler Handler
 	timing  Timing
 
-	lastCall  atomic.Uint64
-	heardNano atomic.Int64
-	sentNano  atomic.Int64
+	lastCall atomic.Uint64
+	// opened is when the session was made. The times of messages are kept as durations since then, on the
+	// monotonic clock: a step of the wall clock must not end links.
+	opened time.Time
+	heard  atomic.Int64
+	sent   atomic.Int64
+	// previous is when the message before the one that is handled came. The receiving goroutine owns it.
+	previous time.Duration
 
 	mu      sync.Mutex
 	pending map[uint64]chan callResult
@@ -80,11 +85,17 @@
 
 // MakeSession returns a session over conn. Run must be called for it to receive anything.
 func MakeSession(conn Conn, handler Handler) *Session {
-	s := &Session{conn: conn, handler: handler, timing: timingOf(conn), pending: map[uint64]chan callResult{}, done: make(chan struct{})}
-	now := time.Now().UnixNano()
-	s.heardNano.Store(now)
-	s.sentNano.Store(now)
-	return s
+	return &Session{
+		conn: conn, handler: handler, timing: timingOf(conn), opened: time.Now(),
+		pending: map[uint64]chan callResult{}, done: make(chan struct{}),
+	}
+}
+
+// PreviousHeard returns when the message before the present one came, or when the session was made. The present
+// one was sent after that, but for the time that messages are under way. Only a Handler may call it, before
+// HandleMessage returns.
+func (s *Session) PreviousHeard() time.Time {
+	return s.opened.Add(s.previous)
 }
 
 // Peer returns the other end.
@@ -124,11 +135,12 @@
 			return nil
 		case <-s.done:
 			return ErrClosed
-		case now := <-ticker.C:
-			if now.UnixNano()-s.heardNano.Load() >= s.timing.Silence.Nanoseconds() {
+		case <-ticker.C:
+			age := int64(time.Since(s.opened))
+			if age-s.heard.Load() >= int64(s.timing.Silence) {
 				return ErrSilent
 			}
-			if now.UnixNano()-s.sentNano.Load() < s.timing.Ping.Nanoseconds() {
+			if age-s.sent.Load() < int64(s.timing.Ping) {
 				continue
 			}
 			if err := s.Send(ctx, &vwmessage.Ping{}); err != nil {
@@ -144,7 +156,9 @@
 		if err != nil {
 			return err
 		}
-		s.heardNano.Store(time.Now().UnixNano())
+		if !s.noteHeard(time.Since(s.opened)) {
+			return ErrSilent
+		}
 		body, err := vwmessage.Open(envelope)
 		if err != nil {
 			s.refuse(ctx, envelope, err)
@@ -154,6 +168,13 @@
 	}
 }
 
+// noteHeard notes that a message came. It reports false when the peer may have given the link up before: a
+// process that stood still finds messages in its buffers whose sender has long acted as if they were lost.
+func (s *Session) noteHeard(age time.Duration) bool {
+	s.previous = time.Duration(s.heard.Swap(int64(age)))
+	return age-s.previous < s.timing.Silence
+}
+
 func (s *Session) refuse(ctx context.Context, envelope vwmessage.Envelope, cause error) {
 	failure := &vwmessage.Failure{Verdict: vwverdict.NotRun, Code: CodeUnsupported, Message: cause.Error()}
 	// The link closes either way, so a failure to send adds nothing.
@@ -216,7 +237,7 @@
 	if err != nil {
 		return vwverdict.Wrap(vwverdict.NotRun, err)
 	}
-	s.sentNano.Store(time.Now().UnixNano())
+	s.sent.Store(int64(time.Since(s.opened)))
 	return vwverdict.Wrap(vwverdict.NotRun, s.conn.Send(ctx, envelope))
 }
 
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -215,8 +215,8 @@
 }
 
 // HandleMessage implements vwlink.Handler.
-func (l *link) HandleMessage(_ *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
-	l.registration.agent.post(&received{link: l, body: body, reply: reply})
+func (l *link) HandleMessage(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
+	l.registration.agent.post(&received{link: l, body: body, reply: reply, after: session.PreviousHeard()})
 }
 
 // received is a message from an entry.
@@ -224,6 +224,14 @@
 	link  *link
 	body  vwmessage.Body
 	reply vwlink.Reply
+	// after is a time after which the message was sent.
+	after time.Time
+}
+
+// isOverdue reports whether the entry may have taken the message for lost. That happens to a process that stands
+// still between receiving a message and handling it.
+func (m *received) isOverdue(a *Agent, now time.Time) bool {
+	return now.Sub(m.after) >= a.timing.Silence
 }
 
 func (m *received) apply(a *Agent, now time.Time) {
@@ -267,6 +275,12 @@
 	}
 	switch body := m.body.(type) {
 	case *vwmessage.Run:
+		if m.isOverdue(a, now) {
+			a.logger.Warn("tasks are not started, because their entry may have sent them elsewhere", "Job", string(body.JobID),
+				"Tasks", len(body.Tasks), "Entry", string(m.link.entry), "Milliseconds", now.Sub(m.after).Milliseconds())
+			_ = m.link.session.Close()
+			return
+		}
 		a.runner.onRun(now, m.link, body)
 	case *vwmessage.StopRuns:
 		a.runner.onStopRuns(now, m.link, body)
--- /dev/null
+++ b/internal/process/vwagent/runner_test.go
@@ -0,0 +1,274 @@
+package vwagent
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/connection/vwworker"
+	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
+	"vanillawind.example/vanillawind/internal/request/vwrun"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwresource"
+	"vanillawind.example/vanillawind/pkg/vwunit"
+)
+
+// runnerTiming is that of links on an installation whose callers come back after 1.3 s.
+var runnerTiming = vwlink.Timing{Ping: 125 * time.Millisecond, Silence: 500 * time.Millisecond}
+
+// oneCore is what each task of these tests needs; the worker has room for four.
+var oneCore = vwresource.Amount{CPU: 1000, Memory: vwunit.MiB}
+
+// recordingConn records what is sent over a link on which nothing comes.
+type recordingConn struct {
+	peer vwlink.Peer
+
+	mu   sync.Mutex
+	sent []vwmessage.Body
+}
+
+func (c *recordingConn) Peer() vwlink.Peer { return c.peer }
+
+func (c *recordingConn) Send(_ context.Context, envelope vwmessage.Envelope) error {
+	body, err := vwmessage.Open(envelope)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent = append(c.sent, body)
+	return err
+}
+
+func (c *recordingConn) Receive(context.Context) (vwmessage.Envelope, error) {
+	return vwmessage.Envelope{}, vwlink.ErrClosed
+}
+
+func (c *recordingConn) Close() error { return nil }
+
+// runnerFixture is an agent with a worker that grants leases, and links to entries that the test speaks for.
+type runnerFixture struct {
+	t      *testing.T
+	agent  *Agent
+	worker *vwworkertest.Worker
+}
+
+// withRunner runs check against an agent whose worker is announced and ready.
+func withRunner(t *testing.T, check func(t *testing.T, f *runnerFixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &runnerFixture{t: t, worker: vwworkertest.Make("w1")}
+		agent, err := Make(Options{
+			Settings:     Settings{Cluster: "c", Process: "agent", DataCentre: "a", Entries: []string{"e1"}},
+			MakeEndpoint: func(vwmessage.Hello) (Endpoint, error) { return noEndpoint{}, nil },
+			MakeLease:    MakeConfigLease,
+			Worker:       f.worker, Runs: vwrun.DefaultSettings(), Token: 1, Timing: runnerTiming,
+		})
+		require.NoError(t, err)
+		f.agent = agent
+		group := vwgroup.Make(t.Context())
+		group.Go(agent.Run)
+		f.announce(1, false)
+		f.setRules(1, "DataCentre.a = {} # test\n")
+		time.Sleep(time.Second)
+		check(t, f)
+		_ = group.Stop()
+		// Calls that the worker answers by itself end within its longest lease.
+		time.Sleep(3 * time.Second)
+	})
+}
+
+func (f *runnerFixture) announce(sequence uint64, draining bool) {
+	f.t.Helper()
+	require.NoError(f.t, f.agent.AnnounceWorker(f.t.Context(), WorkerOffer{
+		Life: f.worker.Life(), Sequence: sequence, Service: "pedidos",
+		Capacity: vwresource.Amount{CPU: 4000, Memory: vwunit.GiB}, Now: f.worker.Now(), Draining: draining,
+	}))
+}
+
+func (f *runnerFixture) setRules(version vwid.ConfigVersion, text string) {
+	f.t.Helper()
+	f.agent.do(func(now time.Time) {
+		require.NoError(f.t, f.agent.current.lease.Renew(now, &vwmessage.LeaseReply{Version: version, RemainingMilliseconds: 2000, Rules: []byte(text)}))
+	})
+}
+
+// entryLink is a link to an entry that the test speaks for.
+type entryLink struct {
+	fixture *runnerFixture
+	conn    *recordingConn
+	link    *link
+}
+
+// attach opens a link to an entry.
+func (f *runnerFixture) attach(process vwid.Process, incarnation vwid.Incarnation) *entryLink {
+	conn := &recordingConn{peer: vwlink.Peer{Process: process, Incarnation: incarnation}}
+	e := &entryLink{fixture: f, conn: conn}
+	f.agent.do(func(now time.Time) {
+		e.link = &link{registration: f.agent.current, entry: incarnation, session: vwlink.MakeSession(conn, nil)}
+		f.agent.runner.attach(now, e.link)
+	})
+	return e
+}
+
+// deliver hands a message of the entry to the agent, and what it has led to after a millisecond.
+func (e *entryLink) deliver(body vwmessage.Body) {
+	e.fixture.agent.post(&received{link: e.link, body: body, after: time.Now()})
+	time.Sleep(time.Millisecond)
+	synctest.Wait()
+}
+
+// run asks for the first tasks of a job.
+func (e *entryLink) run(job vwid.SubmissionID, tasks int, expected time.Duration) {
+	message := &vwmessage.Run{JobID: job, Team: "t", Needs: oneCore, Payload: []byte(`"x"`), ExpectedMicroseconds: expected.Microseconds(), EndWithinMilliseconds: 60_000}
+	for i := range tasks {
+		message.Tasks = append(message.Tasks, vwmessage.RunTask{Index: i, Attempt: 1})
+	}
+	e.deliver(message)
+}
+
+// ends returns the outcomes that the entry was told, by task of the job.
+func (e *entryLink) ends(job vwid.SubmissionID) map[int]vwrun.Outcome {
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	outcomes := map[int]vwrun.Outcome{}
+	for _, body := range e.conn.sent {
+		if end, ok := body.(*vwmessage.RunEnd); ok && end.Ref.JobID == job {
+			outcomes[end.Ref.Index] = vwrun.Outcome(end.Outcome)
+		}
+	}
+	return outcomes
+}
+
+// load returns the last word about room that the entry got.
+func (e *entryLink) load() (last vwmessage.Load) {
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	for _, body := range e.conn.sent {
+		switch body := body.(type) {
+		case *vwmessage.Resume:
+			last = body.Load
+		case *vwmessage.Load:
+			last = *body
+		case *vwmessage.RunEnd:
+			last = body.Load
+		}
+	}
+	return last
+}
+
+func (f *runnerFixture) starts(job vwid.SubmissionID, index int) int {
+	return f.worker.Starts(vwworker.Task{Job: job, Index: index})
+}
+
+// Tasks that fit must run and be told of, and the others be refused without a start: nobody else guards the room
+// of the worker.
+func TestRunnerStartsWhatFits(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		require.True(t, e.load().Accepting, e.load().Reason)
+		e.run("j", 6, 100*time.Millisecond)
+		require.Equal(t, map[int]vwrun.Outcome{4: vwrun.OutcomeRefused, 5: vwrun.OutcomeRefused}, e.ends("j"))
+		time.Sleep(200 * time.Millisecond)
+		ends := e.ends("j")
+		for i := range 4 {
+			require.Equal(t, vwrun.OutcomeDone, ends[i])
+			require.Equal(t, 1, f.starts("j", i))
+		}
+		require.Zero(t, f.starts("j", 4)+f.starts("j", 5), "a refused task was started")
+		require.Equal(t, vwresource.MilliCPU(4000), e.load().Free.CPU)
+	})
+}
+
+// A worker that leaves, and one whose data centre is out of service, must get nothing new.
+func TestRunnerRefusesWhatMayNotStart(t *testing.T) {
+	cases := map[string]func(f *runnerFixture){
+		"draining":       func(f *runnerFixture) { f.announce(2, true) },
+		"out of service": func(f *runnerFixture) { f.setRules(2, "DataCentre.a = {} # test\nOut.a = {} # test\n") },
+	}
+	for name, change := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				e := f.attach("e1", "e1-1")
+				change(f)
+				e.run("j", 1, 100*time.Millisecond)
+				require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeRefused}, e.ends("j"))
+				require.Zero(t, f.starts("j", 0))
+				require.False(t, e.load().Accepting)
+				require.NotEmpty(t, e.load().Reason)
+			})
+		})
+	}
+}
+
+// The runs of an entry whose link has ended must have stopped before its callers come back with the same job, and
+// go on when the entry is linked again in time.
+func TestRunsOfLostEntryStop(t *testing.T) {
+	cases := map[string]struct {
+		back    time.Duration
+		running int
+	}{
+		"back in time": {back: orphanGrace / 2, running: 2},
+		"gone":         {back: time.Second, running: 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				f.worker.RunTime = func(vwworker.Task) time.Duration { return 5 * time.Second }
+				e := f.attach("e1", "e1-1")
+				e.run("j", 2, 5*time.Second)
+				f.agent.do(func(now time.Time) { f.agent.runner.detach(now, e.link) })
+				time.Sleep(test.back)
+				f.attach("e1", "e1-1")
+				time.Sleep(time.Second)
+				require.Equal(t, test.running, f.worker.Running())
+			})
+		})
+	}
+}
+
+// Room that becomes free must be kept for the entry that waits for it, or the entry that gets news first would
+// take it again and again.
+func TestFreedRoomIsKept(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e1, e2 := f.attach("e1", "e1-1"), f.attach("e2", "e2-1")
+		e1.run("j", 4, 100*time.Millisecond)
+		e2.deliver(&vwmessage.Want{Tasks: 1, Needs: oneCore, WithinMilliseconds: 20})
+		time.Sleep(102 * time.Millisecond)
+		require.Equal(t, 0, f.worker.Running())
+		e1.run("k", 4, 100*time.Millisecond)
+		require.Equal(t, map[int]vwrun.Outcome{3: vwrun.OutcomeRefused}, e1.ends("k"))
+		e2.run("l", 1, 100*time.Millisecond)
+		require.Equal(t, 1, f.starts("l", 0))
+	})
+}
+
+// An agent that stood still between receiving tasks and handling them must not start them: the entry has taken them
+// for lost and runs them elsewhere, so that each would run twice at a time.
+func TestOverdueTasksAreNotStarted(t *testing.T) {
+	cases := map[string]struct {
+		stall  time.Duration
+		starts int
+	}{
+		"in time": {stall: runnerTiming.Silence - time.Millisecond, starts: 1},
+		"overdue": {stall: runnerTiming.Silence, starts: 0},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				e := f.attach("e1", "e1-1")
+				sent := time.Now()
+				time.Sleep(test.stall)
+				f.agent.post(&received{link: e.link, after: sent, body: &vwmessage.Run{
+					JobID: "j", Needs: oneCore, Tasks: []vwmessage.RunTask{{Index: 0, Attempt: 1}}, EndWithinMilliseconds: 1000,
+				}})
+				time.Sleep(20 * time.Millisecond)
+				require.Equal(t, test.starts, f.starts("j", 0))
+				require.Equal(t, test.starts == 0, e.link.session.Ended(), "the entry learns by the end of the link that nothing was started")
+			})
+		})
+	}
+}
