Show what logs tell about one request

The line about a job that is not complete names where its tasks were, how many workers could be used and the most room that any had. The command `follow` shows the lines of many logs that name an id, with what the processes involved noted about themselves around that time.

--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -28,6 +28,7 @@
 	makeStandIn,
 	makePlatform,
 	makeTimeline,
+	makeFollow,
 }
 
 const rootHelp = `vanillawind dispatches sub-second tasks where capacity is fixed and demand is bursty.
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -255,11 +255,21 @@
 	b.entry.signalIdle()
 }
 
-// log writes how a job has ended.
+// log writes how a job has ended, and of one that is not complete what decided it.
 func (b *bestEffort) log(now time.Time, job *vwplace.Job, answer *vwplace.Answer) {
-	b.entry.log.Info("job has ended", "job", string(job.ID), "team", string(job.Team), "tasks", job.Count, "estimate", job.Estimate.String(),
+	fields := []any{
+		"job", string(job.ID), "team", string(job.Team), "tasks", job.Count, "estimate", job.Estimate.String(),
 		"patience", (job.Deadline.Sub(now) + answer.Took).Round(time.Millisecond).String(), "outcome", answer.Outcome.String(), "verdict", answer.Verdict.String(), "reason", answer.Reason,
-		"waited", answer.Waited.String(), "took", answer.Took.String(), "version", uint64(b.entry.applied))
+		"waited", answer.Waited.String(), "took", answer.Took.String(), "version", uint64(b.entry.applied),
+	}
+	if answer.Outcome != vwplace.OutcomeCompleted {
+		unfinished := make([]string, 0, len(answer.Unfinished))
+		for _, part := range answer.Unfinished {
+			unfinished = append(unfinished, part.String())
+		}
+		fields = append(fields, "needs", job.Needs.String(), "unfinished", unfinished, "workers", answer.Workers, "room", answer.Room.String())
+	}
+	b.entry.log.Info("job has ended", fields...)
 }
 
 // tick ends jobs whose time is over and forgets old answers.
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -1,6 +1,7 @@
 package vwplace
 
 import (
+	"fmt"
 	"time"
 
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -73,6 +74,34 @@
 	// Waited is how long the first task waited to be sent, and Took the whole time here.
 	Waited time.Duration
 	Took   time.Duration
+	// Unfinished tells where the tasks were that had not ended; nil for a complete job.
+	Unfinished []Unfinished
+	// Workers is how many workers could be sent tasks, and Room the most of each resource that any of them had
+	// free. Both are set unless the job is complete.
+	Workers int
+	Room    vwresource.Amount
+}
+
+// Unfinished are tasks of a job that has ended before them.
+type Unfinished struct {
+	// Agent is the process that runs them, empty for those that waited.
+	Agent vwid.Process
+	Tasks int
+	// Linked tells whether there was a link to the agent.
+	Linked bool
+	// Longest is the time since the first of them was sent.
+	Longest time.Duration
+}
+
+// String returns the text for logs.
+func (u Unfinished) String() string {
+	switch {
+	case u.Agent == "":
+		return fmt.Sprintf("%d waiting", u.Tasks)
+	case !u.Linked:
+		return fmt.Sprintf("%d at %s without a link, sent %v ago", u.Tasks, u.Agent, u.Longest.Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%d at %s, sent %v ago", u.Tasks, u.Agent, u.Longest.Round(time.Millisecond))
 }
 
 // taskState is where a task is.
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -8,6 +8,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwresource"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -201,6 +202,10 @@
 	if j.begun() {
 		answer.Waited = j.offered.Sub(j.arrived)
 	}
+	if outcome != OutcomeCompleted {
+		answer.Unfinished = j.unfinished(now)
+		answer.Workers, answer.Room = q.Workers(), larger(q.mostFree(), vwresource.Amount{})
+	}
 	q.answers = append(q.answers, answer)
 	j.ended = true
 	delete(q.jobs, j.ID)
@@ -216,6 +221,28 @@
 	}
 }
 
+// unfinished returns where the tasks are that have not ended, those that wait first.
+func (j *job) unfinished(now time.Time) []Unfinished {
+	var found []Unfinished
+	if j.waiting > 0 {
+		found = append(found, Unfinished{Tasks: j.waiting})
+	}
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != taskSent || t.worker == nil {
+			continue
+		}
+		at := slices.IndexFunc(found, func(u Unfinished) bool { return u.Agent == t.worker.Process })
+		if at < 0 {
+			found = append(found, Unfinished{Agent: t.worker.Process, Linked: t.worker.linked})
+			at = len(found) - 1
+		}
+		found[at].Tasks++
+		found[at].Longest = max(found[at].Longest, now.Sub(t.sent))
+	}
+	return found
+}
+
 func verdictOf(outcome Outcome) vwverdict.Verdict {
 	switch outcome {
 	case OutcomeCompleted, OutcomeFailed:
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -229,3 +229,20 @@
 	require.Equal(t, OutcomeRefused, answer.Outcome)
 	require.Positive(t, answer.RetryAfter)
 }
+
+// Whoever asks why a job was not served must find in its answer where its tasks were, and what room there was.
+func TestAnswerTellsWhatDecidedIt(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 2)
+	f.submit(at(0), "j", 3, func(j *Job) { j.Deadline = at(time.Second) })
+	require.Len(t, f.dispatch(at(0)), 2)
+	f.queue.Close(at(200*time.Millisecond), "w1")
+	f.queue.Tick(at(time.Second))
+	answer := f.answer()
+	require.Equal(t, OutcomeGivenUp, answer.Outcome)
+	require.Equal(t, []Unfinished{{Tasks: 1}, {Agent: "side-w1", Tasks: 2, Longest: time.Second}}, answer.Unfinished)
+	require.Equal(t, "1 waiting", answer.Unfinished[0].String())
+	require.Equal(t, "2 at side-w1 without a link, sent 1s ago", answer.Unfinished[1].String())
+	require.Zero(t, answer.Workers)
+	require.Equal(t, vwresource.Amount{}, answer.Room)
+}
