Ask for the list anew when an end is due and no answer comes

Cause: one order for the list is under way at a time, and one that is lost holds up the ends of all runs for 245 ms and makes the worker look silent. Change: after 40 ms without a list while an end is due, another order asks at once, and an order that is lost amid answered ones is no miss. Tests fail without it.

--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -118,6 +118,10 @@
 	switch {
 	case vwworker.IsRejected(err, vwworker.Fenced):
 		b.raiseToken(order.Token)
+	case err != nil && b.heard.After(sent.Sent):
+		// The worker has answered since, so this order or its answer is lost and no more.
+		b.logger.Info("list was not answered", "worker", string(b.life.ID), "error", err.Error())
+		b.hurry = true
 	case err != nil:
 		b.miss(now, err)
 	case report.Born > b.life.Born:
@@ -165,6 +169,7 @@
 		b.postpone(now)
 		return
 	}
+	b.listed = now
 	b.syncWait = 0
 	b.nextSync = now.Add(foreignInterval)
 	b.acknowledged = max(b.acknowledged, order.Seen)
--- a/internal/request/vwrun/book.go
+++ b/internal/request/vwrun/book.go
@@ -88,8 +88,8 @@
 	reported vwworker.Clock
 
 	holding, looking, hurry bool
-	// heard is when the worker last answered.
-	heard time.Time
+	// heard is when the worker last answered, and listed when it last sent its list.
+	heard, listed time.Time
 	// misses counts the unanswered holds in a row.
 	misses   int
 	nextSync time.Time
@@ -255,6 +255,7 @@
 		b.orderStop(now, id, s)
 	}
 	b.checkLapse(now)
+	b.checkQuiet(now)
 	b.numbers.expire(now)
 	for id, at := range b.over {
 		if now.Sub(at) > overLife {
@@ -263,6 +264,20 @@
 	}
 }
 
+// checkQuiet asks for the list anew when an end is due and no answer has come for a while: the order that waits for
+// it may be lost.
+func (b *Book) checkQuiet(now time.Time) {
+	if !b.holding || now.Sub(b.listed) < b.settings.Quiet {
+		return
+	}
+	for _, r := range b.runs {
+		if due := r.sent.Add(r.spec.Expected); due.After(b.listed) && !now.Before(due) {
+			b.hurry = true
+			return
+		}
+	}
+}
+
 // checkLapse settles the runs of a worker that has not been heard of until its lease has certainly ended.
 func (b *Book) checkLapse(now time.Time) {
 	switch {
--- a/internal/request/vwrun/book_test.go
+++ b/internal/request/vwrun/book_test.go
@@ -126,6 +126,31 @@
 	}
 }
 
+// An end must not wait for the time-out of an order for the list that was lost, nor must the worker be taken for
+// silent while it answers other orders.
+func TestLostListIsAskedForAgain(t *testing.T) {
+	for name, fault := range map[string]vwworkertest.Fault{"order": {Dropped: true}, "answer": {Lost: true}} {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+				w.RunTime = func(vwworker.Task) time.Duration { return 60 * time.Millisecond }
+				faultOnce(w, "hold", fault)
+				d.do(func(now time.Time) {
+					task := vwworker.Task{Job: "a"}
+					w.Needs(task, small)
+					require.NoError(t, d.book.Start(now, Spec{Task: task, Attempt: 1, Owner: "e", Needs: small, Expected: 60 * time.Millisecond}))
+				})
+				settings := DefaultSettings()
+				time.Sleep(60*time.Millisecond + settings.Quiet + 30*time.Millisecond)
+				require.Equal(t, []Outcome{OutcomeDone}, d.outcomes("a"))
+				for range 10 {
+					time.Sleep(settings.Renew / 4)
+					require.True(t, d.ready(), "the worker has answered since")
+				}
+			})
+		})
+	}
+}
+
 // A stop whose orders are lost must still end the run, at the latest with the lease.
 func TestLostStops(t *testing.T) {
 	cases := map[string]struct {
--- a/internal/request/vwrun/settings.go
+++ b/internal/request/vwrun/settings.go
@@ -15,6 +15,9 @@
 	Renew time.Duration
 	// Answer is how long an order may take, beside the wait that it asks for, before it counts as unanswered.
 	Answer time.Duration
+	// Quiet is how long an order for the list may be without an answer while an end is due, before another one
+	// asks for the list at once. An answer takes a few milliseconds, and ends that wait for it hold up callers.
+	Quiet time.Duration
 	// Stop is how long the end of a stopped run may take. After that the lease is no longer extended until
 	// the run has ended, so that a lost stop order cannot leave a run behind.
 	Stop time.Duration
@@ -29,6 +32,7 @@
 		Lease:  500 * time.Millisecond,
 		Renew:  125 * time.Millisecond,
 		Answer: 120 * time.Millisecond,
+		Quiet:  40 * time.Millisecond,
 		Stop:   100 * time.Millisecond,
 		Drift:  0.02,
 	}
@@ -37,8 +41,8 @@
 // Check returns an error when one lost order would end the lease.
 func (s Settings) Check() error {
 	switch {
-	case s.Renew <= 0 || s.Answer <= 0 || s.Stop <= 0:
-		return trace.BadParameter("Renew, Answer and Stop must be positive")
+	case s.Renew <= 0 || s.Answer <= 0 || s.Quiet <= 0 || s.Stop <= 0:
+		return trace.BadParameter("Renew, Answer, Quiet and Stop must be positive")
 	case s.Lease < 2*(s.Renew+s.Answer):
 		return trace.BadParameter("the lease (%v) must outlast two orders of %v each", s.Lease, s.Renew+s.Answer)
 	case s.Drift < 0 || s.Drift >= 0.5:
