Eject workers whose runs hang, and leave out those too slow to be of use

Cause: a worker that hangs keeps its slots until the callers leave and then takes the next tasks; a slow one gets tasks that can only end too late. Change: a run that the worker still lists after four times its expected time counts against the worker, once for each job; two in a row eject, and what hangs is stopped so that it runs elsewhere. Entries send no task where it would end too late. A measured slowdown fades when nothing confirms it.

--- a/internal/process/vwagent/health.go
+++ b/internal/process/vwagent/health.go
@@ -1,6 +1,7 @@
 package vwagent
 
 import (
+	"math"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/request/vwrun"
@@ -11,6 +12,9 @@
 	// eject a sound worker.
 	failureWeight = 0.15
 	ejectionRate  = 0.5
+	// overdueWeight is the weight of a job whose runs hang or go on far too long. Two jobs in a row eject: each
+	// shows only after several times its run time.
+	overdueWeight = 0.3
 	// The first ejection lasts firstEjection; each further one that follows a failed return lasts twice as
 	// long, up to longestEjection.
 	firstEjection   = 500 * time.Millisecond
@@ -21,6 +25,10 @@
 	slowdownWeight = 0.2
 	// maxSlowdown bounds what one run says.
 	maxSlowdown = 10
+	// A measured slowdown holds for slowdownHolds after the last run and fades with slowdownFades then. Entries
+	// avoid a slow worker, so that nothing else would show that it has recovered.
+	slowdownHolds = time.Second
+	slowdownFades = 2 * time.Second
 )
 
 // health follows whether a worker fails what it runs, and how long it takes.
@@ -33,6 +41,8 @@
 	probes int
 	// slow is the moving mean of actual to expected run times, zero before the first run.
 	slow float64
+	// measured is when a run last told.
+	measured time.Time
 }
 
 func (h *health) isEjected(now time.Time) bool {
@@ -45,41 +55,57 @@
 }
 
 // slowdown returns how much longer than expected runs take, 1 before the first one.
-func (h *health) slowdown() float64 {
+func (h *health) slowdown(now time.Time) float64 {
 	if h.slow == 0 {
 		return 1
 	}
-	return h.slow
+	age := max(now.Sub(h.measured)-slowdownHolds, 0)
+	return 1 + (h.slow-1)*math.Exp(-age.Seconds()/slowdownFades.Seconds())
 }
 
 // take takes the end of a run.
 func (h *health) take(now time.Time, result *vwrun.Result) {
-	switch result.Outcome {
-	case vwrun.OutcomeDone:
-		h.rate -= failureWeight * h.rate
-		h.probes = max(0, h.probes-1)
-		if h.probes == 0 {
-			h.period = 0
+	switch {
+	case result.Outcome == vwrun.OutcomeDone:
+		h.takeTime(now, result)
+		if !result.Overdue {
+			h.succeed()
 		}
-		h.takeTime(result)
-	case vwrun.OutcomeFailed:
-		h.rate += failureWeight * (1 - h.rate)
-		if h.rate > ejectionRate || h.probes > 0 {
-			h.eject(now)
-		}
-	default:
+	case result.Outcome == vwrun.OutcomeFailed:
+		h.fail(now, failureWeight)
+	}
+}
+
+// takeOverdue takes that runs of so many jobs go on far longer than expected.
+func (h *health) takeOverdue(now time.Time, jobs int) {
+	for range jobs {
+		h.fail(now, overdueWeight)
+	}
+}
+
+func (h *health) succeed() {
+	h.rate -= failureWeight * h.rate
+	h.probes = max(0, h.probes-1)
+	if h.probes == 0 {
+		h.period = 0
+	}
+}
+
+func (h *health) fail(now time.Time, weight float64) {
+	h.rate += weight * (1 - h.rate)
+	if h.rate > ejectionRate || h.probes > 0 && !h.isEjected(now) {
+		h.eject(now)
 	}
 }
 
-func (h *health) takeTime(result *vwrun.Result) {
+func (h *health) takeTime(now time.Time, result *vwrun.Result) {
 	if result.Spec.Expected <= 0 {
 		return
 	}
 	ratio := min(float64(result.Ran)/float64(result.Spec.Expected), maxSlowdown)
-	if h.slow == 0 {
-		h.slow = 1
-	}
+	h.slow = h.slowdown(now)
 	h.slow += slowdownWeight * (ratio - h.slow)
+	h.measured = now
 }
 
 func (h *health) eject(now time.Time) {
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -249,7 +249,7 @@
 
 // load returns what an entry may use now.
 func (r *runner) load(now time.Time, o *owner, entry vwid.Incarnation) vwmessage.Load {
-	load := vwmessage.Load{Received: o.received, Slowdown: r.health.slowdown()}
+	load := vwmessage.Load{Received: o.received, Slowdown: r.health.slowdown(now)}
 	load.Reason = r.gate(now)
 	load.Accepting = load.Reason == ""
 	if load.Accepting {
@@ -430,6 +430,7 @@
 // tick does what is due by time.
 func (r *runner) tick(now time.Time) {
 	r.book.Tick(now)
+	r.checkOverdue(now)
 	for entry, o := range r.owners {
 		switch {
 		case o.link != nil || o.lostAt.IsZero():
@@ -441,6 +442,21 @@
 	}
 }
 
+// checkOverdue ejects a worker whose runs hang or go on far too long, and stops these, so that the tasks can run
+// elsewhere. A single job may be longer than its caller expects, and goes on.
+func (r *runner) checkOverdue(now time.Time) {
+	if jobs := r.book.TakeOverdue(); jobs > 0 {
+		ejected := r.health.isEjected(now)
+		r.health.takeOverdue(now, jobs)
+		if !ejected && r.health.isEjected(now) {
+			r.agent.logger.Warn("worker is ejected, because its runs do not end", "Worker", string(r.offer.Life.ID), "Until", r.health.until.Sub(now).String())
+		}
+	}
+	if r.health.isEjected(now) {
+		r.book.StopOverdue(now, "the worker does not end what it runs")
+	}
+}
+
 // idle reports whether nothing runs that a planned stop has to wait for.
 func (r *runner) idle() bool {
 	return r.book.Len() == 0
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -175,6 +175,13 @@
 	return useful.Add(-j.expected)
 }
 
+// canEndAt reports whether a task that starts now could end while the answer is of use, at a worker where it takes
+// so many times as long as usual.
+func (j *job) canEndAt(now time.Time, cost float64) bool {
+	longer := time.Duration(float64(j.expected) * (cost - 1))
+	return !now.Add(max(longer, 0)).After(j.latestStart())
+}
+
 // begun tells that tasks of the job were sent.
 func (j *job) begun() bool {
 	return !j.offered.IsZero()
--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -87,6 +87,9 @@
 		if remote {
 			cost *= max(q.settings.RemoteFactor, 1)
 		}
+		if !j.canEndAt(now, cost) {
+			continue
+		}
 		found = append(found, candidate{worker: w, room: room, cost: cost, score: q.score(w)})
 	}
 	slices.SortFunc(found, func(a, b candidate) int { return compareCandidates(&a, &b) })
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -246,3 +246,26 @@
 	require.Zero(t, answer.Workers)
 	require.Equal(t, vwresource.Amount{}, answer.Room)
 }
+
+// A task must not be sent to a worker that is so slow that its end would come too late to be of use.
+func TestSlowWorkersAreLeftOut(t *testing.T) {
+	cases := map[string]struct {
+		slowdown float64
+		sent     int
+	}{
+		// The objective is 220 ms, and an answer after three times that is of no use.
+		"usual":         {1, 1},
+		"late":          {5, 1},
+		"of no use":     {8, 0},
+		"faster":        {0.5, 1},
+		"at the border": {6.5, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := makeFixture(t)
+			f.open(at(0), "w1", 4, func(_ *Worker, resume *vwmessage.Resume) { resume.Load.Slowdown = c.slowdown })
+			f.submit(at(0), "j", 1)
+			require.Len(t, f.dispatch(at(0)), c.sent)
+		})
+	}
+}
--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -226,6 +226,9 @@
 		delete(b.foreign, ended.Run)
 		return
 	}
+	if ended.How == vwworker.Done || ended.How == vwworker.Failed {
+		b.ended = now
+	}
 	switch {
 	case ended.How == vwworker.Done:
 		b.settle(now, r, OutcomeDone, vwverdict.Ran, "")
@@ -244,6 +247,7 @@
 	switch {
 	case listed:
 		r.confirm(at)
+		b.checkOverdue(r, at)
 	case r.confirmed && at > r.confirmedAt:
 		b.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, "the worker no longer lists the run and tells no end")
 	case r.confirmed:
--- a/internal/request/vwrun/book.go
+++ b/internal/request/vwrun/book.go
@@ -87,6 +87,11 @@
 	// reported is the worker's clock at the newest list.
 	reported vwworker.Clock
 
+	// overdue counts the jobs with overdue runs that nobody has taken note of, and ended is when the worker last
+	// ended a run by itself.
+	overdue int
+	ended   time.Time
+
 	holding, looking, hurry bool
 	// heard is when the worker last answered, and listed when it last sent its list.
 	heard, listed time.Time
@@ -346,5 +351,5 @@
 func (b *Book) settle(now time.Time, r *run, outcome Outcome, verdict vwverdict.Verdict, reason string) {
 	delete(b.runs, r.spec.Task)
 	b.used = b.used.Minus(r.spec.Needs)
-	b.results = append(b.results, Result{Spec: r.spec, Outcome: outcome, Verdict: verdict, Reason: reason, Ran: now.Sub(r.sent)})
+	b.results = append(b.results, Result{Spec: r.spec, Outcome: outcome, Verdict: verdict, Reason: reason, Ran: now.Sub(r.sent), Overdue: r.overdue})
 }
--- /dev/null
+++ b/internal/request/vwrun/overdue_test.go
@@ -0,0 +1,100 @@
+package vwrun
+
+import (
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwworker"
+	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
+	"vanillawind.example/vanillawind/pkg/vwid"
+)
+
+// startExpecting starts tasks of a job that are expected to run for 50 ms.
+func (d *driver) startExpecting(t *testing.T, job vwid.SubmissionID, tasks int) {
+	t.Helper()
+	d.do(func(now time.Time) {
+		for i := range tasks {
+			task := vwworker.Task{Job: job, Index: i}
+			d.worker.Needs(task, small)
+			require.NoError(t, d.book.Start(now, Spec{Task: task, Attempt: 1, Owner: "e", Needs: small, Expected: 50 * time.Millisecond}))
+		}
+	})
+}
+
+// Runs that hang must be noticed, once for each job, and end when they are stopped. Runs that are merely longer than
+// expected must not.
+func TestOverdueRuns(t *testing.T) {
+	cases := map[string]struct {
+		run  time.Duration
+		want int
+	}{
+		"hangs":       {time.Hour, 2},
+		"three times": {150 * time.Millisecond, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+				w.RunTime = func(vwworker.Task) time.Duration { return c.run }
+				d.startExpecting(t, "a", 3)
+				d.startExpecting(t, "b", 1)
+				time.Sleep(600 * time.Millisecond)
+				d.do(func(now time.Time) {
+					require.Equal(t, c.want, d.book.TakeOverdue())
+					require.Zero(t, d.book.TakeOverdue())
+					d.book.StopOverdue(now, "test")
+				})
+				time.Sleep(100 * time.Millisecond)
+				require.Zero(t, w.Running())
+				if c.want > 0 {
+					require.Equal(t, []Outcome{OutcomeStopped, OutcomeStopped, OutcomeStopped}, d.outcomes("a"))
+				}
+			})
+		})
+	}
+}
+
+// A worker that is only slow must go on with what it runs, as the work that it has done would be lost.
+func TestSlowRunsGoOn(t *testing.T) {
+	on(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(task vwworker.Task) time.Duration {
+			if task.Job == "short" {
+				return 100 * time.Millisecond
+			}
+			return 550 * time.Millisecond
+		}
+		d.startExpecting(t, "a", 1)
+		d.startExpecting(t, "short", 1)
+		time.Sleep(450 * time.Millisecond)
+		d.do(func(now time.Time) {
+			require.Equal(t, 1, d.book.TakeOverdue())
+			d.book.StopOverdue(now, "test")
+		})
+		time.Sleep(150 * time.Millisecond)
+		require.Equal(t, []Outcome{OutcomeDone}, d.outcomes("a"))
+	})
+}
+
+// An agent that stood still must not take the worker for one that hangs: the list that it finds was made before.
+func TestStallIsNotOverdue(t *testing.T) {
+	begun := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
+	life := vwworker.Life{ID: "w", Born: 1}
+	b := Make(DefaultSettings(), 1, slog.New(slog.DiscardHandler))
+	b.Announce(begun, Offer{Life: life, Capacity: room, Now: 1000})
+	orders := b.TakeOrders(begun)
+	require.Len(t, orders, 1)
+	b.HoldAnswered(begun, orders[0], vwworker.Report{Answer: vwworker.Answer{Now: 1000}, Born: 1}, nil)
+	require.NoError(t, b.Start(begun, Spec{Task: vwworker.Task{Job: "a"}, Attempt: 1, Owner: "e", Needs: small, Expected: 50 * time.Millisecond}))
+	orders = b.TakeOrders(begun)
+	require.Len(t, orders, 2)
+	b.StartAnswered(begun, orders[0], vwworker.Answer{Now: 1001}, nil)
+	running := []vwworker.Run{orders[0].Start.Run}
+	woken := begun.Add(2 * time.Second)
+	b.HoldAnswered(woken, orders[1], vwworker.Report{Answer: vwworker.Answer{Now: 1010}, Born: 1, Running: running}, nil)
+	require.Zero(t, b.TakeOverdue())
+	orders = b.TakeOrders(woken)
+	b.HoldAnswered(woken, orders[0], vwworker.Report{Answer: vwworker.Answer{Now: 3010}, Born: 1, Running: running}, nil)
+	require.Equal(t, 1, b.TakeOverdue(), "a list that was made after the stall tells")
+}
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -35,6 +35,8 @@
 	Reason  string
 	// Ran is the time from the start order to the news of the end.
 	Ran time.Duration
+	// Overdue tells that the run took far longer than expected.
+	Overdue bool
 }
 
 // Outcome is how a run ended.
@@ -77,6 +79,7 @@
 	doubted bool
 	// renumbered counts the tries with higher numbers.
 	renumbered int
+	overdue    bool
 	stop       *stop
 }
 
--- a/internal/request/vwrun/settings.go
+++ b/internal/request/vwrun/settings.go
@@ -21,6 +21,10 @@
 	// Stop is how long the end of a stopped run may take. After that the lease is no longer extended until
 	// the run has ended, so that a lost stop order cannot leave a run behind.
 	Stop time.Duration
+	// A run is overdue when it goes on for OverdueFactor times its expected time and OverdueMargin more. On a calm
+	// day one run in ten thousand takes four times what was expected, most of them short ones.
+	OverdueFactor float64
+	OverdueMargin time.Duration
 	// Drift is by which share the worker's clock may be slower than the agent's.
 	Drift float64
 }
@@ -35,6 +39,9 @@
 		Quiet:  40 * time.Millisecond,
 		Stop:   100 * time.Millisecond,
 		Drift:  0.02,
+
+		OverdueFactor: 4,
+		OverdueMargin: 100 * time.Millisecond,
 	}
 }
 
@@ -45,6 +52,8 @@
 		return trace.BadParameter("Renew, Answer, Quiet and Stop must be positive")
 	case s.Lease < 2*(s.Renew+s.Answer):
 		return trace.BadParameter("the lease (%v) must outlast two orders of %v each", s.Lease, s.Renew+s.Answer)
+	case s.OverdueFactor < 1 || s.OverdueMargin < 0:
+		return trace.BadParameter("OverdueFactor must be at least 1 and OverdueMargin not negative")
 	case s.Drift < 0 || s.Drift >= 0.5:
 		return trace.BadParameter("the drift must be from 0 to 0.5, not %v", s.Drift)
 	}
