Elect a leader of control sooner after a restart

Cause: after a loss of all members nothing is served until one leads. Change: reads by quorum as a setting, under which no member has to refuse votes after a restart; and a pre-vote that led to nothing is repeated after a quarter to a half of the shortest timeout.

--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -44,6 +44,9 @@
 	Tick time.Duration
 	// Heartbeat is the interval of the leader's heartbeats.
 	Heartbeat time.Duration
+	// ReadsByQuorum lets a restarted member vote at once, at the price of a quorum round for each read; see
+	// vwraft.Settings.
+	ReadsByQuorum bool
 	// Election is the longest time for which a member waits for a leader before it stands for election;
 	// the shortest is half of it, and must be at least three heartbeats.
 	Election time.Duration
@@ -122,6 +125,7 @@
 func (s Settings) raft(self vwid.Member) vwraft.Settings {
 	settings := vwraft.DefaultSettings(self, s.Random)
 	settings.HeartbeatTicks = int(s.Heartbeat / s.Tick)
+	settings.ReadsByQuorum = s.ReadsByQuorum
 	settings.ElectionTicks = int(s.shortestElection() / s.Tick)
 	return settings
 }
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -25,6 +25,8 @@
 	// Heartbeat and Election are the times of vwsettings; zero takes the defaults of the log.
 	Heartbeat time.Duration
 	Election  time.Duration
+	// ReadsByQuorum makes elections after a restart of all members faster and reads slower; see vwcontrol.Settings.
+	ReadsByQuorum bool
 	// Registration is how long a registration outlasts its last renewal; zero takes the default.
 	Registration time.Duration
 	// Joins forbids the member to make a log; see vwcontrol.Settings.
@@ -77,7 +79,7 @@
 
 // apply sets what differs from the defaults. Two ticks are one Heartbeat.
 func (c MemberConfig) apply(settings *vwcontrol.Settings) {
-	settings.Joins = c.Joins
+	settings.Joins, settings.ReadsByQuorum = c.Joins, c.ReadsByQuorum
 	if c.Registration > 0 {
 		settings.Registration = c.Registration
 	}
--- a/internal/process/vwraft/election.go
+++ b/internal/process/vwraft/election.go
@@ -61,6 +61,7 @@
 	granted := free && n.log.upToDate(m.Index, m.LogTerm)
 	if granted {
 		n.vote = m.From
+		// The candidate gets the time to win and to be heard of.
 		n.resetTimer()
 	}
 	n.sendAfterSync(Message{Kind: MessageVoteReply, To: m.From, Reject: !granted})
@@ -89,6 +90,9 @@
 		n.elect()
 	case won == 1:
 		n.becomeLeader()
+	case lost == 1 && n.role == RolePreCandidate:
+		n.becomeFollower(n.term, "")
+		n.retrySoon()
 	case lost == 1:
 		n.becomeFollower(n.term, "")
 	}
--- a/internal/process/vwraft/node.go
+++ b/internal/process/vwraft/node.go
@@ -39,8 +39,8 @@
 	tick            uint64
 	elapsed         int
 	electionTimeout int
-	// sinceLeader counts the ticks since the last message from a leader. A new Node starts with
-	// zero, because it may have answered a leader just before a restart.
+	// sinceLeader counts the ticks since the last message from a leader. Unless reads go by quorum a new
+	// Node starts with zero, because it may have answered a leader just before a restart.
 	sinceLeader int
 	votes       map[vwid.Member]ballot
 	transferred bool
@@ -84,6 +84,12 @@
 		vote:      hard.Vote,
 		savedHard: hard,
 	}
+	if settings.ReadsByQuorum {
+		// No leader relies on what this member answered before it restarted.
+		n.sinceLeader = settings.ElectionTicks
+		n.retrySoon()
+		return n, nil
+	}
 	n.resetTimer()
 	return n, nil
 }
@@ -136,7 +142,7 @@
 		return
 	}
 	if n.elapsed >= n.electionTimeout {
-		n.resetTimer()
+		n.retrySoon()
 		n.campaign(false)
 	}
 }
@@ -187,11 +193,19 @@
 	return Voter{Member: n.leader}
 }
 
+// resetTimer begins an election timeout, drawn so that members seldom stand for election at the same time.
 func (n *Node) resetTimer() {
 	n.elapsed = 0
 	n.electionTimeout = n.settings.ElectionTicks + n.random.IntN(n.settings.ElectionTicks)
 }
 
+// retrySoon begins the shorter timeout of a member whose pre-vote leads to nothing. After an election that nobody
+// won it would lead to the next one at once, so that takes the usual timeout.
+func (n *Node) retrySoon() {
+	n.elapsed = 0
+	n.electionTimeout = n.settings.retryTicks() + n.random.IntN(n.settings.retryTicks()+1)
+}
+
 func (n *Node) becomeFollower(term Term, leader vwid.Member) {
 	if n.role == RoleLeader {
 		// The lease that this member could rely on ends with its leadership, so it may vote at once.
--- a/internal/process/vwraft/node_test.go
+++ b/internal/process/vwraft/node_test.go
@@ -100,11 +100,14 @@
 // keep elections, conflicts and crashes frequent.
 func TestSchedules(t *testing.T) {
 	for _, size := range []int{3, 5} {
-		for seed := range uint64(scheduleCount) {
+		for seed := range uint64(2 * scheduleCount) {
+			// The second half of the seeds reads by quorum.
+			byQuorum := seed >= scheduleCount
 			t.Run(fmt.Sprintf("size %d seed %d", size, seed), func(t *testing.T) {
 				c := makeCluster(t, size, seed)
 				c.tune = func(s *vwraft.Settings) {
 					s.Trailing, s.CaughtUp, s.ElectionTicks, s.HeartbeatTicks, s.MaxInflight = 4, 4, 4, 1, 3
+					s.ReadsByQuorum = byQuorum
 				}
 				for _, member := range c.members() {
 					c.start(member)
@@ -350,3 +353,76 @@
 	_, _, err = c.nodes[leader].Propose(make([]byte, 90))
 	require.ErrorIs(t, err, vwraft.ErrBusy)
 }
+
+// restartAll crashes all members and starts the named ones.
+func (c *cluster) restartAll(started ...vwid.Member) {
+	for _, member := range c.members() {
+		c.crash(member)
+	}
+	c.network = nil
+	for _, member := range started {
+		c.start(member)
+	}
+}
+
+// Nothing is served after a restart of all members until one leads, so that must not wait for a lease that nobody
+// relies on.
+func TestRestartOfAllElectsQuickly(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		c := makeCluster(t, 5, seed)
+		c.tune = func(s *vwraft.Settings) { s.ReadsByQuorum = true }
+		c.leader()
+		c.restartAll("m0", "m1", "m2", "m3", "m4")
+		election := vwraft.DefaultSettings("m0", rand.NewPCG(1, 1)).ElectionTicks
+		for ticks := 1; ; ticks++ {
+			c.run(1)
+			if slices.ContainsFunc(c.members(), func(m vwid.Member) bool { return c.nodes[m].Status().TermCommitted }) {
+				break
+			}
+			require.Less(t, ticks, election)
+		}
+	})
+}
+
+// Members that wait for a majority must elect soon after the member that completes it is there.
+func TestMemberThatCompletesMajority(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		c := makeCluster(t, 5, seed)
+		c.tune = func(s *vwraft.Settings) { s.ReadsByQuorum = true }
+		c.leader()
+		c.restartAll("m0", "m1")
+		c.run(100)
+		c.start("m2")
+		election := vwraft.DefaultSettings("m0", rand.NewPCG(1, 1)).ElectionTicks
+		for ticks := 1; ; ticks++ {
+			c.run(1)
+			if slices.ContainsFunc(c.members(), func(m vwid.Member) bool { return c.nodes[m].Status().TermCommitted }) {
+				break
+			}
+			require.Less(t, ticks, 2*election, "not longer than one election timeout")
+		}
+	})
+}
+
+// A leader that reads by quorum has no lease, since restarted members vote without regard to one: a read at a leader
+// that was cut off must never be answered.
+func TestReadsByQuorumNeedOne(t *testing.T) {
+	seeds(t, func(t *testing.T, seed uint64) {
+		c := makeCluster(t, 3, seed)
+		c.tune = func(s *vwraft.Settings) { s.ReadsByQuorum = true }
+		c.restartAll("m0", "m1", "m2")
+		leader := c.leader()
+		require.False(t, c.nodes[leader].Leased())
+		c.isolate(leader, true)
+		require.NoError(t, c.nodes[leader].Read(1))
+		c.settle(leader, false)
+		c.run(3)
+		require.Empty(t, c.reads[leader])
+		c.isolate(leader, false)
+		leader = c.leader()
+		require.NoError(t, c.nodes[leader].Read(2))
+		c.settle(leader, false)
+		c.run(3)
+		require.NotEmpty(t, c.reads[leader])
+	})
+}
--- a/internal/process/vwraft/read.go
+++ b/internal/process/vwraft/read.go
@@ -27,7 +27,7 @@
 
 // Leased reports whether this leader can be sure, without a quorum round, that no other leader exists.
 func (n *Node) Leased() bool {
-	if n.role != RoleLeader || n.leaseless || !n.termCommitted() {
+	if n.settings.ReadsByQuorum || n.role != RoleLeader || n.leaseless || !n.termCommitted() {
 		return false
 	}
 	round := n.quorumRound()
--- a/internal/process/vwraft/settings.go
+++ b/internal/process/vwraft/settings.go
@@ -12,8 +12,13 @@
 type Settings struct {
 	Self vwid.Member
 	// ElectionTicks is the shortest election timeout; each timeout is drawn from [ElectionTicks, 2*ElectionTicks).
+	// A member that asks whether it could win, and could not, asks again after a quarter to a half of it.
 	// A member that heard from a leader refuses votes for ElectionTicks.
 	ElectionTicks int
+	// ReadsByQuorum makes each read wait for a quorum round. Without it the leader answers under a lease, for which
+	// a member that has just restarted must refuse votes for ElectionTicks, so that a restart of all members
+	// takes that much longer.
+	ReadsByQuorum bool
 	// HeartbeatTicks is the interval between heartbeats of the leader.
 	HeartbeatTicks int
 	// MaxBatchBytes bounds the entries of one append and the chunk of one snapshot message.
@@ -64,6 +69,12 @@
 	return nil
 }
 
+// retryTicks is the shortest time between two pre-votes of a member without a leader. They disturb nobody, and while
+// members come back one by one the first that can win should not wait.
+func (s Settings) retryTicks() int {
+	return max(s.ElectionTicks/4, 1)
+}
+
 // leaseTicks is how long after the start of a quorum round the leader may rely on it. Members
 // refuse votes for ElectionTicks, of which the position within a tick takes one; the rest of the
 // quarter covers clocks that run at different rates.
--- a/internal/process/vwraft/step.go
+++ b/internal/process/vwraft/step.go
@@ -75,6 +75,10 @@
 	n.leader = m.From
 	n.sinceLeader = 0
 	n.elapsed = 0
+	if n.electionTimeout < n.settings.ElectionTicks {
+		// The short timeout of a member without a leader would end between two heartbeats.
+		n.resetTimer()
+	}
 }
 
 func (n *Node) stepTimeoutNow() {
