Bound requests of clients as the configuration says

Header bytes and the time-outs of headers and idle connections were those of the program. They are now taken from the configuration when the port opens; the body's bound was already read for each request.

--- a/internal/process/vwprocess/service.go
+++ b/internal/process/vwprocess/service.go
@@ -19,10 +19,8 @@
 type Service struct {
 	Address string
 	Handler http.Handler
-	// HeaderBytes, HeaderTimeout and IdleTimeout bound requests; zero takes the defaults.
-	HeaderBytes   int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	// Bounds returns what bounds requests. It is asked once, when the service begins to listen. Nil means the defaults.
+	Bounds func() Bounds
 	// Connections bounds the open connections; further ones wait. Zero means no limit.
 	Connections int
 	// Serves tells whether the interface can be of use yet. Until it is, nothing listens, so that callers who find
@@ -30,6 +28,13 @@
 	Serves func() bool
 }
 
+// Bounds bound the requests of a service. Zero takes the default of each.
+type Bounds struct {
+	HeaderBytes   int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
 // serveInterval is how often a service that does not listen yet is asked again.
 const serveInterval = 5 * time.Millisecond
 
@@ -68,7 +73,9 @@
 		return trace.Wrap(err)
 	}
 	server.limit(config.Connections)
-	server.bound(config)
+	if config.Bounds != nil {
+		server.bound(config.Bounds())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
@@ -166,19 +173,19 @@
 	}
 }
 
-// bound sets the bounds of a service.
-func (s *webServer) bound(config *Service) {
+// bound sets the bounds of requests.
+func (s *webServer) bound(bounds Bounds) {
 	if s == nil {
 		return
 	}
-	if config.HeaderBytes > 0 {
-		s.server.MaxHeaderBytes = config.HeaderBytes
+	if bounds.HeaderBytes > 0 {
+		s.server.MaxHeaderBytes = bounds.HeaderBytes
 	}
-	if config.HeaderTimeout > 0 {
-		s.server.ReadHeaderTimeout = config.HeaderTimeout
+	if bounds.HeaderTimeout > 0 {
+		s.server.ReadHeaderTimeout = bounds.HeaderTimeout
 	}
-	if config.IdleTimeout > 0 {
-		s.server.IdleTimeout = config.IdleTimeout
+	if bounds.IdleTimeout > 0 {
+		s.server.IdleTimeout = bounds.IdleTimeout
 	}
 }
 
--- a/internal/process/vwprocess/service_test.go
+++ b/internal/process/vwprocess/service_test.go
@@ -6,6 +6,8 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -73,3 +75,39 @@
 	require.NoError(t, err)
 	require.NoError(t, again.Close())
 }
+
+// The bounds of requests must be those in force when the service begins to listen, and a client that is too slow or
+// sends too much must not hold a connection.
+func TestServiceBoundsRequests(t *testing.T) {
+	cases := map[string]struct {
+		request string
+		status  string
+	}{
+		"slow header":      {"GET / HTTP/1.1\r\nHost: x\r\n", ""},
+		"large header":     {"GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 16<<10) + "\r\n\r\n", "HTTP/1.1 431"},
+		"idle connection":  {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 404"},
+		"within the bound": {"GET / HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 1<<10) + "\r\n\r\n", "HTTP/1.1 404"},
+	}
+	services, err := listenServices([]Service{{
+		Address: "127.0.0.1:0", Handler: http.NotFoundHandler(),
+		Bounds: func() Bounds {
+			return Bounds{HeaderBytes: 4 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond}
+		},
+	}}, silent)
+	require.NoError(t, err)
+	services.start()
+	t.Cleanup(services.kill)
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", services.addresses()[0])
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte(c.request))
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+			answer, err := io.ReadAll(conn)
+			require.False(t, os.IsTimeout(err), "the connection stays open")
+			require.True(t, strings.HasPrefix(string(answer), c.status), "%s", answer)
+		})
+	}
+}
