Send nothing for a moment after an entry stood still

Cause: an entry that was frozen while connections of its clients broke would send their waiting tasks on waking, before it reads that they have gone, and the clients have sent the same jobs to other entries. Change: after a pause of the control loop of 250 ms or more nothing is sent for 100 ms.

--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -34,6 +34,7 @@
 	// answers are those of jobs that have ended lately, oldest the order in which they came.
 	answers map[vwid.SubmissionID]vwplace.Answer
 	oldest  []answered
+	stall   stallGuard
 }
 
 // effortCalls are the calls that wait for one job.
@@ -219,7 +220,10 @@
 	for _, answer := range b.queue.TakeAnswers() {
 		b.answer(now, answer)
 	}
-	if _, recent := b.entry.RecentRules(); !recent {
+	if stalled := b.stall.pass(now); stalled > 0 {
+		b.entry.log.Warn("entry stood still; tasks are sent after a pause", "stall", stalled.String(), "pause", stallPause.String())
+	}
+	if _, recent := b.entry.RecentRules(); !recent || b.stall.holds(now) {
 		return
 	}
 	sends := b.queue.Dispatch(now)
