Tell the caller that tasks may have run that an agent has forgotten

Cause: an agent forgets an entry 3 s after its link has ended, and how its runs ended. Change: such tasks may have run.

--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -215,7 +215,8 @@
 	}
 }
 
-// requeueUnheld lets the tasks wait again that the agent has not received.
+// requeueUnheld lets the tasks wait again that the agent does not hold. It may have received them: after a long pause
+// of this entry it has stopped or finished them and forgotten how they ended.
 func (q *Queue) requeueUnheld(w *worker, held []vwmessage.RunRef) {
 	known := make(map[vwmessage.RunRef]bool, len(held))
 	for _, ref := range held {
@@ -229,6 +230,7 @@
 			}
 			w.leave(j)
 			t.worker = nil
+			j.started = true
 			q.requeue(j, t)
 		}
 	}
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -252,6 +252,21 @@
 	require.Len(t, f.dispatch(at(20*time.Millisecond)), 2)
 }
 
+// An agent forgets an entry that was silent for long, and with it how its tasks ended. A job whose tasks it no longer
+// holds must not be refused as not run: they may be done.
+func TestForgottenTasksMayHaveRun(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 1)
+	f.submit(at(0), "j", 1, func(j *Job) { j.Deadline = at(time.Second) })
+	require.Len(t, f.dispatch(at(0)), 1)
+	f.queue.Close(at(500*time.Millisecond), "w1")
+	f.open(at(900*time.Millisecond), "w1", 1)
+	f.queue.Tick(at(time.Second))
+	answer := f.answer()
+	require.Equal(t, OutcomeGivenUp, answer.Outcome)
+	require.Equal(t, vwverdict.MayHaveRun, answer.Verdict)
+}
+
 // Whoever asks why a job was not served must find in its answer where its tasks were, and what room there was.
 func TestAnswerTellsWhatDecidedIt(t *testing.T) {
 	f := makeFixture(t)
