--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -228,9 +228,9 @@
 	after time.Time
 }
 
-// isOverdue reports whether the entry may have taken the message for lost. That happens to a process that stands
+// isStale reports whether the entry may have taken the message for lost. That happens to a process that stands
 // still between receiving a message and handling it.
-func (m *received) isOverdue(a *Agent, now time.Time) bool {
+func (m *received) isStale(a *Agent, now time.Time) bool {
 	return now.Sub(m.after) >= a.timing.Silence
 }
 
@@ -275,7 +275,7 @@
 	}
 	switch body := m.body.(type) {
 	case *vwmessage.Run:
-		if m.isOverdue(a, now) {
+		if m.isStale(a, now) {
 			a.logger.Warn("tasks are not started, because their entry may have sent them elsewhere", "Job", string(body.JobID),
 				"Tasks", len(body.Tasks), "Entry", string(m.link.entry), "Milliseconds", now.Sub(m.after).Milliseconds())
 			_ = m.link.session.Close()
