Never give up begun jobs by forecast

Cause: a task that comes back to the queue, refused by an agent or after the loss of a worker, put its job before the forecast for the first time, which could give it up although other tasks were running. Found by reading. Change: begun jobs are exempt; a test fails without it.

--- a/internal/process/vwplace/forecast.go
+++ b/internal/process/vwplace/forecast.go
@@ -11,7 +11,7 @@
 
 // refuseHopeless refuses jobs that have just come and would wait too long for room. A refusal at once lets the caller
 // go elsewhere; one that follows a wait helps nobody. The first job in the queue always waits: an entry of which
-// nothing runs cannot tell how long that takes.
+// nothing runs cannot tell how long that takes. A job that has begun waits too, as its work would be lost.
 func (q *Queue) refuseHopeless(now time.Time) {
 	if now.Before(q.joinedAt.Add(joinTime)) || !slices.ContainsFunc(q.waiting, func(j *job) bool { return !j.judged }) {
 		return
@@ -20,7 +20,7 @@
 	ahead := 0.0
 	for _, j := range slices.Clone(q.waiting) {
 		room := float64(j.waiting) * float64(j.Needs.CPU)
-		if !j.judged && ahead > 0 && ahead+room > turnover*j.allowedWait().Seconds() {
+		if !j.judged && !j.begun() && ahead > 0 && ahead+room > turnover*j.allowedWait().Seconds() {
 			q.giveUp(now, j, "more waits than can start in time")
 			continue
 		}
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -238,6 +238,21 @@
 	require.Equal(t, OutcomeRefused, f.answer().Outcome)
 }
 
+// A job that has begun must not be given up by forecast when a task of it comes back: what it has done would be lost.
+func TestForecastSparesBegunJobs(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(-time.Second), "w1", 2)
+	f.submit(at(0), "j0", 1)
+	f.submit(at(0), "j1", 1)
+	require.Len(t, f.dispatch(at(0)), 2)
+	for _, job := range []string{"j0", "j1"} {
+		require.True(t, f.finish(at(time.Millisecond), "w1", job, 0, 1, vwrun.OutcomeRefused))
+	}
+	f.queue.TakeLoad("w1", &vwmessage.Load{Accepting: true, Slowdown: 1, Received: 2})
+	require.Empty(t, f.dispatch(at(time.Millisecond)))
+	require.Empty(t, f.queue.TakeAnswers())
+}
+
 // No job may be refused by forecast while workers are being linked: right after a restart of everything nothing runs,
 // and all room is still to come.
 func TestNoForecastWhileWorkersJoin(t *testing.T) {
