Do not read the worker and the job outside of the control loop

Cause: the goroutine that waits for the reply to a fence read the worker's description and the job's epoch for the event log, while the loop replaced the description at a new link. Change: the values are taken in the loop.

--- a/internal/process/vwentry/event.go
+++ b/internal/process/vwentry/event.go
@@ -44,8 +44,8 @@
 	})
 }
 
-func (e *Entry) recordFence(kind vwevent.Kind, w *worker, j *job) {
-	e.record(vwevent.Event{Kind: kind, SubmissionID: j.SubmissionID, Epoch: j.Epoch(), Peer: w.Process})
+func (e *Entry) recordFence(kind vwevent.Kind, peer vwid.Process, fence *vwmessage.Fence) {
+	e.record(vwevent.Event{Kind: kind, SubmissionID: fence.SubmissionID, Epoch: fence.Epoch, Peer: peer})
 }
 
 func (e *Entry) recordSent(batch batch) {
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -209,9 +209,10 @@
 // fence asks for the start records of a job and delivers the reply to the loop. After a failure the
 // link ends, and its successor asks again.
 func (e *Entry) fence(w *worker, j *job, deliver func(*vwmessage.FenceReply)) {
-	session := w.session
-	e.recordFence(vwevent.FenceSent, w, j)
+	// The goroutine may touch neither the worker nor the job, which belong to the loop.
+	session, peer := w.session, w.Process
 	request := &vwmessage.Fence{SubmissionID: j.SubmissionID, Epoch: j.Epoch()}
+	e.recordFence(vwevent.FenceSent, peer, request)
 	e.group.Run(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, vwlink.DefaultTiming.Silence)
 		defer cancel()
@@ -220,7 +221,7 @@
 			_ = session.Close()
 			return
 		}
-		e.recordFence(vwevent.FenceReplyReceived, w, j)
+		e.recordFence(vwevent.FenceReplyReceived, peer, request)
 		e.post(func() { deliver(reply) })
 	})
 }
