Keep the bound on old rules for best-effort jobs in one place

Cause: entry and agent each had a constant of one minute with the same comment, and passed it to the lease; a change of one would have made them disagree. Change: vwlease owns the bound, IsRecent takes none, and a test holds it to a minute; it had no test before. Result: tests of vwlease, vwagent, vwentry and platform pass.

--- a/internal/process/vwagent/configlease.go
+++ b/internal/process/vwagent/configlease.go
@@ -40,8 +40,8 @@
 	return current.Rules(), current.IsFresh(now)
 }
 
-// RulesWithin implements Lease.
-func (l *configLease) RulesWithin(now time.Time, staleness time.Duration) (*vwrule.Rules, bool) {
+// RecentRules implements Lease.
+func (l *configLease) RecentRules(now time.Time) (*vwrule.Rules, bool) {
 	current := l.holder.Current()
-	return current.Rules(), current.IsRecent(now, staleness)
+	return current.Rules(), current.IsRecent(now)
 }
--- a/internal/process/vwagent/lease.go
+++ b/internal/process/vwagent/lease.go
@@ -16,6 +16,6 @@
 	Held() vwid.ConfigVersion
 	// Rules returns the rules of that version, and false when the lease is not fresh.
 	Rules(now time.Time) (*vwrule.Rules, bool)
-	// RulesWithin returns them and whether the lease is fresh or has ended no longer ago than staleness.
-	RulesWithin(now time.Time, staleness time.Duration) (*vwrule.Rules, bool)
+	// RecentRules returns them and whether best-effort jobs may run under them.
+	RecentRules(now time.Time) (*vwrule.Rules, bool)
 }
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -27,9 +27,6 @@
 	loadInterval = 50 * time.Millisecond
 	// loadStep is the part of the capacity by which free room must change to be told.
 	loadStep = 16
-	// staleness is how long after the end of a configuration lease best-effort jobs go on under its rules.
-	// While control is down, stopping all service would help nobody; the rules are then at most that old.
-	staleness = time.Minute
 )
 
 // WorkerOffer is what a worker that grants leases announces of itself.
@@ -244,7 +241,7 @@
 	if r.agent.current == nil {
 		return nil, false
 	}
-	return r.agent.current.lease.RulesWithin(now, staleness)
+	return r.agent.current.lease.RecentRules(now)
 }
 
 // load returns what an entry may use now.
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -16,14 +16,9 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
-const (
-	// staleness is how long after the end of the configuration lease best-effort jobs go on under its rules.
-	// While control is down, stopping all service would help nobody; the rules are then at most that old.
-	staleness = time.Minute
-	// answerLife is how long the answer of a best-effort job is kept for a caller that sends the job again
-	// although it was answered.
-	answerLife = 5 * time.Second
-)
+// answerLife is how long the answer of a best-effort job is kept for a caller that sends the job again although it
+// was answered.
+const answerLife = 5 * time.Second
 
 // bestEffort holds the jobs that are not stored. The loop owns it.
 type bestEffort struct {
@@ -85,7 +80,7 @@
 // It may be called from any goroutine.
 func (e *Entry) RecentRules() (*vwrule.Rules, bool) {
 	current := e.holder.Current()
-	return current.Rules(), current.IsRecent(time.Now(), staleness)
+	return current.Rules(), current.IsRecent(time.Now())
 }
 
 // ReadyForBestEffort reports whether the entry can run best-effort jobs, and otherwise why not.
--- a/internal/version/vwlease/grant.go
+++ b/internal/version/vwlease/grant.go
@@ -44,9 +44,13 @@
 	return now.Before(l.until)
 }
 
-// IsRecent reports whether the lease is fresh or has ended no longer ago than staleness. Version 0 is never
+// staleness is how long after the end of a configuration lease best-effort jobs go on under its rules. While control
+// is down, stopping all service would help nobody; the rules are then at most that old.
+const staleness = time.Minute
+
+// IsRecent reports whether best-effort jobs may run under the lease: it is fresh or ended lately. Version 0 is never
 // recent, since nothing was ever granted.
-func (l *Lease) IsRecent(now time.Time, staleness time.Duration) bool {
+func (l *Lease) IsRecent(now time.Time) bool {
 	return l.version > 0 && now.Before(l.until.Add(staleness))
 }
 
--- a/internal/version/vwlease/holder_test.go
+++ b/internal/version/vwlease/holder_test.go
@@ -57,6 +57,18 @@
 	require.False(t, h.Fresh(at(2000)))
 }
 
+// Best-effort jobs must go on for a minute without control and not longer, and never under rules that nobody granted.
+func TestBestEffortOutlastsLease(t *testing.T) {
+	h := Make(lease, interval)
+	renew(t, h, h.Request(at(0)), 0)
+	require.False(t, h.Current().IsRecent(at(1)), "version 0 was never granted")
+	renew(t, h, h.Request(at(500)), 1)
+	const end = 500 + 2000
+	require.False(t, h.Fresh(at(end)))
+	require.True(t, h.Current().IsRecent(at(end+59_999)))
+	require.False(t, h.Current().IsRecent(at(end+60_000)))
+}
+
 // A grant that is longer than the holder's own settings must not delay a change of the rules for longer.
 func TestLongGrantIsCut(t *testing.T) {
 	h := Make(lease, interval)
