Count best-effort jobs in the metrics of entries and agents

Cause: docs/OPERATIONS.md sends readers to tasks_waiting and workers_known, but best-effort jobs fed no counter, gauge or histogram: on the platform all were zero beside a process under full load. Change: their ends, refusals, waiting tasks, links, runs and times are counted where those of stored jobs are; jobs_refused_total is new.

--- a/internal/process/vwagent/gauge.go
+++ b/internal/process/vwagent/gauge.go
@@ -7,10 +7,10 @@
 
 // Gauges show the state of an agent after its last tick. Any goroutine may read them.
 type Gauges struct {
-	// Busy are the running tasks and Slots those that may run.
+	// Busy are the running tasks and Slots those that may run; a worker that grants leases has room instead of slots.
 	Busy  atomic.Int64
 	Slots atomic.Int64
-	// Present tells whether the backend server is announced and not leaving.
+	// Present tells whether the backend server or worker is announced and not leaving.
 	Present atomic.Bool
 	Links   atomic.Int64
 	Version atomic.Uint64
@@ -24,7 +24,7 @@
 }
 
 func (a *Agent) publish(now time.Time) {
-	a.gauges.Present.Store(a.backend.present && !a.backend.leaving)
+	a.gauges.Present.Store(a.backend.present && !a.backend.leaving || a.runner != nil && a.runner.isPresent())
 	r := a.current
 	if r == nil {
 		a.gauges.Fresh.Store(false)
@@ -33,7 +33,11 @@
 	_, fresh := r.recordLease(now)
 	a.gauges.Fresh.Store(fresh)
 	a.gauges.Version.Store(uint64(r.lease.Held()))
-	a.gauges.Busy.Store(int64(len(r.running)))
+	busy := len(r.running)
+	if a.runner != nil {
+		busy += a.runner.book.Len()
+	}
+	a.gauges.Busy.Store(int64(busy))
 	a.gauges.Slots.Store(int64(r.slots()))
 	a.gauges.Links.Store(int64(len(r.links)))
 }
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -330,6 +330,9 @@
 	kept := r.keep(now)
 	for _, result := range results {
 		r.agent.counters.Finished.Add(1)
+		if ran := r.agent.options.Observer.Ran; ran != nil && result.Outcome == vwrun.OutcomeDone {
+			ran(result.Ran)
+		}
 		r.finish(now, result)
 	}
 	r.tellLoads(now, kept)
@@ -454,6 +457,11 @@
 	}
 }
 
+// isPresent reports whether a worker is announced that answers and is not leaving.
+func (r *runner) isPresent() bool {
+	return r.book.IsReady() && !r.offer.Draining
+}
+
 // idle reports whether nothing runs that a planned stop has to wait for.
 func (r *runner) idle() bool {
 	return r.book.Len() == 0
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -10,6 +10,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
+	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
@@ -154,6 +155,9 @@
 			b.queue.TakeLoad(incarnation, message)
 		}
 	case *vwmessage.RunEnd:
+		if vwrun.Outcome(message.Outcome) == vwrun.OutcomeRefused {
+			b.entry.counters.Refused.Add(1)
+		}
 		if !known || !b.queue.TakeEnd(now, incarnation, message) {
 			b.entry.counters.Stray.Add(1)
 		}
@@ -247,7 +251,9 @@
 		call <- answer
 	}
 	b.log(now, &calls.job, &answer)
+	b.entry.counters.countBestEffort(answer.Outcome)
 	if answer.Outcome == vwplace.OutcomeCompleted || answer.Outcome == vwplace.OutcomeFailed {
+		observe(b.entry.observer.Answered, answer.Took)
 		b.answers[answer.JobID] = answer
 		b.oldest = append(b.oldest, answered{id: answer.JobID, at: now})
 	}
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"vanillawind.example/vanillawind/internal/process/vwplace"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 )
 
@@ -23,6 +24,8 @@
 	// Complete and Failed are ended jobs.
 	Complete atomic.Int64
 	Failed   atomic.Int64
+	// JobsRefused are best-effort jobs of which nothing ran.
+	JobsRefused atomic.Int64
 	// Takeovers are jobs taken over from another entry.
 	Takeovers atomic.Int64
 	// Retries are repeated attempts of idempotent requests.
@@ -34,6 +37,19 @@
 	return e.counters
 }
 
+// countBestEffort counts the end of a best-effort job. One whose caller has left is neither complete nor failed.
+func (c *Counters) countBestEffort(outcome vwplace.Outcome) {
+	switch outcome {
+	case vwplace.OutcomeCompleted:
+		c.Complete.Add(1)
+	case vwplace.OutcomeFailed, vwplace.OutcomeGivenUp:
+		c.Failed.Add(1)
+	case vwplace.OutcomeRefused:
+		c.JobsRefused.Add(1)
+	case vwplace.OutcomeCancelled:
+	}
+}
+
 func (c *Counters) countEnd(failure *vwjob.Failure) {
 	if failure != nil {
 		c.Failed.Add(1)
--- a/internal/process/vwentry/gauge.go
+++ b/internal/process/vwentry/gauge.go
@@ -28,8 +28,14 @@
 			open++
 		}
 	}
-	e.gauges.Active.Store(int64(e.active))
-	e.gauges.Waiting.Store(int64(e.queue.Waiting()))
+	for incarnation := range e.effort.sessions {
+		// An agent may serve both kinds of jobs over one link.
+		if w := e.workers[incarnation]; w == nil || w.session == nil {
+			open++
+		}
+	}
+	e.gauges.Active.Store(int64(e.active + e.effort.queue.Len()))
+	e.gauges.Waiting.Store(int64(e.queue.Waiting() + e.effort.queue.WaitingTasks()))
 	e.gauges.Workers.Store(int64(open))
 	e.gauges.Version.Store(uint64(e.applied))
 	e.gauges.Fresh.Store(e.holder.Fresh(now))
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -17,6 +17,7 @@
 func WatchEntry(m *Metrics, counters *vwentry.Counters) {
 	Watch(m, JobsComplete, counters.Complete.Load)
 	Watch(m, JobsFailed, counters.Failed.Load)
+	Watch(m, JobsRefused, counters.JobsRefused.Load)
 	Watch(m, TasksSent, counters.Starts.Load)
 	Watch(m, TasksRefused, counters.Refused.Load)
 	Watch(m, Takeovers, counters.Takeovers.Load)
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -134,6 +134,15 @@
 	return count
 }
 
+// WaitingTasks returns the number of tasks that wait to be sent.
+func (q *Queue) WaitingTasks() int {
+	count := 0
+	for _, j := range q.waiting {
+		count += j.waiting
+	}
+	return count
+}
+
 // SetOut says which data centres get no tasks.
 func (q *Queue) SetOut(out []vwid.DataCentre) {
 	clear(q.out)
