--- a/internal/process/vwkeys/file.go
+++ b/internal/process/vwkeys/file.go
@@ -97,7 +97,7 @@
 func readBlocks(path string) (bundle, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return bundle{}, trace.ConvertSystemError(err)
+		return bundle{}, explainAccess(path, err)
 	}
 	content, err := decodeBundle(text)
 	if err != nil {
