Let the processes of any user read the authority's key of the build

What callers saw: no service on any deployment; every process ended at every start. The platform gives each process a user of its own and a read-only view of the files; the build made target/keys with mode 0700 and its key with 0600, and the processes refused a key with another mode.

An authority now says who may read its key. For processes that issue their own certificates (platform roles) it may be all users: the folder has mode 0755 and the key 0644 whatever the umask, and no mode keeps such a process from its start. The commands keys issue and keys renew and the product's other roles go on to refuse an open key. Weighed and left: compiling the key into the program, which every user can read as well, and deriving it from the settings, which hold no secret.

TestDeployFileServesWhenProcessesRunAsAnotherUser failed before (control as uid 65534: permission denied) and passes: the deploy file's build line, moved, read-only, processes as uid 65534 answer a configuration, a job and their metrics, and stop gracefully.

--- a/internal/process/vwkeys/command.go
+++ b/internal/process/vwkeys/command.go
@@ -14,6 +14,8 @@
 // Command holds the operations of the command keys on one folder. Each writes what it did to Out.
 type Command struct {
 	Folder Folder
+	// Access is who may read the key of a new authority.
+	Access Access
 	Out    io.Writer
 }
 
@@ -28,16 +30,20 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := c.Folder.SaveAuthority(authority); err != nil {
+	if err := c.Folder.SaveAuthority(authority, c.Access); err != nil {
 		return trace.Wrap(err)
 	}
-	return c.printf("authority of cluster %s, valid until %s\nkeep secret: %s\ncopy to every process: %s\n",
-		cluster, formatTime(authority.certificate.NotAfter), c.Folder.path(AuthorityKeyFile), c.Folder.AuthorityFile())
+	advice := "keep secret"
+	if c.Access == AllUsers {
+		advice = "readable for all users; keep others out of its folder"
+	}
+	return c.printf("authority of cluster %s, valid until %s\n%s: %s\ncopy to every process: %s\n",
+		cluster, formatTime(authority.certificate.NotAfter), advice, c.Folder.path(AuthorityKeyFile), c.Folder.AuthorityFile())
 }
 
 // Issue makes the certificates of processes. It refuses to replace an existing one; Renew does that.
 func (c Command) Issue(processes ...vwid.Process) error {
-	authority, err := c.Folder.LoadAuthority()
+	authority, err := c.Folder.LoadAuthority(OwnerOnly)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -60,7 +66,7 @@
 
 // Renew replaces the certificates that have less than RenewBefore left, or all of them.
 func (c Command) Renew(all bool) error {
-	authority, err := c.Folder.LoadAuthority()
+	authority, err := c.Folder.LoadAuthority(OwnerOnly)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -69,7 +75,7 @@
 		return trace.Wrap(err)
 	}
 	for _, process := range processes {
-		content, err := readBundle(c.Folder.ProcessFile(process))
+		content, err := readBundle(c.Folder.ProcessFile(process), OwnerOnly)
 		if err != nil {
 			return trace.Wrap(err)
 		}
@@ -85,7 +91,7 @@
 
 // Show lists the certificates of the folder and says of each whether peers accept it.
 func (c Command) Show() error {
-	trusted, err := readBundle(c.Folder.AuthorityFile())
+	trusted, err := readBundle(c.Folder.AuthorityFile(), OwnerOnly)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -104,7 +110,7 @@
 		add("authority\t%s\t%s\t%s\n", clusterOf(authority), formatTime(authority.NotAfter), stateOf(authority.NotAfter))
 	}
 	for _, process := range processes {
-		content, err := readBundle(c.Folder.ProcessFile(process))
+		content, err := readBundle(c.Folder.ProcessFile(process), OwnerOnly)
 		if err != nil {
 			add("%s\t\t\t%v\n", process, trace.Unwrap(err))
 			continue
--- a/internal/process/vwkeys/file.go
+++ b/internal/process/vwkeys/file.go
@@ -15,13 +15,45 @@
 	blockCertificate = "CERTIFICATE"
 	blockKey         = "PRIVATE KEY"
 
-	modeDirectory os.FileMode = 0o700
-	modePublic    os.FileMode = 0o644
-	modeSecret    os.FileMode = 0o600
-	// modeOthers are the permissions that a file with a key must not have.
+	modePublic os.FileMode = 0o644
+	modeSecret os.FileMode = 0o600
+	// modeOthers are the permissions that a file with a key of one user must not have.
 	modeOthers os.FileMode = 0o077
 )
 
+// Access says which users of a machine may read private keys.
+type Access uint8
+
+const (
+	// OwnerOnly keeps private keys from all users but their owner.
+	OwnerOnly Access = iota
+	// AllUsers lets all users read private keys, for processes whose users are not known when the keys are made.
+	// What protects the keys then is who may read the folder.
+	AllUsers
+)
+
+// keyMode returns the mode of files with a private key.
+func (a Access) keyMode() os.FileMode {
+	if a == AllUsers {
+		return modePublic
+	}
+	return modeSecret
+}
+
+// folderMode returns the mode of the folder.
+func (a Access) folderMode() os.FileMode {
+	if a == AllUsers {
+		return 0o755
+	}
+	return 0o700
+}
+
+// allows reports whether a file with a private key may have a mode. Whoever can write a key for all users can
+// replace the program that reads it as well, so its mode protects nothing.
+func (a Access) allows(mode os.FileMode) bool {
+	return a == AllUsers || mode.Perm()&modeOthers == 0
+}
+
 // bundle is the content of one PEM file.
 type bundle struct {
 	certificates []*x509.Certificate
@@ -30,22 +62,22 @@
 
 // writeBundle replaces the file at path atomically. A process certificate and its key share one
 // file, so that a reader never sees a new certificate with an old key.
-func writeBundle(path string, content bundle) error {
+func writeBundle(path string, content bundle, access Access) error {
 	text, err := encodeBundle(content)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	mode := modePublic
 	if content.key != nil {
-		mode = modeSecret
+		mode = access.keyMode()
+	}
+	if err := os.MkdirAll(filepath.Dir(path), access.folderMode()); err != nil {
+		return trace.ConvertSystemError(err)
 	}
 	return trace.Wrap(replaceFile(path, text, mode))
 }
 
 func replaceFile(path string, text []byte, mode os.FileMode) error {
-	if err := os.MkdirAll(filepath.Dir(path), modeDirectory); err != nil {
-		return trace.ConvertSystemError(err)
-	}
 	// CreateTemp makes the file with mode 0600, so that the key is never readable by others.
 	file, err := os.CreateTemp(filepath.Dir(path), ".keys-*")
 	if err != nil {
@@ -76,8 +108,8 @@
 }
 
 // readBundle reads the certificates of a file, and the key if there is one.
-func readBundle(path string) (bundle, error) {
-	content, err := readBlocks(path)
+func readBundle(path string, access Access) (bundle, error) {
+	content, err := readBlocks(path, access)
 	if err == nil && len(content.certificates) == 0 {
 		err = trace.BadParameter("%s holds no certificate", path)
 	}
@@ -86,15 +118,15 @@
 
 // readKey reads the key of a file.
 func readKey(path string) (*ecdsa.PrivateKey, error) {
-	content, err := readBlocks(path)
+	content, err := readBlocks(path, OwnerOnly)
 	if err == nil && content.key == nil {
 		err = trace.BadParameter("%s holds no private key", path)
 	}
 	return content.key, err
 }
 
-// readBlocks refuses a file with a key that others than its owner may read.
-func readBlocks(path string) (bundle, error) {
+// readBlocks refuses a file with a key that is open to others than access allows.
+func readBlocks(path string, access Access) (bundle, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return bundle{}, explainAccess(path, err)
@@ -110,8 +142,8 @@
 	if err != nil {
 		return bundle{}, trace.ConvertSystemError(err)
 	}
-	if info.Mode().Perm()&modeOthers != 0 {
-		return bundle{}, trace.AccessDenied("%s holds a private key and has mode %04o; want 0600", path, info.Mode().Perm())
+	if !access.allows(info.Mode()) {
+		return bundle{}, trace.AccessDenied("%s holds a private key and has mode %04o; want %04o", path, info.Mode().Perm(), access.keyMode())
 	}
 	return content, nil
 }
--- a/internal/process/vwkeys/files.go
+++ b/internal/process/vwkeys/files.go
@@ -118,7 +118,7 @@
 }
 
 func (w *watched) load() (bundle, error) {
-	content, err := readBundle(w.path)
+	content, err := readBundle(w.path, OwnerOnly)
 	if err != nil || w.keyPath == "" || w.keyPath == w.path {
 		return content, err
 	}
--- a/internal/process/vwkeys/folder.go
+++ b/internal/process/vwkeys/folder.go
@@ -36,22 +36,33 @@
 
 // SaveAuthority writes the authority and refuses to replace one, because every certificate that
 // the existing one issued would become useless.
-func (f Folder) SaveAuthority(authority *Authority) error {
+func (f Folder) SaveAuthority(authority *Authority, access Access) error {
 	for _, name := range []string{AuthorityKeyFile, AuthorityFile} {
 		if _, err := os.Lstat(f.path(name)); !os.IsNotExist(err) {
 			return trace.AlreadyExists("%s exists; an authority is never replaced in place", f.path(name))
 		}
 	}
 	certificates := []*x509.Certificate{authority.certificate}
-	if err := writeBundle(f.path(AuthorityKeyFile), bundle{certificates: certificates, key: authority.key}); err != nil {
+	if err := writeBundle(f.path(AuthorityKeyFile), bundle{certificates: certificates, key: authority.key}, access); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(writeBundle(f.AuthorityFile(), bundle{certificates: certificates}))
+	if err := writeBundle(f.AuthorityFile(), bundle{certificates: certificates}, access); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(f.open(access))
+}
+
+// open gives an existing folder the mode of access whatever the umask and earlier releases made of it.
+func (f Folder) open(access Access) error {
+	if access != AllUsers {
+		return nil
+	}
+	return trace.ConvertSystemError(os.Chmod(string(f), access.folderMode()))
 }
 
 // LoadAuthority reads the authority with its key.
-func (f Folder) LoadAuthority() (*Authority, error) {
-	content, err := readBundle(f.path(AuthorityKeyFile))
+func (f Folder) LoadAuthority(access Access) (*Authority, error) {
+	content, err := readBundle(f.path(AuthorityKeyFile), access)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -74,7 +85,7 @@
 	if err := checkFileName(process); err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(writeBundle(f.ProcessFile(process), content))
+	return trace.Wrap(writeBundle(f.ProcessFile(process), content, OwnerOnly))
 }
 
 // Processes returns the names of the processes with a certificate in the folder.
--- a/internal/process/vwkeys/issuer.go
+++ b/internal/process/vwkeys/issuer.go
@@ -12,9 +12,9 @@
 // authority. The certificate is valid as long as the authority, so no jump of a clock matters while that is valid.
 //
 // Whoever can read the folder can pretend to be any process of the cluster. It is meant for installations that
-// give all processes the same files and nothing else.
+// give all processes the same files and nothing else, and run them as users who do not own these files.
 func OpenIssuing(folder Folder, process vwid.Process) (*Memory, error) {
-	authority, err := folder.LoadAuthority()
+	authority, err := folder.LoadAuthority(AllUsers)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
