--- a/cmd/vanillawind/keys_authority.go
+++ b/cmd/vanillawind/keys_authority.go
@@ -11,7 +11,8 @@
 )
 
 const keysAuthorityHelp = `Makes the certificate authority of a cluster. It refuses to replace one, because every certificate that the
-existing one issued would become useless; with --keep an existing one stays and the command succeeds.
+existing one issued would become useless; with --keep an existing one stays and the command succeeds. With --all-users
+as well, one whose key is missing or damaged is replaced, since no process could start with it.
 
 With --all-users every user of the machine may read the key. It is for processes that issue their own certificates
 and run as users who are not known when the keys are made.`
@@ -23,11 +24,7 @@
 			if allUsers {
 				command.Access = vwkeys.AllUsers
 			}
-			err := makeAuthority(command, vwid.Cluster(cluster), from)
-			if keep && trace.IsAlreadyExists(err) {
-				return nil
-			}
-			return err
+			return makeAuthority(command, vwid.Cluster(cluster), from, keep)
 		})
 	cmd.Flags().StringVar(&cluster, "cluster", "", "name of the cluster, as in the settings")
 	cmd.Flags().StringVar(&from, "from", "", "first day of its validity, like 2026-01-31, where clocks of processes may be far behind (default an hour ago)")
@@ -37,13 +34,17 @@
 	return cmd
 }
 
-func makeAuthority(command vwkeys.Command, cluster vwid.Cluster, from string) error {
-	if from == "" {
-		return command.MakeAuthority(cluster)
+func makeAuthority(command vwkeys.Command, cluster vwid.Cluster, from string, keep bool) error {
+	first := vwkeys.DefaultFirstDay()
+	if from != "" {
+		date, err := time.Parse(time.DateOnly, from)
+		if err != nil {
+			return trace.BadParameter("--from must be a day like 2026-01-31, not %q", from)
+		}
+		first = date
 	}
-	date, err := time.Parse(time.DateOnly, from)
-	if err != nil {
-		return trace.BadParameter("--from must be a day like 2026-01-31, not %q", from)
+	if keep {
+		return command.KeepAuthority(cluster, first)
 	}
-	return command.MakeAuthorityFrom(cluster, date)
+	return command.MakeAuthorityFrom(cluster, first)
 }
--- a/internal/process/vwkeys/authority.go
+++ b/internal/process/vwkeys/authority.go
@@ -38,7 +38,13 @@
 
 // MakeAuthority returns a new authority with its own key.
 func MakeAuthority(cluster vwid.Cluster) (*Authority, error) {
-	return MakeAuthorityFrom(cluster, time.Now().Add(-backdate))
+	return MakeAuthorityFrom(cluster, DefaultFirstDay())
+}
+
+// DefaultFirstDay returns from when on an authority that is made now is valid: somewhat earlier, for processes whose
+// clocks are behind.
+func DefaultFirstDay() time.Time {
+	return time.Now().Add(-backdate)
 }
 
 // MakeAuthorityFrom returns a new authority that is valid from a given time, for processes whose clocks may be
--- a/internal/process/vwkeys/command.go
+++ b/internal/process/vwkeys/command.go
@@ -21,7 +21,7 @@
 
 // MakeAuthority makes the authority of cluster.
 func (c Command) MakeAuthority(cluster vwid.Cluster) error {
-	return c.MakeAuthorityFrom(cluster, time.Now().Add(-backdate))
+	return c.MakeAuthorityFrom(cluster, DefaultFirstDay())
 }
 
 // MakeAuthorityFrom makes the authority of cluster, valid from a given time.
@@ -33,12 +33,49 @@
 	if err := c.Folder.SaveAuthority(authority, c.Access); err != nil {
 		return trace.Wrap(err)
 	}
+	return c.printAuthority(authority)
+}
+
+// KeepAuthority makes the authority of cluster unless the folder holds one. With AllUsers, where every process needs
+// the key, it mends the modes and a missing certificate, and replaces an authority whose key is missing or damaged:
+// no process could start with it.
+func (c Command) KeepAuthority(cluster vwid.Cluster, from time.Time) error {
+	err := c.MakeAuthorityFrom(cluster, from)
+	if !trace.IsAlreadyExists(err) || c.Access != AllUsers {
+		return ignoreExisting(err)
+	}
+	authority, err := c.Folder.LoadAuthority(c.Access)
+	if trace.IsAccessDenied(err) {
+		return trace.Wrap(err)
+	}
+	if err != nil {
+		if err := c.printf("the authority is replaced because it cannot be used: %v\n", err); err != nil {
+			return err
+		}
+		if authority, err = MakeAuthorityFrom(cluster, from); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if err := c.Folder.writeAuthority(authority, c.Access); err != nil {
+		return trace.Wrap(err)
+	}
+	return c.printAuthority(authority)
+}
+
+func ignoreExisting(err error) error {
+	if trace.IsAlreadyExists(err) {
+		return nil
+	}
+	return trace.Wrap(err)
+}
+
+func (c Command) printAuthority(authority *Authority) error {
 	advice := "keep secret"
 	if c.Access == AllUsers {
 		advice = "readable for all users; keep others out of its folder"
 	}
 	return c.printf("authority of cluster %s, valid until %s\n%s: %s\ncopy to every process: %s\n",
-		cluster, formatTime(authority.certificate.NotAfter), advice, c.Folder.path(AuthorityKeyFile), c.Folder.AuthorityFile())
+		authority.Cluster(), formatTime(authority.certificate.NotAfter), advice, c.Folder.path(AuthorityKeyFile), c.Folder.AuthorityFile())
 }
 
 // Issue makes the certificates of processes. It refuses to replace an existing one; Renew does that.
--- a/internal/process/vwkeys/folder.go
+++ b/internal/process/vwkeys/folder.go
@@ -42,6 +42,11 @@
 			return trace.AlreadyExists("%s exists; an authority is never replaced in place", f.path(name))
 		}
 	}
+	return f.writeAuthority(authority, access)
+}
+
+// writeAuthority writes the authority's files, or replaces them.
+func (f Folder) writeAuthority(authority *Authority, access Access) error {
 	certificates := []*x509.Certificate{authority.certificate}
 	if err := writeBundle(f.path(AuthorityKeyFile), bundle{certificates: certificates, key: authority.key}, access); err != nil {
 		return trace.Wrap(err)
