--- a/internal/connection/vwworkertest/worker.go
+++ b/internal/connection/vwworkertest/worker.go
@@ -18,8 +18,8 @@
 // errLost stands for an answer that does not arrive.
 var errLost = errors.New("no answer")
 
-// maxLease is the longest lease that the worker grants.
-const maxLease = time.Second
+// defaultLease is the longest lease that a worker grants unless a test sets another.
+const defaultLease = time.Second
 
 // Fault is what happens to one call.
 type Fault struct {
@@ -37,6 +37,8 @@
 type Worker struct {
 	// Rate is how fast its clock runs; 1 is as fast as the caller's.
 	Rate float64
+	// MaxLease is the longest lease that it grants.
+	MaxLease time.Duration
 	// StopTime is how long the end of a stopped run takes.
 	StopTime time.Duration
 	// RunTime and Fails tell how a task runs. They are called with the lock held.
@@ -81,7 +83,7 @@
 // Make returns a worker that is up.
 func Make(id vwid.Worker) *Worker {
 	w := &Worker{
-		Rate: 1, StopTime: 20 * time.Millisecond,
+		Rate: 1, MaxLease: defaultLease, StopTime: 20 * time.Millisecond,
 		RunTime: func(vwworker.Task) time.Duration { return 100 * time.Millisecond },
 		Fails:   func(vwworker.Task) bool { return false },
 		id:      id, needs: map[vwworker.Task]vwresource.Amount{}, starts: map[vwworker.Task]int{},
@@ -344,7 +346,7 @@
 
 // extend moves the end of the lease, never to an earlier time.
 func (w *Worker) extend(until vwworker.Clock) {
-	until = min(until, w.now()+vwworker.Clock(maxLease/time.Millisecond))
+	until = min(until, w.now()+vwworker.Clock(w.MaxLease/time.Millisecond))
 	if until > w.lease {
 		w.lease = until
 		w.armLapse()
--- a/internal/request/vwrun/driver_test.go
+++ b/internal/request/vwrun/driver_test.go
@@ -54,9 +54,11 @@
 }
 
 func drive(t testing.TB, worker *vwworkertest.Worker, token uint64, result func(Result)) *driver {
-	require.NoError(t, DefaultSettings().Check())
+	settings, err := DefaultSettings().Within(worker.MaxLease)
+	require.NoError(t, err)
+	require.NoError(t, settings.Check())
 	d := &driver{t: t, worker: worker, group: vwgroup.Make(context.Background()), result: result}
-	d.book = Make(DefaultSettings(), token, slog.New(slog.DiscardHandler))
+	d.book = Make(settings, token, slog.New(slog.DiscardHandler))
 	d.group.Run(func(ctx context.Context) {
 		for vwgroup.Sleep(ctx, 25*time.Millisecond) == nil {
 			d.do(func(now time.Time) { d.book.Tick(now) })
--- a/internal/request/vwrun/history_test.go
+++ b/internal/request/vwrun/history_test.go
@@ -176,12 +176,13 @@
 	})
 }
 
-// play runs one history and returns what it broke.
-func play(t *testing.T, seed uint64) []string {
+// play runs one history with a worker that grants leases of at most lease, and returns what it broke.
+func play(t *testing.T, seed uint64, lease time.Duration) []string {
 	h := &history{
 		t: t, random: &lockedRandom{random: rand.New(rand.NewPCG(seed, 1))}, worker: vwworkertest.Make("w0"), token: 1000,
 		over: map[vwworker.Task]bool{}, ordered: map[vwworker.Task]int{},
 	}
+	h.worker.MaxLease = lease
 	h.worker.Rate = 0.98 + 0.001*float64(h.random.IntN(21))
 	h.worker.SetFaults(h.fault)
 	h.worker.RunTime = func(vwworker.Task) time.Duration { return time.Duration(20+h.random.IntN(1500)) * time.Millisecond }
@@ -251,9 +252,14 @@
 		require.NoError(t, err)
 		seeds = []uint64{seed}
 	}
-	for _, seed := range seeds {
-		synctest.Test(t, func(t *testing.T) {
-			require.Empty(t, play(t, seed), "seed %d", seed)
+	leases := map[string]time.Duration{"second": time.Second, "short": 400 * time.Millisecond, "shortest": shortestLease}
+	for name, lease := range leases {
+		t.Run(name, func(t *testing.T) {
+			for _, seed := range seeds {
+				synctest.Test(t, func(t *testing.T) {
+					require.Empty(t, play(t, seed, lease), "seed %d", seed)
+				})
+			}
 		})
 	}
 }
--- a/internal/request/vwrun/settings.go
+++ b/internal/request/vwrun/settings.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// shortestLease is the shortest lease that leaves time for two renewals, each with an answer, beside the 40 ms between
+// two looks of an agent at its runs.
+const shortestLease = 200 * time.Millisecond
+
+// Within returns settings for workers that grant leases of at most granted. Shorter leases are renewed more often, and
+// orders count as unanswered sooner.
+func (s Settings) Within(granted time.Duration) (Settings, error) {
+	if granted >= s.Lease {
+		return s, nil
+	}
+	if granted < shortestLease {
+		return s, trace.BadParameter("workers grant leases of %v, but runs need at least %v", granted, shortestLease)
+	}
+	s.Lease = granted
+	s.Renew = min(s.Renew, granted/4)
+	s.Answer = min(s.Answer, granted/5)
+	s.Quiet = min(s.Quiet, s.Answer)
+	return s, s.Check()
+}
+
 // Check returns an error when one lost order would end the lease.
 func (s Settings) Check() error {
 	switch {
