Work without metrics while their port is taken

What callers would see: no service from a role whose machine has another process on port 9464. Binding it was required, so the process ended at every start.

Interfaces that a process works without are optional now: a taken address is logged once, tried each second, and served when it is free. The same holds for OperatorsAddress in the product's own settings.

--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -51,7 +51,7 @@
 	app       *fx.App
 	agent     *vwagent.Agent
 	listener  net.Listener
-	operators *webServer
+	operators *services
 	services  *services
 	finder    *finder
 	group     *vwgroup.Group
@@ -148,7 +148,7 @@
 }
 
 type agentServers struct {
-	operators *webServer
+	operators *services
 	services  *services
 }
 
@@ -157,7 +157,7 @@
 	vwmetrics.WatchAgentState(process.metrics, agent.Gauges())
 	process.agent = agent
 	var err error
-	if process.operators, err = listenWeb(config.OperatorsAddress, makeOperators(agent.Ready, process.metrics)); err != nil {
+	if process.operators, err = listenOptional(config.OperatorsAddress, makeOperators(agent.Ready, process.metrics), config.Log); err != nil {
 		return agentServers{}, err
 	}
 	if config.BackendAddress != "" {
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -49,7 +49,7 @@
 	links     *links
 	router    *router
 	group     *vwgroup.Group
-	operators *webServer
+	operators *services
 	services  *services
 	member    *member
 	failed    chan error
@@ -126,11 +126,11 @@
 	_ = p.group.Stop()
 }
 
-func provideControlServer(config ControlConfig, process *Control) (*webServer, error) {
+func provideControlServer(config ControlConfig, process *Control) (*services, error) {
 	process.links = makeLinks(config.Links, config.LinkAddress, config.LinkSocket, config.Keys, process.router)
-	server, err := listenWeb(config.OperatorsAddress, makeOperators(process.ready, process.metrics))
-	process.operators = server
-	return server, err
+	var err error
+	process.operators, err = listenOptional(config.OperatorsAddress, makeOperators(process.ready, process.metrics), config.Log)
+	return process.operators, err
 }
 
 // ready reports whether the member knows a leader.
@@ -147,7 +147,7 @@
 	}
 }
 
-func runControl(lifecycle fx.Lifecycle, config ControlConfig, process *Control, operators *webServer) {
+func runControl(lifecycle fx.Lifecycle, config ControlConfig, process *Control, operators *services) {
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			_, err := process.links.open(vwmessage.Hello{
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -74,7 +74,7 @@
 	control   vwcontrol.Client
 	directory *directory
 	callers   *webServer
-	operators *webServer
+	operators *services
 	services  *services
 	stopping  atomic.Bool
 	linger    time.Duration
@@ -163,9 +163,8 @@
 // Kill stops at once, as a crash would.
 func (p *Entry) Kill() {
 	p.services.kill()
-	for _, server := range []*webServer{p.callers, p.operators} {
-		server.kill()
-	}
+	p.callers.kill()
+	p.operators.kill()
 	_ = p.watch.Stop()
 	_ = p.group.Stop()
 	if p.links != nil {
@@ -195,7 +194,7 @@
 
 type entryServers struct {
 	callers   *webServer
-	operators *webServer
+	operators *services
 }
 
 func provideEntryServers(config EntryConfig, process *Entry, i *incumbent) (entryServers, error) {
@@ -204,7 +203,7 @@
 		return entryServers{}, err
 	}
 	process.callers.limit(config.CallerConnections)
-	if process.operators, err = listenWeb(config.OperatorsAddress, &i.operators); err != nil {
+	if process.operators, err = listenOptional(config.OperatorsAddress, &i.operators, config.Log); err != nil {
 		return entryServers{}, err
 	}
 	if config.Services != nil {
--- a/internal/process/vwprocess/service.go
+++ b/internal/process/vwprocess/service.go
@@ -26,6 +26,9 @@
 	// Serves tells whether the interface can be of use yet. Until it is, nothing listens, so that callers who find
 	// the address closed try again instead of being refused. Nil means from the start.
 	Serves func() bool
+	// Optional tells that the process works without the interface. An address that is taken then keeps it from
+	// nothing else, and is tried again until it is free.
+	Optional bool
 }
 
 // Bounds bound the requests of a service. Zero takes the default of each.
@@ -35,8 +38,12 @@
 	IdleTimeout   time.Duration
 }
 
-// serveInterval is how often a service that does not listen yet is asked again.
-const serveInterval = 5 * time.Millisecond
+const (
+	// serveInterval is how often a service that does not listen yet is asked again.
+	serveInterval = 5 * time.Millisecond
+	// bindInterval is the pause after an address could not be bound.
+	bindInterval = time.Second
+)
 
 // services are the services of a process.
 type services struct {
@@ -50,17 +57,29 @@
 	closed  bool
 }
 
-// listenServices binds the addresses of all services that listen from the start, or none.
+// listenOptional binds the address of one interface that the process works without, if it has one.
+func listenOptional(address string, handler http.Handler, log *slog.Logger) (*services, error) {
+	if address == "" {
+		return listenServices(nil, log)
+	}
+	return listenServices([]Service{{Address: address, Handler: handler, Optional: true}}, log)
+}
+
+// listenServices binds the addresses of all services that must listen from the start, or none.
 func listenServices(configs []Service, log *slog.Logger) (*services, error) {
 	s := &services{configs: configs, log: log, group: vwgroup.Make(context.Background()), running: make([]*webServer, len(configs))}
 	for i := range configs {
 		if configs[i].Serves != nil {
 			continue
 		}
-		if err := s.listen(i); err != nil {
+		err := s.listen(i)
+		if err != nil && !configs[i].Optional {
 			s.kill()
 			return nil, trace.Wrap(err)
 		}
+		if err != nil {
+			s.log.Error("address cannot be bound; the process goes on without", "address", configs[i].Address, "error", err)
+		}
 	}
 	return s, nil
 }
@@ -86,11 +105,24 @@
 	return nil
 }
 
-// servers returns the servers of the services that listen.
-func (s *services) servers() []*webServer {
+// all returns the servers of the services, nil for those that do not listen.
+func (s *services) all() []*webServer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.DeleteFunc(slices.Clone(s.running), func(server *webServer) bool { return server == nil })
+	return slices.Clone(s.running)
+}
+
+// servers returns the servers of the services that listen.
+func (s *services) servers() []*webServer {
+	return slices.DeleteFunc(s.all(), func(server *webServer) bool { return server == nil })
+}
+
+// address returns the bound address of the first service, or an empty one.
+func (s *services) address() string {
+	for _, address := range s.addresses() {
+		return address
+	}
+	return ""
 }
 
 // addresses returns the bound addresses in the order of the configs, empty ones for those that do not listen yet.
@@ -108,11 +140,10 @@
 }
 
 func (s *services) start() {
-	for _, server := range s.servers() {
-		server.start()
-	}
-	for i := range s.configs {
-		if s.configs[i].Serves != nil {
+	for i, server := range s.all() {
+		if server != nil {
+			server.start()
+		} else {
 			s.group.Run(func(ctx context.Context) { s.startWhenServing(ctx, i) })
 		}
 	}
@@ -120,18 +151,21 @@
 
 // startWhenServing begins to listen once the service is of use.
 func (s *services) startWhenServing(ctx context.Context, i int) {
-	for !s.configs[i].Serves() {
+	for serves := s.configs[i].Serves; serves != nil && !serves(); {
 		if vwgroup.Sleep(ctx, serveInterval) != nil {
 			return
 		}
 	}
-	for {
+	for tries := 0; ; tries++ {
 		err := s.listen(i)
 		if err == nil {
 			break
 		}
-		s.log.Error("address cannot be bound", "address", s.configs[i].Address, "error", err)
-		if vwgroup.Sleep(ctx, time.Second) != nil {
+		// The address is tried until it is free, and told of once.
+		if tries == 0 && !s.configs[i].Optional {
+			s.log.Error("address cannot be bound", "address", s.configs[i].Address, "error", err)
+		}
+		if vwgroup.Sleep(ctx, bindInterval) != nil {
 			return
 		}
 	}
--- a/internal/process/vwprocess/service_test.go
+++ b/internal/process/vwprocess/service_test.go
@@ -113,3 +113,20 @@
 		})
 	}
 }
+
+// An interface that the process works without must not keep it from starting while its address is taken, and must
+// be served once it is free.
+func TestOptionalServiceWaitsForItsAddress(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := taken.Addr().String()
+	services, err := listenOptional(address, http.NotFoundHandler(), silent)
+	require.NoError(t, err)
+	services.start()
+	t.Cleanup(services.kill)
+	require.Empty(t, services.address())
+	require.NoError(t, taken.Close())
+	require.Eventually(t, func() bool { return services.address() == address }, 10*time.Second, serveInterval)
+	require.Equal(t, http.StatusNotFound, get(t, address))
+	require.NoError(t, services.stop(t.Context()))
+}
