Accept links again after a failure to accept one

Found while looking for processes that give up on a condition that passes. The loop that accepts links over TCP ended with its first error, for example while all descriptors are in use, and logged nothing: the process went on, and no agent or member could ever reach it again.

It now logs the error, pauses 100 ms and goes on until the listener is closed.

--- a/internal/connection/vwlink/tcp.go
+++ b/internal/connection/vwlink/tcp.go
@@ -4,7 +4,10 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"errors"
+	"log/slog"
 	"net"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -17,6 +20,9 @@
 	tcpReadBuffer = 4 << 10
 	// noKeepAlive leaves the detection of silent connections to Session, which is faster.
 	noKeepAlive = -1
+	// acceptPause is how long an endpoint waits after a link could not be accepted, for example because all
+	// descriptors are in use.
+	acceptPause = 100 * time.Millisecond
 )
 
 // TCPEndpoint dials and accepts links over TCP with TLS. It costs less processor time and memory for each
@@ -27,6 +33,7 @@
 	timing   Timing
 	dialer   net.Dialer
 	listener net.Listener
+	log      *slog.Logger
 	group    *vwgroup.Group
 	accepted chan Conn
 }
@@ -34,12 +41,13 @@
 // MakeTCPEndpoint binds address, which may have port 0, and listens there. With an empty address the
 // endpoint only dials. The certificate in config must name the process of hello as its common name; peers
 // check that. Both ends of a link must have the same timing.
-func MakeTCPEndpoint(address string, config *tls.Config, hello vwmessage.Hello, timing Timing) (*TCPEndpoint, error) {
+func MakeTCPEndpoint(address string, config *tls.Config, hello vwmessage.Hello, timing Timing, log *slog.Logger) (*TCPEndpoint, error) {
 	e := &TCPEndpoint{
 		hello:    hello,
 		tls:      config,
 		timing:   timing,
 		dialer:   net.Dialer{KeepAlive: noKeepAlive},
+		log:      log,
 		group:    vwgroup.Make(context.Background()),
 		accepted: make(chan Conn),
 	}
@@ -98,13 +106,20 @@
 }
 
 // acceptAll shakes hands with each peer in a goroutine of its own, so that one that says nothing delays
-// no other.
-func (e *TCPEndpoint) acceptAll(context.Context) {
+// no other. A failure to accept passes; without this loop the process would get no further links.
+func (e *TCPEndpoint) acceptAll(ctx context.Context) {
 	for {
 		raw, err := e.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			e.log.Error("link cannot be accepted", "address", e.Address(), "error", err)
+			if vwgroup.Sleep(ctx, acceptPause) != nil {
+				return
+			}
+			continue
+		}
 		if !e.group.Run(func(ctx context.Context) { e.acceptOne(ctx, raw) }) {
 			_ = raw.Close()
 		}
--- a/internal/process/vwkeys/handshake_test.go
+++ b/internal/process/vwkeys/handshake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -44,7 +45,7 @@
 	},
 	"TCP": {
 		open: func(t *testing.T, authority *vwkeys.Authority, hello vwmessage.Hello) vwlink.Endpoint {
-			endpoint, err := vwlink.MakeTCPEndpoint(loopback, makeTLS(t, authority, hello.Process), hello, shortTiming)
+			endpoint, err := vwlink.MakeTCPEndpoint(loopback, makeTLS(t, authority, hello.Process), hello, shortTiming, slog.New(slog.DiscardHandler))
 			require.NoError(t, err)
 			return endpoint
 		},
--- a/internal/process/vwprocess/links.go
+++ b/internal/process/vwprocess/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"sync"
 
@@ -30,6 +31,8 @@
 	Transport Transport
 	// Timing is for TCP; zero means the default.
 	Timing vwlink.Timing
+	// Log hears of links over TCP that cannot be accepted. Nil means nobody does.
+	Log *slog.Logger
 }
 
 // timing returns the timing of the links.
@@ -40,6 +43,13 @@
 	return c.Timing
 }
 
+func (c LinkConfig) logger() *slog.Logger {
+	if c.Log == nil {
+		return slog.New(slog.DiscardHandler)
+	}
+	return c.Log
+}
+
 // makeEndpoint opens an end of links. An empty address is only dialled from.
 func (c LinkConfig) makeEndpoint(address string, keys vwkeys.Source, hello vwmessage.Hello) (vwlink.Endpoint, error) {
 	tls, err := vwkeys.TLSConfig(keys, hello.Cluster)
@@ -47,7 +57,7 @@
 		return nil, trace.Wrap(err)
 	}
 	if c.Transport == TCP {
-		return vwlink.MakeTCPEndpoint(address, tls, hello, c.timing())
+		return vwlink.MakeTCPEndpoint(address, tls, hello, c.timing(), c.logger())
 	}
 	return vwlink.MakeQUICEndpoint(address, tls, hello)
 }
