Collect garbage before the memory limit of the machine is reached

From three quarters of the limit on the runtime collects more often; the line 'memory is near its limit' comes at 0.8.

--- a/internal/process/vwprocess/memory.go
+++ b/internal/process/vwprocess/memory.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"runtime"
+	"runtime/debug"
 	"runtime/metrics"
 	"time"
 
@@ -18,8 +19,19 @@
 	// process, so that one is written before; the next one only after the memory was far from the limit again.
 	nearLimit    = 0.8
 	farFromLimit = 0.7
+	// runtimeShare is the part of the limit up to which the runtime lets the heap grow before it collects more often.
+	// The rest is for the program's text and what the operating system counts for sockets.
+	runtimeShare = 0.75
 )
 
+// LimitMemory makes the runtime collect garbage more often when the memory comes near its limit, where a process
+// would be killed otherwise. Without a limit it does nothing.
+func LimitMemory(limit vwunit.Bytes) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(float64(limit) * runtimeShare))
+	}
+}
+
 // WatchMemory logs when the process comes near its memory limit, until ctx ends. Without a limit it returns at once.
 func WatchMemory(ctx context.Context, limit vwunit.Bytes, log *slog.Logger) {
 	if limit <= 0 {
--- a/internal/process/vwprocess/memory_test.go
+++ b/internal/process/vwprocess/memory_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"runtime/debug"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -54,3 +55,13 @@
 		require.Contains(t, out.String(), "memory is near its limit")
 	})
 }
+
+// A process must collect its garbage before it reaches the memory beyond which it is killed.
+func TestLimitMemory(t *testing.T) {
+	before := debug.SetMemoryLimit(-1)
+	t.Cleanup(func() { debug.SetMemoryLimit(before) })
+	LimitMemory(0)
+	require.Equal(t, before, debug.SetMemoryLimit(-1))
+	LimitMemory(152 * vwunit.MiB)
+	require.Equal(t, int64(114*vwunit.MiB), debug.SetMemoryLimit(-1))
+}
