Make durable what a member has loaded before it goes on

A member whose process is killed between a write and its sync finds the write when it starts again, because the operating system still holds it, and took it for durable. With the next loss of power

- the write was lost although the member had told others of it, or
- it was missing while a later one was there: the member took that for damage and refused to start, at every start.
On half of the core that is a system without control.

The store now syncs its newest segment and its names once when it opens (one sync of a file and one of the directory at each start).

The tests missed it because the disk of vwstoretest knew only a loss of power, and kept a prefix of what was not synced. It now knows a kill, keeps or loses each write and each name for itself, and can be interrupted at any change. A disk that lies loses all that it holds, as before, so that TestFaultsFindLyingDisks still looks for changes that are lost rather than for damage.

--- a/internal/process/vwcontrol/cluster_test.go
+++ b/internal/process/vwcontrol/cluster_test.go
@@ -96,15 +96,24 @@
 	c.members[at] = m
 }
 
-// crash ends a member in the middle of what it does and drops what it has not synced.
+// crash takes the power from a member in the middle of what it does, and drops what it has not synced.
 func (c *cluster) crash(at int) {
+	c.end(at, func(disk *vwstoretest.Disk) { disk.Crash(c.random) })
+}
+
+// kill ends the process of a member in the middle of what it does. The operating system keeps what it has written.
+func (c *cluster) kill(at int) {
+	c.end(at, (*vwstoretest.Disk).Kill)
+}
+
+func (c *cluster) end(at int, lose func(*vwstoretest.Disk)) {
 	m := c.member(at)
 	if m == nil {
 		return
 	}
 	c.set(at, nil)
 	endpoint{c.network, address(at)}.Receive(nil)
-	c.disks[at].Crash(c.random)
+	lose(c.disks[at])
 	_ = m.Kill()
 }
 
--- a/internal/process/vwcontrol/member_test.go
+++ b/internal/process/vwcontrol/member_test.go
@@ -58,11 +58,16 @@
 			c.isolate(c.follower(), false, true)
 			time.Sleep(2 * time.Minute)
 		},
-		"lossy network":  func(c *cluster) { c.network.setLoss(0.2) },
-		"slow disk":      func(c *cluster) { c.disks[c.leader()].SetSyncDelay(800 * time.Millisecond) },
-		"failing disk":   func(c *cluster) { c.disks[c.leader()].SetFailSync(true) },
-		"lost disk":      func(c *cluster) { c.wipe(c.follower()) },
-		"lost leader":    func(c *cluster) { c.wipe(c.leader()) },
+		"lossy network": func(c *cluster) { c.network.setLoss(0.2) },
+		"slow disk":     func(c *cluster) { c.disks[c.leader()].SetSyncDelay(800 * time.Millisecond) },
+		"failing disk":  func(c *cluster) { c.disks[c.leader()].SetFailSync(true) },
+		"lost disk":     func(c *cluster) { c.wipe(c.follower()) },
+		"lost leader":   func(c *cluster) { c.wipe(c.leader()) },
+		"killed, then without power": func(c *cluster) {
+			restartAll(c, c.kill)
+			time.Sleep(time.Duration(c.random.IntN(100)) * time.Millisecond)
+			crashAll(c)
+		},
 		"planned stop":   plannedStop,
 		"repeated stops": func(c *cluster) { plannedStop(c); time.Sleep(time.Second); plannedStop(c) },
 	}
@@ -83,8 +88,12 @@
 }
 
 func crashAll(c *cluster) {
+	restartAll(c, c.crash)
+}
+
+func restartAll(c *cluster, end func(at int)) {
 	for at := range c.disks {
-		c.crash(at)
+		end(at)
 	}
 	for at := range c.disks {
 		c.start(at)
--- a/internal/process/vwstore/store.go
+++ b/internal/process/vwstore/store.go
@@ -68,7 +68,19 @@
 	}
 	newest := s.segments[len(s.segments)-1]
 	s.file, err = s.files.Append(segmentName(newest.sequence))
-	return trace.Wrap(err)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return s.syncLoaded()
+}
+
+// syncLoaded makes durable what was loaded. A process that was killed may have left writes and names that only the
+// operating system holds. The member tells others what it has loaded, and a later write must not outlast them.
+func (s *Store) syncLoaded() error {
+	if err := s.file.Sync(); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(s.files.SyncDir())
 }
 
 // create starts a new segment. Its name is durable before anything is written to it.
--- a/internal/process/vwstore/store_test.go
+++ b/internal/process/vwstore/store_test.go
@@ -281,6 +281,99 @@
 	})
 }
 
+// A member must start after its process is killed between a write and its sync and its machine then loses power
+// during the next one, whichever of the two writes is left. It took the missing one for damage and refused to start.
+func TestStartAfterKillAndPowerLoss(t *testing.T) {
+	for seed := range uint64(50) {
+		disk := vwstoretest.Make()
+		store, _ := open(t, disk)
+		save(t, store, nil, entries(1, 1, 1))
+		for index, end := range []func(){disk.Kill, func() { disk.Crash(rand.New(rand.NewPCG(seed, 0))) }} {
+			require.NoError(t, store.Append(nil, entries(2+index, 2+index, 1)))
+			disk.Interrupt(1)
+			require.Error(t, store.Sync())
+			end()
+			var loaded vwstore.Loaded
+			store, loaded = open(t, disk)
+			require.GreaterOrEqual(t, len(loaded.Entries), 1+index, "seed %d", seed)
+		}
+	}
+}
+
+// history drives a store through changes that a kill or a loss of power may interrupt at any point.
+type history struct {
+	t     *rapid.T
+	disk  *vwstoretest.Disk
+	store *vwstore.Store
+	// next is the index after the last written entry, and promised that of the last one which must not be lost.
+	next, promised int
+	// snapshot is the index of the newest one that must be there, and covered that of one which may be.
+	snapshot, covered int
+}
+
+func (h *history) save() {
+	count := rapid.IntRange(1, 4).Draw(h.t, "entries")
+	added := entries(h.next, h.next+count-1, 1)
+	h.next += count
+	if h.store.Append(nil, added) == nil && h.store.Sync() == nil {
+		h.promised = h.next - 1
+	}
+}
+
+func (h *history) compact() {
+	if h.promised <= h.snapshot {
+		return
+	}
+	h.covered = rapid.IntRange(h.snapshot+1, h.promised).Draw(h.t, "covered")
+	if h.store.Compact(vwraft.Snapshot{Index: vwraft.Index(h.covered), Term: 1}) == nil {
+		h.snapshot = h.covered
+	}
+}
+
+// reopen opens the store after its process or machine has gone. A member acts on what it finds, so that must last.
+func (h *history) reopen() {
+	if rapid.Bool().Draw(h.t, "power") {
+		h.disk.Crash(rand.New(rand.NewPCG(rapid.Uint64().Draw(h.t, "left"), 0)))
+	} else {
+		h.disk.Kill()
+	}
+	var loaded vwstore.Loaded
+	h.store, loaded = open(h.t, h.disk)
+	found := int(loaded.Snapshot.Index)
+	require.True(h.t, found == h.snapshot || found == h.covered, "snapshot %d instead of %d or %d", found, h.snapshot, h.covered)
+	h.snapshot, h.covered = found, found
+	for _, e := range loaded.Entries {
+		require.Equal(h.t, entry(found+1, 1), e)
+		found++
+	}
+	require.GreaterOrEqual(h.t, found, h.promised)
+	require.Less(h.t, found, h.next)
+	h.promised, h.next = found, found+1
+}
+
+// A member must start and hold what it has shown to others, wherever a kill or a loss of power interrupts it. A write
+// that it found after a kill, and had told others of, was lost with the power.
+func TestKilledThenWithoutPower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		disk := vwstoretest.Make()
+		store, _ := open(t, disk)
+		h := &history{t: t, disk: disk, store: store, next: 1}
+		t.Repeat(map[string]func(*rapid.T){
+			"save":    func(*rapid.T) { h.save() },
+			"compact": func(*rapid.T) { h.compact() },
+			"reopen":  func(*rapid.T) { h.reopen() },
+			"interrupted": func(t *rapid.T) {
+				h.disk.Interrupt(rapid.IntRange(0, 6).Draw(t, "changes"))
+				h.save()
+				if rapid.Bool().Draw(t, "compacts") {
+					h.compact()
+				}
+				h.reopen()
+			},
+		})
+	})
+}
+
 // Guards against a panic on damaged bytes, and against a record that its checksum does not protect.
 func FuzzDecodeRecord(f *testing.F) {
 	disk := vwstoretest.Make()
--- a/internal/process/vwstoretest/disk.go
+++ b/internal/process/vwstoretest/disk.go
@@ -29,6 +29,35 @@
 type content struct {
 	data   []byte
 	synced int
+	// ends are where each write after the last sync ends.
+	ends []int
+}
+
+// afterPowerLoss returns what a loss of power leaves: what was synced, and each later write whole, torn or not at all,
+// whatever became of the others, or none of them if they are gone. A write that is missing before a present one leaves
+// zeros.
+func (c *content) afterPowerLoss(random *rand.Rand, gone bool) *content {
+	left := &content{data: slices.Clone(c.data[:c.synced])}
+	begin := c.synced
+	for _, end := range c.ends {
+		if gone {
+			break
+		}
+		kept := 0
+		switch random.IntN(3) {
+		case 0:
+			kept = end - begin
+		case 1:
+			kept = random.IntN(end - begin + 1)
+		}
+		if kept > 0 {
+			left.data = append(left.data, make([]byte, begin-len(left.data))...)
+			left.data = append(left.data, c.data[begin:begin+kept]...)
+		}
+		begin = end
+	}
+	left.synced = len(left.data)
+	return left
 }
 
 // Disk is a data directory in memory.
@@ -43,11 +72,13 @@
 	failSync   bool
 	ignoreSync bool
 	space      int
+	// interrupted counts the operations that are left before all fail; negative is off.
+	interrupted int
 }
 
 // Make returns an empty disk without faults.
 func Make() *Disk {
-	return &Disk{names: map[string]*content{}, durable: map[string]*content{}, space: 1 << 40}
+	return &Disk{names: map[string]*content{}, durable: map[string]*content{}, space: 1 << 40, interrupted: -1}
 }
 
 // SetSyncDelay makes every sync take that long.
@@ -86,31 +117,71 @@
 	return d.syncs
 }
 
-// Crash drops what was not synced, but for a random part of each file's unsynced tail, and makes the
-// handles that were opened before useless.
-func (d *Disk) Crash(random *rand.Rand) {
+// Interrupt lets only that many further changes of the disk succeed, until Kill or Crash.
+func (d *Disk) Interrupt(after int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.interrupted = after
+}
+
+// change reports the fault of the next change of the disk. The lock is held.
+func (d *Disk) change() error {
+	switch {
+	case d.interrupted == 0:
+		return ErrCrashed
+	case d.interrupted > 0:
+		d.interrupted--
+	}
+	return nil
+}
+
+// Kill makes the handles that were opened before useless, as the end of their process does. The operating system
+// keeps what was written, synced or not.
+func (d *Disk) Kill() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.release()
+}
+
+func (d *Disk) release() {
 	d.generation++
 	d.locked = false
-	d.names = maps.Clone(d.durable)
-	for _, name := range slices.Sorted(maps.Keys(d.names)) {
-		file := d.names[name]
-		kept := file.synced
-		if torn := len(file.data) - file.synced; torn > 0 {
-			kept += random.IntN(torn + 1)
+	d.interrupted = -1
+}
+
+// Crash is a loss of power: what was not synced is kept or lost, each write and each name for itself. It also makes
+// the handles that were opened before useless.
+func (d *Disk) Crash(random *rand.Rand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.release()
+	names := map[string]*content{}
+	all := maps.Clone(d.names)
+	maps.Copy(all, d.durable)
+	left := map[*content]*content{}
+	// A device that lies loses all that it has not stored; at some losses of power so does an honest one.
+	gone := d.ignoreSync || random.IntN(4) == 0
+	for _, name := range slices.Sorted(maps.Keys(all)) {
+		file := d.durable[name]
+		if file != d.names[name] && random.IntN(2) == 0 {
+			file = d.names[name]
+		}
+		if file == nil {
+			continue
+		}
+		if left[file] == nil {
+			left[file] = file.afterPowerLoss(random, gone)
 		}
-		file.data = slices.Clone(file.data[:kept])
-		file.synced = kept
+		names[name] = left[file]
 	}
+	d.names, d.durable = names, maps.Clone(names)
 }
 
 // Wipe makes the disk empty, as a replaced one is.
 func (d *Disk) Wipe() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.generation++
-	d.locked = false
+	d.release()
 	d.names, d.durable = map[string]*content{}, map[string]*content{}
 }
 
@@ -164,6 +235,9 @@
 func (d *Disk) Create(name string) (vwstore.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return nil, err
+	}
 	file := &content{}
 	d.names[name] = file
 	return &handle{disk: d, file: file, generation: d.generation}, nil
@@ -184,9 +258,12 @@
 func (d *Disk) Truncate(name string, size int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	file := d.names[name]
 	file.data = file.data[:size]
-	file.synced = len(file.data)
+	file.synced, file.ends = len(file.data), nil
 	return nil
 }
 
@@ -194,6 +271,9 @@
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	d.names[to] = d.names[from]
 	delete(d.names, from)
 	return nil
@@ -203,6 +283,9 @@
 func (d *Disk) Remove(name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	delete(d.names, name)
 	return nil
 }
@@ -211,6 +294,9 @@
 func (d *Disk) SyncDir() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if err := d.change(); err != nil {
+		return err
+	}
 	if d.failSync {
 		return ErrSync
 	}
--- a/internal/process/vwstoretest/handle.go
+++ b/internal/process/vwstoretest/handle.go
@@ -16,9 +16,13 @@
 	if h.generation != h.disk.generation {
 		return 0, ErrCrashed
 	}
+	if err := h.disk.change(); err != nil {
+		return 0, err
+	}
 	fits := min(len(data), h.disk.space)
 	h.disk.space -= fits
 	h.file.data = append(h.file.data, data[:fits]...)
+	h.file.ends = append(h.file.ends, len(h.file.data))
 	if fits < len(data) {
 		return fits, ErrFull
 	}
@@ -38,15 +42,18 @@
 	if h.generation != h.disk.generation {
 		return ErrCrashed
 	}
+	if err := h.disk.change(); err != nil {
+		return err
+	}
 	if h.disk.failSync {
-		h.file.data = h.file.data[:h.file.synced]
+		h.file.data, h.file.ends = h.file.data[:h.file.synced], nil
 		return ErrSync
 	}
 	h.disk.syncs++
 	if h.disk.ignoreSync {
 		return nil
 	}
-	h.file.synced = len(h.file.data)
+	h.file.synced, h.file.ends = len(h.file.data), nil
 	return nil
 }
 
