Join anew with a damaged data directory instead of ending

A control member refuses a damaged log and says that an operator should move it away.

TestDamagedMemberJoinsUnderNewID fails without the setting ('the checksum of the member id does not match').

--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -44,7 +44,7 @@
 }
 
 func makeCore(settings Settings, files vwstore.FileSystem, transport Transport) (*core, error) {
-	store, loaded, err := vwstore.Open(files, settings.SegmentBytes)
+	store, loaded, err := openStore(&settings, files)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -66,6 +66,21 @@
 	return c, nil
 }
 
+// openStore opens the data directory, or an empty one in the place of a damaged one. A member that has lost its log
+// must not begin another beside that of the others.
+func openStore(settings *Settings, files vwstore.FileSystem) (*vwstore.Store, vwstore.Loaded, error) {
+	store, loaded, err := vwstore.Open(files, settings.SegmentBytes)
+	if !vwstore.IsCorrupt(err) || !settings.ReplacesDamage {
+		return store, loaded, trace.Wrap(err)
+	}
+	settings.Logger.Error("data directory is damaged; it is set aside and the member joins as a new one", "error", err)
+	if err := vwstore.SetAside(files); err != nil {
+		return nil, vwstore.Loaded{}, trace.Wrap(err)
+	}
+	settings.Joins = true
+	return vwstore.Open(files, settings.SegmentBytes)
+}
+
 func (c *core) restore(loaded vwstore.Loaded) error {
 	node, err := vwraft.MakeNode(c.raft, loaded.HardState, loaded.Snapshot, loaded.Entries)
 	if err != nil {
--- a/internal/process/vwcontrol/member_test.go
+++ b/internal/process/vwcontrol/member_test.go
@@ -177,6 +177,28 @@
 	})
 }
 
+// A member that finds its log damaged must join again by itself where no operator is there, under a new id. It ended
+// at each start instead.
+func TestDamagedMemberJoinsUnderNewID(t *testing.T) {
+	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
+		tune := c.tune
+		c.tune = func(s *Settings) {
+			tune(s)
+			s.ReplacesDamage = true
+		}
+		damaged := c.follower()
+		old := c.member(damaged).Status().Self.Member
+		c.kill(damaged)
+		c.disks[damaged].Damage("identity", 3)
+		c.start(damaged)
+		time.Sleep(5 * time.Second)
+		membership := c.member(c.leader()).Status().Log.Membership
+		require.Len(t, membership.Voters, 3)
+		require.False(t, membership.Votes(old))
+		require.True(t, membership.Votes(c.member(damaged).Status().Self.Member))
+	})
+}
+
 // Guards against a member that votes again under the id whose disk was lost.
 func TestLostDiskJoinsUnderNewID(t *testing.T) {
 	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -35,6 +35,9 @@
 	// Joins forbids this member to create a log, for a cluster that has started before. Its disk may be
 	// empty because it was lost.
 	Joins bool
+	// ReplacesDamage lets a member whose data directory is damaged set it aside and join as a new one, where no
+	// operator is there to do so. It counts as a lost disk.
+	ReplacesDamage bool
 	// MaxMembers bounds the voters and learners: each one costs the leader messages.
 	MaxMembers int
 	// ReplaceAfter is how long a voter must be silent before the leader removes it from an even number of
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -31,6 +31,8 @@
 	Registration time.Duration
 	// Joins forbids the member to make a log; see vwcontrol.Settings.
 	Joins bool
+	// ReplacesDamage lets the member join anew when its data directory is damaged; see vwcontrol.Settings.
+	ReplacesDamage bool
 	// MaxMembers bounds the members; zero takes the default.
 	MaxMembers int
 	// Suspended returns for how long the machine has been suspended. Nil means never.
@@ -79,7 +81,7 @@
 
 // apply sets what differs from the defaults. Two ticks are one Heartbeat.
 func (c MemberConfig) apply(settings *vwcontrol.Settings) {
-	settings.Joins, settings.ReadsByQuorum = c.Joins, c.ReadsByQuorum
+	settings.Joins, settings.ReplacesDamage, settings.ReadsByQuorum = c.Joins, c.ReplacesDamage, c.ReadsByQuorum
 	if c.Registration > 0 {
 		settings.Registration = c.Registration
 	}
