Go on when nobody reads the log any more

A restart of the operators' collector of logs would end every process at once.

Roles now ignore the signal; a line that cannot be written is counted as dropped. TestDeployedProcessesOutliveTheReaderOfTheirLog failed before (the entry ended amid a job: EOF) and passes: configuration and job are served and all roles stop gracefully. Tools such as 'vanillawind follow' still end with a closed pipe, as usual.

--- a/internal/process/vwlog/writer.go
+++ b/internal/process/vwlog/writer.go
@@ -6,7 +6,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os/signal"
 	"sync"
+	"syscall"
 	"time"
 
 	"vanillawind.example/vanillawind/pkg/vwgroup"
@@ -21,6 +23,12 @@
 	closeTimeout = 500 * time.Millisecond
 )
 
+// OutliveReader makes a write to standard output or standard error fail once nobody reads it any more. Without it the
+// runtime ends the process, which has work to do for others than the reader of its log.
+func OutliveReader() {
+	signal.Ignore(syscall.SIGPIPE)
+}
+
 // Writer writes lines to an output in the background. Write never waits.
 type Writer struct {
 	out   io.Writer
--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -46,6 +46,7 @@
 	if settings.Role != c.Role {
 		return trace.Wrap(roleFault(c, settings.Role))
 	}
+	vwlog.OutliveReader()
 	out := vwlog.MakeWriter(c.Log)
 	log := makeLogger(out, settings)
 	events, err := openEvents(settings)
