Bound the control log in bytes, in memory and on the disk

An entry may be a configuration of hundreds of KB, so hundreds of changes of a large one take more memory and disk than a core machine has, on all of them alike: killed for their memory, or ended by a full disk, at about the same time.

--- a/internal/process/vwcontrol/member_test.go
+++ b/internal/process/vwcontrol/member_test.go
@@ -1,6 +1,7 @@
 package vwcontrol
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -177,6 +178,31 @@
 	})
 }
 
+// Large configurations must not fill the memory and the disk of a member until many entries have come: both hold all
+// entries since the last snapshot. 250 changes of 1,500 routes took 181 MB.
+func TestLargeEntriesAreCompacted(t *testing.T) {
+	bubble(t, 3, 1, func(t *testing.T, c *cluster) {
+		c.tune = func(s *Settings) { s.SnapshotBytes, s.SegmentBytes = 1<<20, 1<<18 }
+		crashAll(c)
+		const size = 200 << 10
+		for at := range 40 {
+			change := &vwstate.ChangeRules{ChangeID: vwid.ChangeID(fmt.Sprint(at)), Base: vwid.ConfigVersion(at), Text: bytes.Repeat([]byte("#"), size)}
+			_, err := proposeWithin(c.member(c.leader()), vwstate.Command{ChangeRules: change})
+			require.NoError(t, err)
+		}
+		time.Sleep(time.Second)
+		for at, disk := range c.disks {
+			names, err := disk.List()
+			require.NoError(t, err)
+			total := 0
+			for _, name := range names {
+				total += disk.Size(name)
+			}
+			require.Less(t, total, 4<<20, "the files of member %d hold 8 MB of entries", at)
+		}
+	})
+}
+
 // A member that finds its log damaged must join again by itself where no operator is there, under a new id. It ended
 // at each start instead.
 func TestDamagedMemberJoinsUnderNewID(t *testing.T) {
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -62,8 +62,10 @@
 	ProbeInterval time.Duration
 	// RequestTimeout bounds how long a request waits for a commit or a quorum.
 	RequestTimeout time.Duration
-	// SnapshotEntries is the least number of entries between two snapshots.
+	// A snapshot is due after SnapshotEntries entries, or after SnapshotBytes of them: configurations may be large, and
+	// all entries since the last snapshot are held in memory and on the disk.
 	SnapshotEntries int
+	SnapshotBytes   int
 	// SegmentBytes is the size of a log segment.
 	SegmentBytes int64
 	// MaxWaiting bounds the requests that wait for the member.
@@ -94,6 +96,7 @@
 		ProbeInterval:   500 * time.Millisecond,
 		RequestTimeout:  5 * time.Second,
 		SnapshotEntries: 500,
+		SnapshotBytes:   8 << 20,
 		SegmentBytes:    vwstore.DefaultSegmentBytes,
 		MaxWaiting:      4096,
 		Random:          rand.NewPCG(rand.Uint64(), rand.Uint64()),
@@ -115,7 +118,7 @@
 		return trace.BadParameter("the heartbeat (%v) must be at least a tick (%v) and at most a sixth of the election timeout (%v)", s.Heartbeat, s.Tick, s.Election)
 	case s.Lease <= 0 || s.Registration <= s.Lease:
 		return trace.BadParameter("the registration (%v) must be longer than the lease (%v)", s.Registration, s.Lease)
-	case s.SnapshotEntries < 1 || s.SegmentBytes < 1 || s.MaxWaiting < 1:
+	case s.SnapshotEntries < 1 || s.SnapshotBytes < 1 || s.SegmentBytes < 1 || s.MaxWaiting < 1:
 		return trace.BadParameter("sizes and bounds must be positive")
 	case s.ReplaceAfter <= s.Election:
 		return trace.BadParameter("ReplaceAfter (%v) must be longer than the election timeout (%v)", s.ReplaceAfter, s.Election)
--- a/internal/process/vwcontrol/snapshot.go
+++ b/internal/process/vwcontrol/snapshot.go
@@ -23,14 +23,14 @@
 }
 
 // due limits what snapshots write to about what the log writes, however large the state is.
-func (s *snapshots) due(least int) bool {
-	return s.entries >= least && s.logBytes >= s.snapshotBytes
+func (s *snapshots) due(entries, bytes int) bool {
+	return (s.entries >= entries || s.logBytes >= bytes) && s.logBytes >= s.snapshotBytes
 }
 
 // snapshot stores the state and drops the entries before it, when that is due.
 func (c *core) snapshot() error {
 	// The writer has the store while it syncs. A snapshot of the leader may be about to replace the state.
-	if c.writer.busy() || c.applied <= c.node.Status().Snapshot || !c.snapshots.due(c.settings.SnapshotEntries) {
+	if c.writer.busy() || c.applied <= c.node.Status().Snapshot || !c.snapshots.due(c.settings.SnapshotEntries, c.settings.SnapshotBytes) {
 		return nil
 	}
 	data, err := c.state.Save()
--- a/internal/process/vwraft/log.go
+++ b/internal/process/vwraft/log.go
@@ -168,18 +168,30 @@
 }
 
 // compact stores a snapshot of the state after index and drops the entries before it but for trailing ones.
-func (l *Log) compact(index Index, data []byte, trailing Index) (Snapshot, error) {
+func (l *Log) compact(index Index, data []byte, trailing Index, trailingBytes int) (Snapshot, error) {
 	term, ok := l.term(index)
 	if !ok || index > l.delivered || index <= l.snapshot.Index {
 		return Snapshot{}, trace.BadParameter("no snapshot can be taken at entry %d", index)
 	}
 	l.snapshot = Snapshot{Index: index, Term: term, Membership: l.membershipAt(index), Data: data}
-	if index > trailing && index-trailing > l.baseIndex {
-		l.dropBefore(index - trailing)
+	if base := l.trailingBase(index, trailing, trailingBytes); base > l.baseIndex {
+		l.dropBefore(base)
 	}
 	return l.snapshot, nil
 }
 
+// trailingBase returns the index after which at most that many entries and bytes come before the one after index.
+func (l *Log) trailingBase(index, entries Index, bytes int) Index {
+	size := 0
+	for base := index; base > l.baseIndex; base-- {
+		size += len(l.entries[base-l.baseIndex-1].Data)
+		if index-base >= entries || size > bytes {
+			return base
+		}
+	}
+	return l.baseIndex
+}
+
 func (l *Log) dropBefore(base Index) {
 	membership := l.membershipAt(base)
 	term, _ := l.term(base)
--- a/internal/process/vwraft/settings.go
+++ b/internal/process/vwraft/settings.go
@@ -29,8 +29,10 @@
 	MaxInflight int
 	// MaxUncommittedBytes bounds the data of uncommitted entries at the leader.
 	MaxUncommittedBytes int
-	// Trailing is how many entries before a snapshot stay in memory for members that lag a little.
-	Trailing Index
+	// Trailing is how many entries before a snapshot stay in memory for members that lag a little, and TrailingBytes
+	// bounds their size. Members that lag more get the snapshot.
+	Trailing      Index
+	TrailingBytes int
 	// CaughtUp is the largest number of entries that a learner may lack when it becomes a voter.
 	CaughtUp Index
 	// Random draws the election timeouts.
@@ -49,6 +51,7 @@
 		MaxInflight:         32,
 		MaxUncommittedBytes: 16 << 20,
 		Trailing:            1000,
+		TrailingBytes:       4 << 20,
 		CaughtUp:            16,
 		Random:              random,
 	}
