Handle signals until the process ends, not until its shutdown begins

Callers of an entry that drained after SIGTERM lost all requests in progress when SIGHUP or a second SIGTERM reached the machine.

Cause: handlers of signals were bound to the context of the command, which ends with the first SIGTERM. From then on SIGHUP and SIGTERM had their default effect and ended the process amid its drain. The roles outside of the platform never handled SIGHUP.

vwsignal receives SIGINT, SIGTERM and SIGHUP from the start of main to the end of the process. The first SIGINT or SIGTERM ends the context of the command. Further SIGTERMs change nothing, since the shutdown is bounded; SIGINT during the shutdown ends the process at once, for a person at a terminal. SIGHUP stops commands that do not handle it, as before; server roles log it, and on the platform it makes the process read its settings, also during the shutdown. Each signal is logged, so the log tells which signals a process got and whether it was stopping.

--- a/cmd/vanillawind/call_test.go
+++ b/cmd/vanillawind/call_test.go
@@ -100,7 +100,7 @@
 				args = append(args, "--operators", server.URL)
 			}
 			var stdout, stderr bytes.Buffer
-			require.Equal(t, c.exit, run(args, &stdout, &stderr), "%s%s", &stdout, &stderr)
+			require.Equal(t, c.exit, run(t.Context(), args, &stdout, &stderr), "%s%s", &stdout, &stderr)
 			text := "stdout:\n" + stdout.String() + "stderr:\n" + stderr.String()
 			text = strings.ReplaceAll(changeID.ReplaceAllString(text, "CHANGE"), server.URL, "ADDRESS")
 			golden.Assert(t, name, []byte(text))
--- a/cmd/vanillawind/main.go
+++ b/cmd/vanillawind/main.go
@@ -6,23 +6,17 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"vanillawind.example/vanillawind/internal/process/vwcommand"
+	"vanillawind.example/vanillawind/internal/process/vwsignal"
 )
 
 func main() {
-	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+	os.Exit(run(vwsignal.Receive(context.Background()), os.Args[1:], os.Stdout, os.Stderr))
 }
 
-// run executes one command line and returns the exit code. An interrupt or a request to terminate ends
-// the command's context; a second one ends the process at once.
-func run(args []string, stdout, stderr io.Writer) int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	// Without a handler the next signal takes its default effect.
-	context.AfterFunc(ctx, stop)
+// run executes one command line and returns the exit code.
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
 	err := execute(ctx, args, stdout, stderr)
 	if err == nil {
 		return vwcommand.ExitFine
--- a/cmd/vanillawind/platform.go
+++ b/cmd/vanillawind/platform.go
@@ -6,6 +6,7 @@
 	"github.com/gravitational/trace"
 	"github.com/spf13/cobra"
 
+	"vanillawind.example/vanillawind/internal/process/vwsignal"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/platform"
 )
@@ -13,8 +14,9 @@
 const platformHelp = `Runs a process on a machine of the users' platform. Its settings are the platform's file, which the environment
 variable ` + vwplatform.SettingsVariable + ` names, and its key is issued at the start by the authority in the folder --keys.
 
-It logs lines of JSON to standard output. SIGTERM begins a graceful shutdown within the platform's grace;
-SIGHUP, or a change of the file alone, makes it read the seeds again. docs/platform.md describes the whole.`
+It logs lines of JSON to standard output. SIGTERM begins a graceful shutdown within the platform's grace, which
+further SIGTERMs do not shorten; an interrupt during the shutdown ends the process at once. SIGHUP, or a change of the
+file alone, makes it read the seeds again, also during the shutdown. docs/platform.md describes the whole.`
 
 func makePlatform() *cobra.Command {
 	return makeGroup("platform", "Run on the users' platform", platformHelp,
@@ -36,6 +38,7 @@
 				return trace.BadParameter("the environment variable %s must name the settings file", vwplatform.SettingsVariable)
 			}
 			command.Log = cmd.OutOrStdout()
+			command.Signals = vwsignal.FromContext(cmd.Context())
 			return command.Run(cmd.Context())
 		},
 	}
--- a/cmd/vanillawind/role.go
+++ b/cmd/vanillawind/role.go
@@ -4,14 +4,16 @@
 	"github.com/spf13/cobra"
 
 	"vanillawind.example/vanillawind/internal/process/vwprocess"
+	"vanillawind.example/vanillawind/internal/process/vwsignal"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 )
 
 const roleHelp = `
 
 It logs lines of JSON to standard error. SIGTERM or an interrupt begins a graceful shutdown within
-Timeouts.Stop; a second signal ends the process at once. "vanillawind settings check FILE" checks the
-settings without starting anything.`
+Timeouts.Stop. An interrupt during the shutdown ends the process at once; other signals do not shorten it.
+SIGHUP changes nothing, since the settings are read at the start only. "vanillawind settings check FILE"
+checks the settings without starting anything.`
 
 // makeRole returns the command of a server role.
 func makeRole(role vwstate.Role, use, short, long string) *cobra.Command {
@@ -24,6 +26,7 @@
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			command.Log = cmd.ErrOrStderr()
+			command.Signals = vwsignal.FromContext(cmd.Context())
 			return command.Run(cmd.Context())
 		},
 	}
--- a/cmd/vanillawind/root_test.go
+++ b/cmd/vanillawind/root_test.go
@@ -45,7 +45,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			var stdout, stderr bytes.Buffer
-			require.Equal(t, c.exit, run(c.args, &stdout, &stderr))
+			require.Equal(t, c.exit, run(t.Context(), c.args, &stdout, &stderr))
 			golden.Assert(t, name, []byte("stdout:\n"+stdout.String()+"stderr:\n"+stderr.String()))
 		})
 	}
@@ -76,7 +76,7 @@
 				command = "rules"
 			}
 			var stdout, stderr bytes.Buffer
-			require.Equal(t, vwcommand.ExitFine, run([]string{command, "check", "--json", path}, &stdout, &stderr), "%s%s", &stdout, &stderr)
+			require.Equal(t, vwcommand.ExitFine, run(t.Context(), []string{command, "check", "--json", path}, &stdout, &stderr), "%s%s", &stdout, &stderr)
 			require.True(t, json.Valid(stdout.Bytes()))
 			require.Empty(t, stderr.String())
 		})
--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"os"
 	"strings"
 	"time"
 
@@ -13,6 +14,7 @@
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/internal/process/vwlog"
 	"vanillawind.example/vanillawind/internal/process/vwsettings"
+	"vanillawind.example/vanillawind/internal/process/vwsignal"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 )
 
@@ -26,6 +28,8 @@
 	SettingsFile string
 	// Log receives the log, one JSON object a line.
 	Log io.Writer
+	// Signals are the signals of the process. Nil means none.
+	Signals *vwsignal.Signals
 }
 
 // Process is a running process of any role.
@@ -50,6 +54,9 @@
 	vwlog.OutliveReader()
 	out := vwlog.MakeWriter(c.Log)
 	log := makeLogger(out, settings)
+	c.Signals.Handle(func(received os.Signal) {
+		log.Info("signal received", "signal", received.String(), "stopping", ctx.Err() != nil)
+	})
 	events, err := openEventFile(settings)
 	if err != nil {
 		return trace.NewAggregate(err, out.Close())
