End a start cleanly when the process is asked to stop

A SIGTERM during the start ended each role with exit code 1 and, on the platform, the line "process cannot start": to an operator it looked like a failed start. The context of the command ends with SIGTERM, and the start returned its error like any other.

A start that ends because the command's context has ended is now logged as "process stopped during its start" and exits with code 0.

--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log/slog"
 	"os"
@@ -68,6 +69,10 @@
 	startCtx, cancel := context.WithTimeout(ctx, StartTimeout)
 	defer cancel()
 	process, err := startProcess(startCtx, settings, log, events)
+	if IsStopDuringStart(ctx, err) {
+		log.Info("process stopped during its start")
+		return nil
+	}
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -76,6 +81,12 @@
 	return trace.NewAggregate(err, ShutDown(ctx, process, time.Duration(settings.Timeouts.Stop), log))
 }
 
+// IsStopDuringStart reports whether a start has failed with err because ctx, which ends when the process has to stop,
+// has ended.
+func IsStopDuringStart(ctx context.Context, err error) bool {
+	return ctx.Err() != nil && errors.Is(err, ctx.Err())
+}
+
 // WaitForEnd waits until ctx ends or the process fails, and returns the error of the process.
 func WaitForEnd(ctx context.Context, process Process, log *slog.Logger) error {
 	log.Info("process started")
--- a/internal/process/vwprocess/command_test.go
+++ b/internal/process/vwprocess/command_test.go
@@ -82,3 +82,21 @@
 	}
 	require.Contains(t, lines[len(lines)-1], `"msg":"process stopped"`)
 }
+
+// Guards against a stop during the start that looks like a failed start: the process exited with an error.
+func TestStopDuringStart(t *testing.T) {
+	paths := map[vwstate.Role]string{
+		vwstate.RoleEntry:   writeSettings(t, "entry", "0.0.0.0:7300", loopback, "127.0.0.1:7301", loopback, "10.1.0.12:7302", loopback),
+		vwstate.RoleAgent:   writeSettings(t, "agent", "127.0.0.1:7301", loopback, "127.0.0.1:7303", loopback),
+		vwstate.RoleControl: writeSettings(t, "control", "127.0.0.1:7301", loopback),
+	}
+	for role, path := range paths {
+		t.Run(string(role), func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			cancel()
+			var log bytes.Buffer
+			require.NoError(t, vwprocess.Command{Role: role, SettingsFile: path, Log: &log}.Run(ctx))
+			require.Contains(t, log.String(), `"msg":"process stopped`)
+		})
+	}
+}
