--- a/cmd/vanillawind/signal_test.go
+++ b/cmd/vanillawind/signal_test.go
@@ -21,6 +21,7 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/platform"
 )
 
 const (
@@ -112,20 +113,84 @@
 		"[Keys]\nCertificate = \"keys/process-1.pem\"\nKey = \"keys/process-1.pem\"\nAuthority = \"keys/authority.pem\"\n"
 	settings := filepath.Join(folder, "settings.toml")
 	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
-	p.command = exec.Command(os.Args[0], role, "--settings", settings)
-	p.command.Env = append(os.Environ(), runMainVariable+"=1")
-	p.command.Stdout, p.command.Stderr = p, p
-	require.NoError(t, p.command.Start())
-	group := vwgroup.Make(t.Context())
-	group.Run(func(context.Context) { p.ended <- p.command.Wait() })
-	t.Cleanup(func() {
-		_ = p.command.Process.Kill()
-		require.NoError(t, group.Wait())
-	})
+	p.start(exec.Command(os.Args[0], role, "--settings", settings))
 	p.waitForLines(`"process started"`, 1)
 	return p
 }
 
+// start starts the process, which is killed at the end of the test.
+func (p *roleProcess) start(command *exec.Cmd) {
+	p.Helper()
+	p.command = command
+	command.Env = append(os.Environ(), append(command.Env, runMainVariable+"=1")...)
+	command.Stdout, command.Stderr = p, p
+	require.NoError(p, command.Start())
+	group := vwgroup.Make(p.Context())
+	group.Run(func(context.Context) { p.ended <- command.Wait() })
+	p.Cleanup(func() {
+		_ = command.Process.Kill()
+		require.NoError(p, group.Wait())
+	})
+}
+
+// startPlatformRole starts a process of a role on the platform, without the others, and waits for the first line of its log.
+func startPlatformRole(t *testing.T, role string) *roleProcess {
+	t.Helper()
+	folder := t.TempDir()
+	require.NoError(t, vwkeys.Command{Folder: vwkeys.Folder(folder), Out: io.Discard}.MakeAuthority("platform"))
+	_, link, err := net.SplitHostPort(freeAddress(t))
+	require.NoError(t, err)
+	settings := filepath.Join(folder, "settings.toml")
+	text := fmt.Sprintf(`node = "machine-1"
+zone = "satama"
+ip = "127.0.0.1"
+internal-ports = [%s,%s]
+seeds = [%q]
+bootstrap = true
+data-dir = %q
+app = %q
+service = "huvo11a"
+[zones]
+satama = "etela"
+[listen-addrs]
+frontend = "127.0.0.1:0"
+ready = "127.0.0.1:0"
+control = "127.0.0.1:0"
+[bounds]
+grace-s = 6
+remote-factor = 1.5
+max-hold-ms = 1000
+stop-timeout-ms = 50
+`, link, link, freeAddress(t), filepath.Join(folder, "data"), freeAddress(t))
+	require.NoError(t, os.WriteFile(settings, []byte(text), 0o600))
+	p := &roleProcess{T: t, ended: make(chan error, 1)}
+	command := exec.Command(os.Args[0], "platform", role, "--keys", folder)
+	command.Env = []string{vwplatform.SettingsVariable + "=" + settings}
+	p.start(command)
+	p.waitForLines(`"process starts"`, 1)
+	return p
+}
+
+// Guards against a process that a SIGHUP during its start ends, and one that takes a SIGTERM then for a failure.
+func TestSignalsDuringStart(t *testing.T) {
+	for role := range roleSettings {
+		t.Run(role, func(t *testing.T) {
+			p := startPlatformRole(t, role)
+			for !strings.Contains(p.logText(), `"process started"`) && len(p.ended) == 0 {
+				_ = p.command.Process.Signal(syscall.SIGHUP)
+			}
+			p.waitForLines(`"process started"`, 1)
+			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+			require.NoError(t, p.waitForEnd(), p.logText())
+
+			p = startPlatformRole(t, role)
+			require.NoError(t, p.command.Process.Signal(syscall.SIGTERM))
+			require.NoError(t, p.waitForEnd(), p.logText())
+			require.Contains(t, p.logText(), `"process stopped`)
+		})
+	}
+}
+
 // waitForLines waits until the log has as many lines with a text, and fails if the process ends before.
 func (p *roleProcess) waitForLines(text string, count int) {
 	p.Helper()
