Answer all requests before a stop ends

Callers saw: the connection of a request that still waited or ran at the end of a stop was closed without an answer, for best-effort jobs, Jobs and Requests alike. A job that came late in the linger was accepted although it could not end within what was left.

Cause: a stop waited for all requests until its bound and then killed the process; nothing gave the rest an answer.

Fix: a stopping entry knows by when all calls must be answered (the bound less 0.3 s for delivery). The queue of best-effort jobs takes that as the deadline of each job: what cannot end by then is refused at once (503), what waits is refused when it can no longer end (503, or 504 if parts may have run), and what is at work is given up only when the time has come (504). Jobs and Requests do the same; a job with a record whose tasks may have started is left to its next owner, so its tasks go on and another entry delivers the answer. Calls that wait for control or another entry end then too. http.Server.Shutdown looks for the end of requests at intervals that grow to 0.5 s, so a second one starts when the answers are due.

A stopping process logs "drain begins" and "drain has ended" with the requests in flight, given up and refused, and how long it took, since such cuts left no line behind.

--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -120,6 +120,9 @@
 		return refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "this entry has no configuration that is recent enough; use another entry or try again")
 	}
 	if err := b.queue.Submit(now, job); err != nil {
+		if vwplace.IsStopping(err) {
+			b.entry.counters.RefusedByStop.Add(1)
+		}
 		return err
 	}
 	b.calls[job.ID] = &pendingCalls{job: job, waiting: map[chan vwplace.Answer]bool{call: true}}
@@ -253,7 +256,7 @@
 		call <- answer
 	}
 	b.log(now, &calls.job, &answer)
-	b.entry.counters.countBestEffort(answer.Outcome)
+	b.entry.counters.countBestEffort(&answer)
 	if answer.Outcome == vwplace.OutcomeCompleted || answer.Outcome == vwplace.OutcomeFailed {
 		reportDuration(b.entry.observer.Answered, answer.TotalTime)
 		b.answers[answer.JobID] = answer
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -26,6 +26,10 @@
 	Failed   atomic.Int64
 	// JobsRefused are best-effort jobs of which nothing ran.
 	JobsRefused atomic.Int64
+	// EndedByStop are jobs that were ended because the entry stops, and RefusedByStop those refused because they could not
+	// end before that.
+	EndedByStop   atomic.Int64
+	RefusedByStop atomic.Int64
 	// Takeovers are jobs taken over from another entry.
 	Takeovers atomic.Int64
 	// Retries are repeated attempts of idempotent requests.
@@ -38,8 +42,11 @@
 }
 
 // countBestEffort counts the end of a best-effort job. One whose caller has left is neither complete nor failed.
-func (c *Counters) countBestEffort(outcome vwplace.Outcome) {
-	switch outcome {
+func (c *Counters) countBestEffort(answer *vwplace.Answer) {
+	if answer.EndedByStop {
+		c.EndedByStop.Add(1)
+	}
+	switch answer.Outcome {
 	case vwplace.OutcomeCompleted:
 		c.Complete.Add(1)
 	case vwplace.OutcomeFailed, vwplace.OutcomeGivenUp:
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -91,6 +91,9 @@
 	lost        chan struct{}
 	// renewNow triggers a lease renewal before the next interval.
 	renewNow chan struct{}
+	// closing ends when the calls that still wait must be answered.
+	closing context.Context
+	close   context.CancelFunc
 
 	// The fields below are owned by the loop.
 	holder         *vwlease.Holder
@@ -116,7 +119,9 @@
 	// recordedFresh is the freshness of the lease in the last lease event that was recorded.
 	recordedFresh bool
 	stopping      bool
-	idle          []chan struct{}
+	// answerBy is the time by which all calls must be answered; zero while there is none.
+	answerBy time.Time
+	idle     []chan struct{}
 }
 
 // Make returns an entry that is not yet started. It connects to other entries through the dialer.
@@ -143,6 +148,7 @@
 	}
 	e.bestEffort = makeBestEffort(e)
 	e.group = vwgroup.Make(context.Background())
+	e.closing, e.close = context.WithCancel(context.Background())
 	e.peers = vwlink.MakePool(e.group.Context(), dialer, e)
 	return e
 }
@@ -179,26 +185,6 @@
 	e.group.Run(e.refreshRegistrations)
 }
 
-// Drain refuses new submissions and waits until the running ones have ended or ctx is done.
-func (e *Entry) Drain(ctx context.Context) error {
-	idle, err := runOnLoop(ctx, e, func() chan struct{} {
-		e.stopping = true
-		idle := make(chan struct{})
-		e.idle = append(e.idle, idle)
-		e.signalIdle()
-		return idle
-	})
-	if err != nil {
-		return err
-	}
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return trace.Wrap(ctx.Err())
-	}
-}
-
 // Stop ends the registration, so that other entries need not wait until its lease expires, and stops the
 // entry. A graceful shutdown calls Drain first.
 func (e *Entry) Stop(ctx context.Context) error {
@@ -219,16 +205,6 @@
 	_ = e.peers.Close()
 }
 
-func (e *Entry) signalIdle() {
-	if !e.stopping || e.activeJobs > 0 || e.bestEffort.queue.Len() > 0 {
-		return
-	}
-	for _, idle := range e.idle {
-		close(idle)
-	}
-	e.idle = nil
-}
-
 // Ready reports whether the entry can accept submissions, and otherwise why not.
 func (e *Entry) Ready(ctx context.Context) error {
 	reason, err := runOnLoop(ctx, e, func() error {
--- a/internal/process/vwentry/http.go
+++ b/internal/process/vwentry/http.go
@@ -24,6 +24,7 @@
 // CallersHandler returns the HTTP interface for callers.
 func (e *Entry) CallersHandler() http.Handler {
 	router := makeRouter()
+	router.Use(e.endWithClosing)
 	router.POST("/Jobs", e.postJob)
 	router.GET("/Jobs/:ID", e.getJob)
 	router.DELETE("/Jobs/:ID", e.deleteJob)
@@ -151,6 +152,7 @@
 	}
 	j := source.job
 	if !waitFor(c.Request.Context(), j) {
+		writeProblem(c, errClosing(), id)
 		return
 	}
 	if id == "" {
--- a/internal/process/vwentry/job.go
+++ b/internal/process/vwentry/job.go
@@ -29,6 +29,8 @@
 	hasRecord bool
 	// ownershipLost is set if another entry may own the job, so that its owner must be read from control.
 	ownershipLost bool
+	// handedOver is set if the tasks that have started go on after the job has failed here, for the next owner.
+	handedOver bool
 	// acceptance identifies the call that control accepted; empty after a takeover.
 	acceptance    vwid.Acceptance
 	createdAt     time.Time
@@ -168,6 +170,9 @@
 		return
 	}
 	e.queue.Cancel(j.SubmissionID)
+	if j.handedOver {
+		return
+	}
 	for _, incarnation := range j.Workers() {
 		w := e.agents[incarnation]
 		if w == nil {
--- a/internal/process/vwentry/loop.go
+++ b/internal/process/vwentry/loop.go
@@ -46,6 +46,7 @@
 		}
 	}
 	e.bestEffort.tick(now)
+	e.answerRemaining(now)
 	e.forgetAnswers(now)
 	e.recordLease(now)
 	e.updateGauges(now)
--- a/internal/process/vwentry/request.go
+++ b/internal/process/vwentry/request.go
@@ -25,9 +25,7 @@
 		if err != nil {
 			return nil, err
 		}
-		select {
-		case <-j.done:
-		case <-ctx.Done():
+		if !waitFor(ctx, j) {
 			e.post(func() { e.failJob(j, codeCancelled, "the caller went away") })
 			return nil, ctx.Err()
 		}
--- a/internal/process/vwentry/submit.go
+++ b/internal/process/vwentry/submit.go
@@ -164,6 +164,9 @@
 	switch {
 	case e.stopping:
 		return refuse(vwapi.CodeStopping, vwverdict.NotRun, "this entry is stopping; use another entry")
+	case e.cannotEndInTime(time.Now(), &s):
+		e.counters.RefusedByStop.Add(1)
+		return refuse(vwapi.CodeStopping, vwverdict.NotRun, "this entry stops before the tasks could end; use another entry")
 	case !e.registered || !e.holder.IsFresh(time.Now()):
 		return refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "this entry has no configuration lease; use another entry or try again")
 	case !e.rules.AllowsService(spec.Service):
--- a/internal/process/vwplace/errors.go
+++ b/internal/process/vwplace/errors.go
@@ -35,3 +35,17 @@
 	var busy ErrBusy
 	return errors.As(err, &busy)
 }
+
+// ErrStopping is returned for a job that cannot end before the entry stops.
+type ErrStopping struct{ RetryAfter time.Duration }
+
+// Error implements error.
+func (e ErrStopping) Error() string {
+	return "the entry stops before the job can end; use another entry"
+}
+
+// IsStopping reports whether err is an ErrStopping.
+func IsStopping(err error) bool {
+	var stopping ErrStopping
+	return errors.As(err, &stopping)
+}
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -74,6 +74,8 @@
 	// QueueTime is the time until the first task was sent, and TotalTime the time from the job's arrival to its end.
 	QueueTime time.Duration
 	TotalTime time.Duration
+	// EndedByStop is set if the job was ended because its entry stops.
+	EndedByStop bool
 	// Unfinished lists where the tasks were that had not ended; nil for a completed job.
 	Unfinished []Unfinished
 	// Workers is the number of linked workers, of any service, that accepted tasks when the job ended, without those in
@@ -141,6 +143,9 @@
 	// mayHaveRun is set once a task has run or may have run.
 	mayHaveRun bool
 	ended      bool
+	// endsWithQueue is set once Deadline is the time by which all jobs of the queue must be answered.
+	endsWithQueue bool
+	endedByStop   bool
 	// admitted is set once the forecast has let the job wait for capacity.
 	admitted bool
 	// remoteAllowedAt is the time from which tasks may run far from their data.
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -58,6 +58,8 @@
 	wants               []Demand
 	// lastLinkedAt is when a worker was last linked.
 	lastLinkedAt time.Time
+	// answerBy is the time by which all jobs must be answered; zero while there is none.
+	answerBy time.Time
 }
 
 // Send is a message that starts tasks at an agent.
@@ -84,7 +86,8 @@
 	}
 }
 
-// Submit adds a job. An error has the verdict NotRun: the job's id is in use, it has no tasks, or the queue is full.
+// Submit adds a job. An error has the verdict NotRun: the job's id is in use, it has no tasks, the queue is full, or the job
+// cannot end before all jobs must be answered.
 func (q *Queue) Submit(now time.Time, spec Job) error {
 	switch {
 	case q.jobs[spec.ID] != nil:
@@ -100,6 +103,9 @@
 		expectedRun: q.expectedRunTime(spec.Team, spec.Estimate),
 	}
 	j.remoteAllowedAt = now.Add(localityWait)
+	if q.limitDeadline(j); j.endsWithQueue && !j.canFinishInTime(now, 1) {
+		return vwverdict.Wrap(vwverdict.NotRun, ErrStopping{RetryAfter: retryAfter})
+	}
 	q.jobs[spec.ID] = j
 	q.waiting = append(q.waiting, j)
 	return nil
@@ -119,6 +125,22 @@
 	}
 }
 
+// AnswerBy sets the time by which all jobs must be answered, because the entry stops then. Jobs that cannot end by then
+// are refused or given up without waiting for it, and the others when it has come.
+func (q *Queue) AnswerBy(at time.Time) {
+	q.answerBy = at
+	for _, j := range q.jobs {
+		q.limitDeadline(j)
+	}
+}
+
+// limitDeadline moves the deadline of a job to the time by which all jobs must be answered, if it is later.
+func (q *Queue) limitDeadline(j *job) {
+	if !q.answerBy.IsZero() && q.answerBy.Before(j.answerDeadline()) {
+		j.Deadline, j.endsWithQueue = q.answerBy, true
+	}
+}
+
 // Len returns the number of jobs.
 func (q *Queue) Len() int {
 	return len(q.jobs)
@@ -184,6 +206,9 @@
 // checkTime ends a job that is past its deadline, can no longer end in time, or has waited too long for its first task.
 func (q *Queue) checkTime(now time.Time, j *job) {
 	switch {
+	case j.endsWithQueue && (!now.Before(j.answerDeadline()) || j.waitingTasks > 0 && now.After(j.latestStart())):
+		j.endedByStop = true
+		q.refuseOrGiveUp(now, j, "the entry stops before the job can end")
 	case !now.Before(j.answerDeadline()):
 		q.refuseOrGiveUp(now, j, "the time for an answer is over")
 	case j.waitingTasks > 0 && now.After(j.latestStart()):
@@ -210,7 +235,7 @@
 
 // endJob removes a job from the queue, adds its answer, and stops its runs at the agents that are linked.
 func (q *Queue) endJob(now time.Time, j *job, outcome Outcome, reason string) {
-	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt)}
+	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt), EndedByStop: j.endedByStop}
 	if outcome == OutcomeRefused {
 		answer.RetryAfter = retryAfter
 	}
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -325,3 +325,54 @@
 		})
 	}
 }
+
+// A stopping entry must answer every job before it ends: at once if the job cannot end by then, and otherwise not sooner
+// than needed.
+func TestJobsAreAnsweredByTheTime(t *testing.T) {
+	const end = 250 * time.Millisecond
+	cases := map[string]struct {
+		workers   int
+		submitted time.Duration
+		refused   bool
+		outcome   Outcome
+		answered  time.Duration
+	}{
+		"arrives when it cannot end": {1, end - 90*time.Millisecond, true, 0, 0},
+		"runs":                       {1, 0, false, OutcomeGivenUp, end},
+		"arrives later and runs":     {1, end - 110*time.Millisecond, false, OutcomeGivenUp, end},
+		"waits":                      {0, 0, false, OutcomeRefused, end - 100*time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := makeFixture(t)
+			for i := range c.workers {
+				f.open(at(0), fmt.Sprintf("w%d", i), 4)
+			}
+			patient := func(j *Job) { j.Slowdown, j.Deadline = 100, at(time.Minute) }
+			if c.submitted == 0 {
+				f.submit(at(0), "j", 1, patient)
+				f.queue.Dispatch(at(0))
+			}
+			f.queue.AnswerBy(at(end))
+			if c.submitted > 0 {
+				err := f.queue.Submit(at(c.submitted), makeJob("j", 1, patient))
+				require.Equal(t, c.refused, IsStopping(err), "%v", err)
+				if c.refused {
+					require.True(t, vwverdict.IsNotRun(err))
+					return
+				}
+				f.queue.Dispatch(at(c.submitted))
+			}
+			for now := c.submitted; now <= end; now += time.Millisecond {
+				f.queue.Tick(at(now))
+				if answers := f.queue.TakeAnswers(); len(answers) > 0 {
+					require.Equal(t, c.outcome, answers[0].Outcome)
+					require.True(t, answers[0].EndedByStop)
+					require.InDelta(t, c.answered, now, float64(time.Millisecond))
+					return
+				}
+			}
+			require.Fail(t, "the job is not answered")
+		})
+	}
+}
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -172,7 +172,7 @@
 	return agentServers{operatorsServices: process.operatorsServices, services: process.services}, err
 }
 
-func addAgentHooks(lifecycle fx.Lifecycle, agent *vwagent.Agent, servers agentServers, process *Agent) {
+func addAgentHooks(lifecycle fx.Lifecycle, config AgentConfig, agent *vwagent.Agent, servers agentServers, process *Agent) {
 	group := process.group
 	lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
@@ -191,10 +191,12 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			d := beginDrain(config.Log, agent.Gauges().Busy.Load)
 			errs := []error{agent.Stop(ctx)}
 			if servers.services != nil {
 				errs = append(errs, servers.services.stop(ctx))
 			}
+			d.end()
 			return trace.NewAggregate(append(errs, servers.operatorsServices.stop(ctx), group.Stop())...)
 		},
 	})
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -175,10 +175,12 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			d := beginDrain(config.Log, process.services.requests)
 			var errs []error
 			if process.services != nil {
 				errs = append(errs, process.services.stop(ctx))
 			}
+			d.end()
 			return trace.NewAggregate(append(errs, process.member.stop(), operatorsServices.stop(ctx), process.links.close(), process.group.Stop())...)
 		},
 	})
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -81,6 +81,7 @@
 	services          *services
 	stopping          atomic.Bool
 	drainDelay        time.Duration
+	log               *slog.Logger
 }
 
 // StartEntry starts an entry process.
@@ -88,7 +89,7 @@
 	if err := config.check(); err != nil {
 		return nil, trace.Wrap(err)
 	}
-	process := &Entry{group: vwgroup.Make(context.Background()), supervisorGroup: vwgroup.Make(context.Background()), drainDelay: config.DrainDelay}
+	process := &Entry{group: vwgroup.Make(context.Background()), supervisorGroup: vwgroup.Make(context.Background()), drainDelay: config.DrainDelay, log: config.Log}
 	process.app = fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.StopTimeout(stopTimeout),
@@ -263,15 +264,26 @@
 	return memberTelemetry{log: config.Log, events: config.Events, metrics: p.supervisor.metrics}
 }
 
+// requests returns the number of callers' requests in flight.
+func (p *Entry) requests() int64 {
+	return p.services.requests() + p.callersServer.requests()
+}
+
 func (p *Entry) stop(ctx context.Context) error {
 	p.stopping.Store(true)
+	answerBy := answerTime(ctx)
+	counters := p.supervisor.observer.Counters
+	d := beginDrain(p.log, p.requests, "accepts for", p.drainDelay.String(), "answers within", time.Until(answerBy).Round(time.Millisecond).String())
 	_ = p.supervisorGroup.Stop()
+	p.Entry().AnswerBy(answerBy)
 	_ = vwgroup.Sleep(ctx, p.drainDelay)
 	var errs []error
 	if p.services != nil {
 		errs = append(errs, p.services.stop(ctx))
 	}
-	errs = append(errs, p.Entry().Drain(ctx), p.callersServer.stop(ctx), p.Entry().Stop(ctx), p.operatorsServices.stop(ctx))
+	errs = append(errs, p.Entry().Drain(ctx), p.callersServer.stop(ctx))
+	d.end("given up", counters.EndedByStop.Load(), "refused", counters.RefusedByStop.Load())
+	errs = append(errs, p.Entry().Stop(ctx), p.operatorsServices.stop(ctx))
 	if p.member != nil {
 		errs = append(errs, p.member.stop())
 	}
--- a/internal/process/vwprocess/httpserver.go
+++ b/internal/process/vwprocess/httpserver.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -24,6 +25,8 @@
 	listener net.Listener
 	server   *http.Server
 	group    *vwgroup.Group
+	// inFlight counts the requests whose handlers run.
+	inFlight atomic.Int64
 }
 
 // listenHTTP binds an address. With an empty one it returns nil.
@@ -35,11 +38,25 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "binding %s", address)
 	}
-	return &httpServer{
-		listener: listener,
-		server:   &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout},
-		group:    vwgroup.Make(context.Background()),
-	}, nil
+	s := &httpServer{listener: listener, group: vwgroup.Make(context.Background())}
+	s.server = &http.Server{Handler: s.count(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	return s, nil
+}
+
+func (s *httpServer) count(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.inFlight.Add(1)
+		defer s.inFlight.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// requests returns the number of requests in flight.
+func (s *httpServer) requests() int64 {
+	if s == nil {
+		return 0
+	}
+	return s.inFlight.Load()
 }
 
 func (s *httpServer) address() string {
@@ -56,12 +73,18 @@
 	s.group.Run(func(context.Context) { _ = s.server.Serve(s.listener) })
 }
 
-// stop shuts the server down gracefully and waits for the requests in flight.
+// stop shuts the server down gracefully and waits for the requests in flight. The standard library looks for their end
+// at intervals that grow to half a second, so a second shutdown waits for the answers that are sent at answerBy.
 func (s *httpServer) stop(ctx context.Context) error {
 	if s == nil {
 		return nil
 	}
-	err := s.server.Shutdown(ctx)
+	untilAnswers, cancel := context.WithDeadline(ctx, answerTime(ctx))
+	defer cancel()
+	err := s.server.Shutdown(untilAnswers)
+	if untilAnswers.Err() != nil && ctx.Err() == nil {
+		err = s.server.Shutdown(ctx)
+	}
 	_ = s.group.Stop()
 	return trace.Wrap(err)
 }
--- a/internal/process/vwprocess/service.go
+++ b/internal/process/vwprocess/service.go
@@ -193,6 +193,18 @@
 	return trace.NewAggregate(errs...)
 }
 
+// requests returns the number of requests in flight.
+func (s *services) requests() int64 {
+	if s == nil {
+		return 0
+	}
+	sum := int64(0)
+	for _, server := range s.listeningServers() {
+		sum += server.requests()
+	}
+	return sum
+}
+
 // cancelPending prevents services that do not listen yet from starting to listen.
 func (s *services) cancelPending() {
 	s.mu.Lock()
--- a/internal/process/vwsettings/settings.go
+++ b/internal/process/vwsettings/settings.go
@@ -90,7 +90,8 @@
 	// Heartbeat and Election are of the control log: a member that hears no leader for Election votes.
 	Heartbeat vwunit.Duration `roles:"Entry Control"`
 	Election  vwunit.Duration `roles:"Entry Control"`
-	// Stop bounds a planned stop. Work that runs longer is interrupted.
+	// Stop bounds a planned stop. An entry answers what runs longer shortly before the bound; other work that runs longer is
+	// interrupted.
 	Stop vwunit.Duration `roles:"Entry Agent Control"`
 }
 
