Answer the requests of an entry that has lost its registration

Callers saw: a Request without a record never got an answer once its entry had lost its registration and was replaced; a stop closed its connection in the end. A stop in the two seconds of the replacement cut the drain of the lost entry at once and aborted what its workers were still at.

Cause: the supervisor drained the lost entry for 2 s and then killed it, which leaves calls that wait for a job without an end. Its context ended when the shutdown began, so a stop shortened the drain to nothing.

Fix: the lost entry answers all requests within the 2 s, as a stopping entry does, and the drain no longer depends on the context that ends with the shutdown. An entry that starts meanwhile gets the time by which the stop must have answered, and the linger counts from the begin of the stop, so the wait for the replacement does not prolong it.

Failed before: vwprocess TestRequestsOfALostEntryAreAnswered, both cases (Post: EOF at the stop); both pass now.

--- a/internal/process/vwentry/drain.go
+++ b/internal/process/vwentry/drain.go
@@ -13,9 +13,12 @@
 
 // AnswerBy sets the time by which all calls must be answered, because the process stops then. Jobs that cannot end by
 // then are refused; those that have not ended when it comes are given up. Jobs with a record whose tasks may have started
-// are left to the next owner, and their tasks go on.
+// are left to the next owner, and their tasks go on. A later time than the one set before has no effect.
 func (e *Entry) AnswerBy(at time.Time) {
 	e.post(func() {
+		if !e.answerBy.IsZero() && e.answerBy.Before(at) {
+			return
+		}
 		e.answerBy = at
 		e.bestEffort.queue.AnswerBy(at)
 	})
--- a/internal/process/vwprocess/drain_test.go
+++ b/internal/process/vwprocess/drain_test.go
@@ -154,3 +154,43 @@
 	require.Less(t, answer.took, drainDelay)
 	require.NoError(t, group.Wait())
 }
+
+// Guards against callers that wait without end, or whose connections are closed, because the entry has lost its registration
+// while their requests have no record by which another entry could take them over, whether or not the process stops
+// meanwhile.
+func TestRequestsOfALostEntryAreAnswered(t *testing.T) {
+	for name, stops := range map[string]bool{"runs on": false, "stops meanwhile": true} {
+		t.Run(name, func(t *testing.T) {
+			process := startDrainable(t, slog.New(slog.DiscardHandler))
+			urls := map[string]struct{ url, body string }{
+				"request":         {"http://" + process.CallersAddress() + "/Requests", unrecordedRequest},
+				"best-effort job": {"http://" + process.ServiceAddresses()[0] + "/waits", ""},
+			}
+			group, answers := vwgroup.Make(context.Background()), map[string]*call{}
+			for name, c := range urls {
+				answer := &call{}
+				answers[name] = answer
+				group.Run(func(context.Context) { *answer = post(t, c.url, c.body, "1ms") })
+			}
+			eventually(func() bool { return process.Entry().Gauges().Active.Load() == int64(len(urls)) })
+			lost := process.Entry()
+			expire := vwstate.Command{Expire: &vwstate.Expire{Incarnations: []vwid.Incarnation{lost.Incarnation()}}}
+			_, err := process.Control().Propose(t.Context(), expire)
+			require.NoError(t, err)
+			<-lost.RegistrationLost()
+			if !stops {
+				eventually(func() bool { return process.Entry() != lost })
+			}
+			bounded, cancel := context.WithTimeout(context.Background(), 2*stopBound)
+			defer cancel()
+			stopped := process.Stop(bounded)
+			process.Kill()
+			require.NoError(t, group.Wait())
+			for name, answer := range answers {
+				require.NoError(t, answer.err, name)
+				require.Equal(t, http.StatusServiceUnavailable, answer.status, "%s: nothing of it has run\n%s", name, answer.body)
+			}
+			require.NoError(t, stopped)
+		})
+	}
+}
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -274,9 +274,9 @@
 	answerBy := answerTime(ctx)
 	counters := p.supervisor.observer.Counters
 	d := beginDrain(p.log, p.requests, "accepts for", p.drainDelay.String(), "answers within", time.Until(answerBy).Round(time.Millisecond).String())
+	p.supervisor.answerAllBy(answerBy)
 	_ = p.supervisorGroup.Stop()
-	p.Entry().AnswerBy(answerBy)
-	_ = vwgroup.Sleep(ctx, p.drainDelay)
+	_ = vwgroup.Sleep(ctx, p.drainDelay-time.Since(d.begun))
 	var errs []error
 	if p.services != nil {
 		errs = append(errs, p.services.stop(ctx))
--- a/internal/process/vwprocess/supervisor.go
+++ b/internal/process/vwprocess/supervisor.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	// lostDrainTimeout bounds the drain of an entry that has lost its registration. It may finish requests that
-	// no other entry can take over; without a lease it starts no further tasks.
-	lostDrainTimeout = 2 * time.Second
+	// lostAnswerTime is the time in which an entry that has lost its registration answers all requests. It may finish those
+	// that no other entry can take over; without a lease it starts no further tasks.
+	lostAnswerTime = 2 * time.Second
 	// linkBindRetryInterval is the delay between attempts to bind the link address.
 	linkBindRetryInterval = 200 * time.Millisecond
 )
@@ -37,6 +37,8 @@
 
 	mu    sync.Mutex
 	entry *vwentry.Entry
+	// answerBy is the time by which a stopping process must have answered all requests; zero before the stop.
+	answerBy time.Time
 }
 
 // openLinks opens the link endpoint with a new incarnation.
@@ -63,6 +65,9 @@
 	entry.Observe(s.observer)
 	s.mu.Lock()
 	s.entry = entry
+	if !s.answerBy.IsZero() {
+		entry.AnswerBy(s.answerBy)
+	}
 	s.mu.Unlock()
 	s.callersHandler.set(entry.CallersHandler())
 	s.operatorsHandler.set(MakeEntryOperatorsHandler(entry, s.metrics))
@@ -76,6 +81,14 @@
 	return s.entry
 }
 
+// answerAllBy sets the time by which the current entry, and one that replaces it, must have answered all requests.
+func (s *entrySupervisor) answerAllBy(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answerBy = at
+	s.entry.AnswerBy(at)
+}
+
 // announce forwards a new configuration version to the current entry, if there is one.
 func (s *entrySupervisor) announce(version vwid.ConfigVersion) {
 	if entry := s.current(); entry != nil {
@@ -98,12 +111,13 @@
 	}
 }
 
-// stopLostEntry drains and kills the entry that has lost its registration, and closes its links. It has
-// already given up its jobs; the drain waits only for requests that no other entry can take over.
+// stopLostEntry lets the entry that has lost its registration answer its requests, kills it and closes its links. It has
+// already given up the jobs that another entry can take over. A stop of the process does not cut it short.
 func (s *entrySupervisor) stopLostEntry(ctx context.Context) {
-	drainCtx, cancel := context.WithTimeout(ctx, lostDrainTimeout)
+	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lostAnswerTime+answerMargin)
 	defer cancel()
 	entry := s.current()
+	entry.AnswerBy(time.Now().Add(lostAnswerTime))
 	if err := entry.Drain(drainCtx); err != nil {
 		s.config.Log.Warn("drain of the entry that lost its registration failed; its remaining requests are aborted", "error", err)
 	}
