Let a stopping agent wait until entries have its last results

Callers saw: a job whose last task ended while the agent beside its worker was stopping was answered 504 ("the tasks that wait can no longer end in time"), though all its tasks had run.

Cause: a link that closes drops the messages in its queue, and an agent that stops ended in the same pass in which it queued the last ends of runs. The entry took the runs for lost, waited until they had surely ended (1.4 s) and ran the tasks again. Results of jobs with a record are acknowledged; those of best-effort jobs are not.

Fix: before its stop ends, the agent makes a call over each link. Messages are handled in order, so the reply shows that all earlier ones were handled, also that the agent accepts nothing more. Where more runs were refused meanwhile, it repeats that. The call is a LeaseRequest, which entries of earlier builds answer too; a link that does not answer holds the stop up for the silence time-out.

--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -91,6 +91,8 @@
 	stopping   bool
 	stopBefore time.Time
 	stopped    bool
+	// confirming is set while a stop waits for entries to confirm the last results.
+	confirming bool
 	reopenAt   time.Time
 	// retryTimer fires when the granter must decide again without an event.
 	retryTimer *time.Timer
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -57,6 +57,8 @@
 	// owners holds the state of each entry that is linked or has runs or results here.
 	owners map[vwid.Incarnation]*owner
 	health health
+	// sentEnds counts the ends of runs that were sent to entries.
+	sentEnds uint64
 }
 
 // owner is the state that the runner keeps for an entry.
@@ -385,6 +387,7 @@
 	o.retainResult(now, end)
 	if o.link != nil && o.resumeSent {
 		o.lastLoad, o.lastLoadAt = end.Load, now
+		r.sentEnds++
 		o.link.send(&end)
 	}
 }
--- a/internal/process/vwagent/stop.go
+++ b/internal/process/vwagent/stop.go
@@ -2,9 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"vanillawind.example/vanillawind/internal/connection/vwlink"
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 // reopenInterval is the wait before a new attempt after the endpoint could not be opened.
@@ -64,7 +70,7 @@
 		return
 	}
 	if a.stopping {
-		a.stopped = true
+		a.confirmResults()
 		return
 	}
 	a.current = nil
@@ -76,6 +82,42 @@
 	})
 }
 
+// confirmResults ends the stop once all entries have handled what was sent to them. A link that closes drops the messages
+// in its queue, and an entry that has not received a result runs the task again. What entries sent meanwhile has been
+// refused, so the confirmation is repeated until no more ends of runs were sent.
+func (a *Agent) confirmResults() {
+	if a.confirming {
+		return
+	}
+	if a.runner == nil || len(a.current.links) == 0 {
+		a.stopped = true
+		return
+	}
+	a.confirming = true
+	before, links := a.runner.sentEnds, slices.Collect(maps.Values(a.current.links))
+	request := vwmessage.LeaseRequest{Incarnation: a.current.incarnation, Held: a.current.lease.Held()}
+	a.group.Run(func(ctx context.Context) {
+		limited, cancel := context.WithTimeout(ctx, a.timing.Silence)
+		defer cancel()
+		calls := vwgroup.Make(limited)
+		for _, l := range links {
+			calls.Run(func(ctx context.Context) { l.confirm(ctx, request) })
+		}
+		_ = calls.Wait()
+		a.post(eventFunc(func(time.Time) {
+			a.confirming, a.stopped = false, a.runner.sentEnds == before
+		}))
+	})
+}
+
+// confirm waits until the entry has handled all messages sent over the link so far. Messages are handled in order, and
+// every entry answers a LeaseRequest.
+func (l *link) confirm(ctx context.Context, request vwmessage.LeaseRequest) {
+	if _, err := vwlink.Call[*vwmessage.LeaseReply](ctx, l.session, &request); err != nil {
+		l.registration.agent.logger.Warn("entry has not confirmed the last results", "Entry", string(l.session.Peer().Process), "Error", err.Error())
+	}
+}
+
 // isDrained reports whether no task or run is left and either each result is acknowledged or AckTimeout has passed
 // since the first call that found none left. A call that finds one resets that time.
 func (r *registration) isDrained(now time.Time) bool {
