Answer requests that arrive while the port of a stopping service closes

Callers saw: a connection that was accepted just before a stopping service closed its port was closed without an answer when its request, or the rest of its header, came just after.

Cause: http.Server.Shutdown sets a flag before it closes the listener, and a connection that has read a request while the flag is set returns without an answer (net/http server.go, serve).

Fix: the listener closes first and keep-alive ends, so that answers close their connections. Then the service waits until no connection carries a request, at most one second for one that has carried none, and only then ends the rest, which are idle. This also replaces the second Shutdown: connections are looked at each 10 ms, not at intervals that grow to half a second.

Not covered: an idle connection whose request is under way when it is closed, connections in the backlog of the closed port, and requests sent behind another one on the same connection; HTTP lets clients send these again, as no answer was begun.

--- a/internal/process/vwprocess/httpserver.go
+++ b/internal/process/vwprocess/httpserver.go
@@ -18,13 +18,18 @@
 	readHeaderTimeout = 5 * time.Second
 	// idleTimeout exceeds that of usual load balancers, so that the balancer closes idle connections first.
 	idleTimeout = 2 * time.Minute
+	// newConnectionWait is how long a server that stops waits for the first request of a connection that it has accepted.
+	newConnectionWait = time.Second
+	// connectionPollInterval is the period at which a server that stops looks for the end of its connections.
+	connectionPollInterval = 10 * time.Millisecond
 )
 
 // httpServer serves HTTP on a bound address. All methods accept a nil receiver and then do nothing.
 type httpServer struct {
-	listener net.Listener
-	server   *http.Server
-	group    *vwgroup.Group
+	listener    net.Listener
+	server      *http.Server
+	group       *vwgroup.Group
+	connections connectionStates
 	// inFlight counts the requests whose handlers run.
 	inFlight atomic.Int64
 }
@@ -39,7 +44,7 @@
 		return nil, trace.Wrap(err, "binding %s", address)
 	}
 	s := &httpServer{listener: listener, group: vwgroup.Make(context.Background())}
-	s.server = &http.Server{Handler: s.count(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	s.server = &http.Server{Handler: s.count(handler), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: s.connections.set}
 	return s, nil
 }
 
@@ -73,20 +78,23 @@
 	s.group.Run(func(context.Context) { _ = s.server.Serve(s.listener) })
 }
 
-// stop shuts the server down gracefully and waits for the requests in flight. The standard library looks for their end
-// at intervals that grow to half a second, so a second shutdown waits for the answers that are sent at answerBy.
+// stop shuts the server down gracefully and waits for the requests in flight. http.Server.Shutdown drops a request that it
+// reads after it was called, without an answer, so the port closes first, and the connections that were accepted before
+// get the answer to what arrives over them until all have ended.
 func (s *httpServer) stop(ctx context.Context) error {
 	if s == nil {
 		return nil
 	}
-	untilAnswers, cancel := context.WithDeadline(ctx, answerTime(ctx))
-	defer cancel()
-	err := s.server.Shutdown(untilAnswers)
-	if untilAnswers.Err() != nil && ctx.Err() == nil {
-		err = s.server.Shutdown(ctx)
+	_ = s.listener.Close()
+	_ = s.group.Wait()
+	s.server.SetKeepAlivesEnabled(false)
+	newUntil := time.Now().Add(newConnectionWait)
+	for s.connections.areInUse(time.Now().Before(newUntil)) {
+		if err := vwgroup.Sleep(ctx, connectionPollInterval); err != nil {
+			return trace.Wrap(err)
+		}
 	}
-	_ = s.group.Stop()
-	return trace.Wrap(err)
+	return trace.Wrap(s.server.Close())
 }
 
 func (s *httpServer) kill() {
--- a/internal/process/vwprocess/service_test.go
+++ b/internal/process/vwprocess/service_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
 var discardLog = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -131,3 +133,77 @@
 	require.Equal(t, http.StatusNotFound, get(t, address))
 	require.NoError(t, services.stop(t.Context()))
 }
+
+// Guards against requests that arrive over a connection that was accepted before its service stopped, and whose connection
+// is closed without an answer.
+func TestRequestsThatArriveDuringAStopAreAnswered(t *testing.T) {
+	const header, body = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n", "body"
+	cases := map[string]struct{ before, after string }{
+		"in its handler":        {header + body, ""},
+		"without its body":      {header, body},
+		"with half of its body": {header + body[:2], body[2:]},
+		"with half a header":    {header[:20], header[20:] + body},
+		"only connected":        {"", header + body},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var begun atomic.Int64
+			stopped := make(chan struct{})
+			services, err := listenServices([]Service{{Address: "127.0.0.1:0", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method != http.MethodPost {
+					return
+				}
+				begun.Add(1)
+				<-stopped
+				_, _ = io.Copy(w, r.Body)
+			})}}, discardLog)
+			require.NoError(t, err)
+			services.start()
+			t.Cleanup(services.kill)
+			address := services.addresses()[0]
+			conn, err := net.Dial("tcp", address)
+			require.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte(c.before))
+			require.NoError(t, err)
+			if strings.HasPrefix(c.before, header) {
+				require.Eventually(t, func() bool { return begun.Load() == 1 }, 10*time.Second, time.Millisecond)
+			}
+			require.Equal(t, http.StatusOK, get(t, address), "a later connection is served, so this one has been accepted")
+			http.DefaultClient.CloseIdleConnections()
+			bounded, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+			defer cancel()
+			group := vwgroup.Make(context.Background())
+			group.Go(func(context.Context) error { return services.stop(bounded) })
+			require.Eventually(t, func() bool { return get(t, address) == 0 }, 10*time.Second, time.Millisecond)
+			close(stopped)
+			_, err = conn.Write([]byte(c.after))
+			require.NoError(t, err)
+			require.NoError(t, conn.SetReadDeadline(time.Now().Add(20*time.Second)))
+			answer, err := io.ReadAll(conn)
+			require.NoError(t, err)
+			require.True(t, strings.HasPrefix(string(answer), "HTTP/1.1 200"), "%s", answer)
+			require.True(t, strings.HasSuffix(string(answer), body), "%s", answer)
+			require.Contains(t, string(answer), "Connection: close")
+			require.NoError(t, group.Wait())
+		})
+	}
+}
+
+// Guards against a stop that a connection without a request holds up to its bound.
+func TestConnectionsWithoutRequestsDoNotHoldUpAStop(t *testing.T) {
+	services, err := listenServices([]Service{{Address: "127.0.0.1:0", Handler: http.NotFoundHandler()}}, discardLog)
+	require.NoError(t, err)
+	services.start()
+	t.Cleanup(services.kill)
+	conn, err := net.Dial("tcp", services.addresses()[0])
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.Equal(t, http.StatusNotFound, get(t, services.addresses()[0]))
+	http.DefaultClient.CloseIdleConnections()
+	bounded, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	started := time.Now()
+	require.NoError(t, services.stop(bounded))
+	require.Less(t, time.Since(started), 5*newConnectionWait)
+}
