Leave signals their default effect for commands that do not handle them

A SIGHUP ended a tool that was started with SIGHUP ignored, as by nohup. A tool that waits for its input outlived any number of SIGHUPs and SIGTERMs. An interrupt that came while the first signal was handled had no effect. A SIGHUP while a role read its settings stopped it, with exit code 0.

Signals now receives SIGHUP only for a command that handles signals, which a role does before it reads its settings. A signal that has to end the process is raised again with its default effect, so none is lost between its arrival and the change of the handler.

--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -45,6 +45,8 @@
 
 // Run runs the process until ctx ends or the process fails, and then shuts it down gracefully within Timeouts.Stop.
 func (c Command) Run(ctx context.Context) error {
+	// Without the settings there is no log yet, but a hangup must not end the process.
+	c.Signals.Handle(func(os.Signal) {})
 	settings, err := vwsettings.Load(c.SettingsFile)
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/process/vwsignal/signals.go
+++ b/internal/process/vwsignal/signals.go
@@ -15,19 +15,20 @@
 // system itself merges pending signals of a kind.
 const bufferedSignals = 16
 
-// Signals handles SIGINT, SIGTERM and SIGHUP. The first SIGINT or SIGTERM ends the context of the command, which then
-// shuts down gracefully. Further SIGTERMs do not shorten the shutdown, which is bounded already. A SIGINT after that
-// has its default effect and ends the process at once. SIGHUP ends the context as well, unless a command handles it.
+// Signals handles the signals of a process. The first SIGINT or SIGTERM ends the context of the command. What further
+// signals do depends on whether the command handles signals.
 type Signals struct {
-	stop context.CancelFunc
+	received chan os.Signal
+	stop     context.CancelFunc
 
-	mu      sync.Mutex
-	handler func(os.Signal)
+	mu       sync.Mutex
+	stopping bool
+	handler  func(os.Signal)
 }
 
 // Make returns Signals that call stop when the command has to stop. They handle only what Deliver passes them.
 func Make(stop context.CancelFunc) *Signals {
-	return &Signals{stop: stop}
+	return &Signals{received: make(chan os.Signal, bufferedSignals), stop: stop}
 }
 
 // Receive handles the signals of this process until it ends. The returned context is the command's, and holds the Signals
@@ -35,21 +36,20 @@
 func Receive(ctx context.Context) context.Context {
 	ctx, stop := context.WithCancel(ctx)
 	signals := Make(stop)
-	received := make(chan os.Signal, bufferedSignals)
-	signal.Notify(received, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	signal.Notify(signals.received, os.Interrupt, syscall.SIGTERM)
 	vwgroup.Make(context.WithoutCancel(ctx)).Run(func(context.Context) {
-		for s := range received {
-			signals.Deliver(s)
-			if ctx.Err() != nil {
-				signal.Reset(os.Interrupt)
+		for received := range signals.received {
+			if !signals.Deliver(received) {
+				raise(received)
 			}
 		}
 	})
 	return context.WithValue(ctx, contextKey{}, signals)
 }
 
-// Handle calls handler for each signal from now on, also while the process shuts down. SIGHUP then no longer ends the
-// context of the command. The handler must not block. A nil receiver does nothing.
+// Handle calls handler for each signal from now on, also while the process shuts down, and for SIGHUP, which then does not
+// end the process any more. Further SIGTERMs no longer end it either: the shutdown of a command that handles signals is
+// bounded. The handler must not block. A nil receiver does nothing.
 func (s *Signals) Handle(handler func(os.Signal)) {
 	if s == nil {
 		return
@@ -57,18 +57,34 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.handler = handler
+	signal.Notify(s.received, syscall.SIGHUP)
 }
 
-// Deliver handles one signal.
-func (s *Signals) Deliver(received os.Signal) {
+// Deliver handles one signal. It returns false if the signal has to have its default effect, which ends the process: any
+// after the first, unless the command handles signals, and then only an interrupt, by which a person at a terminal ends a
+// shutdown that takes too long.
+func (s *Signals) Deliver(received os.Signal) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopping && (s.handler == nil || received == os.Interrupt) {
+		return false
+	}
 	if s.handler != nil {
 		s.handler(received)
 	}
-	if received != syscall.SIGHUP || s.handler == nil {
+	if received != syscall.SIGHUP {
+		s.stopping = true
 		s.stop()
 	}
+	return true
+}
+
+// raise sends a signal to this process again, with its default effect.
+func raise(received os.Signal) {
+	signal.Reset(received)
+	if number, is := received.(syscall.Signal); is {
+		_ = syscall.Kill(os.Getpid(), number)
+	}
 }
 
 type contextKey struct{}
