Let start hooks end before a stopped start is undone

A SIGTERM during the start left the start hook running beside Kill: a data race, and the port of a service could open after the start had been given up.

Cause: fx returns from Start when its context ends, while the hook goes on. The hooks do not look at their context, so Start now gets one that does not end, and whether the start has to be given up is decided after it.

A hook that hangs, for example on a stalled disk, is no longer given up after StartTimeout but when it returns.

--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -73,7 +73,7 @@
 		fx.Populate(&process.agent),
 		fx.Invoke(addAgentHooks),
 	)
-	if err := process.app.Start(ctx); err != nil {
+	if err := startApp(ctx, process.app); err != nil {
 		process.Kill()
 		return nil, trace.Wrap(err)
 	}
--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/fx"
 
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
@@ -19,7 +20,7 @@
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 )
 
-// StartTimeout bounds the start of a process, which opens its files and binds its addresses.
+// StartTimeout is the time after which a start, which opens files and binds addresses, has failed.
 const StartTimeout = 30 * time.Second
 
 // Command runs a process of one role from a settings file.
@@ -83,6 +84,18 @@
 	return trace.NewAggregate(err, ShutDown(ctx, process, time.Duration(settings.Timeouts.Stop), log))
 }
 
+// startApp starts the components of a process. The start hooks run to their end even if ctx ends meanwhile, so that the
+// caller can kill what they have started.
+func startApp(ctx context.Context, app *fx.App) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if err := app.Start(context.WithoutCancel(ctx)); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
 // IsStopDuringStart reports whether a start has failed with err because ctx, which ends when the process has to stop,
 // has ended.
 func IsStopDuringStart(ctx context.Context, err error) bool {
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -67,7 +67,7 @@
 		fx.Provide(provideControlServer),
 		fx.Invoke(addControlHooks),
 	)
-	if err := process.app.Start(ctx); err != nil {
+	if err := startApp(ctx, process.app); err != nil {
 		process.Kill()
 		return nil, trace.Wrap(err)
 	}
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -97,7 +97,7 @@
 		fx.Provide(provideLinks, provideSupervisor, provideEntryServers),
 		fx.Invoke(addEntryHooks),
 	)
-	if err := process.app.Start(ctx); err != nil {
+	if err := startApp(ctx, process.app); err != nil {
 		process.Kill()
 		return nil, trace.Wrap(err)
 	}
