Do not report a graceful stop as failed when the log is not read

To an operator a graceful stop looked like a failure.

The end of the log had a part in the error of the command. It has none any more, since there is nowhere else to report it. TestStuckLogDoesNotFailTheStop failed before (that error) and passes.

--- a/internal/process/vwprocess/command.go
+++ b/internal/process/vwprocess/command.go
@@ -65,7 +65,10 @@
 	if err != nil {
 		return trace.NewAggregate(err, out.Close())
 	}
-	return trace.NewAggregate(run(ctx, settings, log, events.Log), events.close(), out.Close())
+	err = trace.NewAggregate(run(ctx, settings, log, events.Log), events.close())
+	// A reader that does not take the last lines is no failure of the process, and there is nowhere else to log it.
+	_ = out.Close()
+	return err
 }
 
 func run(ctx context.Context, settings vwsettings.Settings, log *slog.Logger, events *vwevent.Log) error {
--- a/internal/process/vwprocess/command_test.go
+++ b/internal/process/vwprocess/command_test.go
@@ -100,3 +100,21 @@
 		})
 	}
 }
+
+// stuckWriter takes nothing until it is released.
+type stuckWriter struct{ released chan struct{} }
+
+func (w stuckWriter) Write(line []byte) (int, error) {
+	<-w.released
+	return len(line), nil
+}
+
+// Guards against a graceful stop that exits with an error because the reader of the log does not take the last lines.
+func TestStuckLogDoesNotFailTheStop(t *testing.T) {
+	log := stuckWriter{released: make(chan struct{})}
+	defer close(log.released)
+	path := writeSettings(t, "agent", "127.0.0.1:7301", loopback, "127.0.0.1:7303", loopback)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, vwprocess.Command{Role: vwstate.RoleAgent, SettingsFile: path, Log: log}.Run(ctx))
+}
