--- a/internal/version/vwlease/grant.go
+++ b/internal/version/vwlease/grant.go
@@ -33,9 +33,10 @@
 // Lease holds the configuration of a process and the time until which the process may act on it. It is
 // immutable. The zero Lease holds version 0 and is never fresh.
 type Lease struct {
-	version   vwid.ConfigVersion
-	rules     *vwrule.Rules
-	text      []byte
+	version vwid.ConfigVersion
+	rules   *vwrule.Rules
+	// relayText is the text of the rules without routes.
+	relayText []byte
 	expiresAt time.Time
 }
 
--- a/internal/version/vwlease/holder.go
+++ b/internal/version/vwlease/holder.go
@@ -1,7 +1,6 @@
 package vwlease
 
 import (
-	"bytes"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -116,7 +115,7 @@
 	if err != nil {
 		return false, trace.Wrap(err, "version %d", grant.Version)
 	}
-	replacement := Lease{version: grant.Version, rules: rules, text: bytes.Clone(grant.Text), expiresAt: held.expiresAt}
+	replacement := Lease{version: grant.Version, rules: rules, relayText: vwrule.RemoveRoutes(grant.Text), expiresAt: held.expiresAt}
 	h.current.Store(replacement.extend(expiresAt))
 	return true, nil
 }
--- a/internal/version/vwlease/holder_test.go
+++ b/internal/version/vwlease/holder_test.go
@@ -213,6 +213,28 @@
 	require.Zero(t, entry.UntilNextRequest(at(100)), "an agent that is ahead must make the entry renew at once")
 }
 
+// A relayed grant must not grow with the routes. When each agent got the text of all routes from each entry, each change
+// filled the entries' links, starts came late, and the jobs with the shortest objective earned less than their floor.
+func TestRelayOmitsRoutes(t *testing.T) {
+	entry, agent := Make(leaseDuration, renewInterval), Make(leaseDuration, renewInterval)
+	text := []byte("DataCentre.etela-a = {} # x\nOut.etela-a = {} # x\nService.muotoilu = {} # x\n")
+	const routes, maxRelayed = 1400, 200
+	for i := range routes {
+		text = fmt.Appendf(text, "Route.r%d = { Host = \"a.example\", Prefix = \"/%d/\", Service = \"muotoilu\", Timeout = \"1500ms\" } # x\n", i, i)
+	}
+	_, err := entry.Renew(entry.Request(at(0)), Grant{Version: 1, Remaining: leaseDuration, Text: text})
+	require.NoError(t, err)
+	require.Equal(t, routes, entry.Rules().Routes())
+	request := agent.Request(at(1))
+	grant, granted := entry.Relay(at(1), request.Held)
+	require.True(t, granted)
+	require.Less(t, len(grant.Text), maxRelayed)
+	_, err = agent.Renew(request, grant)
+	require.NoError(t, err)
+	require.True(t, agent.Rules().IsOut("etela-a"))
+	require.Equal(t, []vwid.Service{"muotoilu"}, agent.Rules().Services())
+}
+
 // An agent's lease must expire no later than that of its entry, however long the reply was in flight.
 func TestEntryLosesLease(t *testing.T) {
 	entry, agent := Make(leaseDuration, renewInterval), Make(leaseDuration, renewInterval)
--- a/internal/version/vwlease/relay.go
+++ b/internal/version/vwlease/relay.go
@@ -10,6 +10,9 @@
 // returns false when less than a millisecond of this lease remains, and when held is above the own version; in
 // the second case a renewal is due at once.
 //
+// The granted rules have no routes: only entries use them, and each entry relays each version to all agents, so that the
+// text of many routes would fill its link to the network.
+//
 // The lease of the other process runs from the sending of its request, which is before now, so it expires no
 // later than this one.
 func (h *Holder) Relay(now time.Time, held vwid.ConfigVersion) (Grant, bool) {
@@ -25,7 +28,7 @@
 	}
 	grant := Grant{Version: own.version, Remaining: remaining}
 	if held < own.version {
-		grant.Text = own.text
+		grant.Text = own.relayText
 	}
 	return grant, true
 }
--- a/internal/version/vwrule/route.go
+++ b/internal/version/vwrule/route.go
@@ -1,8 +1,10 @@
 package vwrule
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
+	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -96,6 +98,21 @@
 	return count
 }
 
+// routeKey matches the beginning of a line that holds the rule of a route. A key that is written in another way, such as
+// with quotes, does not match.
+var routeKey = regexp.MustCompile(`^\s*` + string(KindRoute) + `\s*\.`)
+
+// RemoveRoutes returns the text of rules without those of routes, for processes that take no requests of clients.
+func RemoveRoutes(text []byte) []byte {
+	kept := make([]byte, 0, len(text))
+	for line := range bytes.Lines(text) {
+		if !routeKey.Match(line) {
+			kept = append(kept, line...)
+		}
+	}
+	return slices.Clip(kept)
+}
+
 // sortRoutes orders the routes of each host for Route.
 func (r *Rules) sortRoutes() {
 	for _, routes := range r.routes {
--- a/internal/version/vwrule/route_test.go
+++ b/internal/version/vwrule/route_test.go
@@ -41,6 +41,26 @@
 	}
 }
 
+// RemoveRoutes must leave all other rules unchanged: agents that miss one would start tasks that it forbids.
+func TestRemoveRoutes(t *testing.T) {
+	others := routed + "# Route.a is a comment\n\nDataCentre.Route = {} # Route.x\nOut.Route = {} # x"
+	route := routeLine("r", "a.example", "/a/")
+	cases := map[string]struct{ text, want string }{
+		"none":        {others, others},
+		"first":       {route + others, others},
+		"amid":        {routed + "  " + route + others, routed + others},
+		"last":        {others + "\n" + strings.TrimSuffix(route, "\n"), others + "\n"},
+		"line breaks": {"Service.a = {} # x\r\nRoute . b = {} # x\r\nService.c = {} # x\r\n", "Service.a = {} # x\r\nService.c = {} # x\r\n"},
+		"only routes": {route + route, ""},
+		"empty":       {"", ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, c.want, string(RemoveRoutes([]byte(c.text))))
+		})
+	}
+}
+
 // The objective decides which jobs are refused, so its parts must not be mixed up.
 func TestRouteFields(t *testing.T) {
 	rules, err := Parse("rules", []byte(routed+routeLine("r", "a.example", "/a/")+
