Let only the worker decide which incarnation the agent tracks

What was seen: one well-formed announcement of another writer, sent to an agent between those of its worker, replaced the worker. With another id, the runs of the worker ended as lost while they went on, so entries would have run the tasks elsewhere at the same time. With the id of the worker and a later start time, reports of the worker were ignored as those of an earlier incarnation and its announcements as late: the worker was never used again, and the agent asked it for a report about a thousand times a second.

Cause: an announcement of any later start time was taken as proof that the previous incarnation had ended.

Fix: while a worker is tracked, an announcement of another incarnation, with an earlier or a later start time, is pending. The agent polls the worker once, under a raised fencing token. A rejection as another incarnation, a refused connection or a start time in the report shows that the tracked one is gone, and the pending one is tracked at once. A report of the tracked one drops the pending one. While no worker is tracked, an announcement is used at once, as before; a false one is then denied by the worker's answer, also if only the start time is false, since the order was sent after the announcement. Runs of a previous id end as lost only once the worker has confirmed the new id. The clock of an announcement is no longer used: a large one would make leases last longer than the agent believes.

What cannot be told apart: a Leave has neither a body nor a start time, so one with the id of the tracked worker is believed; one with another id has no effect. The same holds for an announcement with the id and the start time of the tracked worker.

--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -37,8 +37,6 @@
 	Service  vwid.Service
 	Labels   []string
 	Capacity vwresource.Amount
-	// Now is the worker's clock.
-	Now vwworker.Clock
 	// Draining is set if the worker is leaving.
 	Draining bool
 }
@@ -50,6 +48,8 @@
 	tracker      *vwrun.Tracker
 	reservations vwplace.Reservations
 	offer        WorkerOffer
+	// pendingOffer is the offer of another incarnation that the worker has not confirmed.
+	pendingOffer *WorkerOffer
 	// announcedAt is the time of the last accepted announcement.
 	announcedAt time.Time
 	// oldRunsEnded is set once the worker runs nothing of earlier incarnations of this agent.
@@ -91,8 +91,8 @@
 	}
 }
 
-// AnnounceWorker records an announcement of the worker. Announcements of an earlier incarnation or out of
-// order are ignored.
+// AnnounceWorker records an announcement of the worker. Announcements out of order are ignored. One of another
+// incarnation than the tracked one is used once the worker has confirmed it.
 func (a *Agent) AnnounceWorker(_ context.Context, offer WorkerOffer) error {
 	if !a.do(func(now time.Time) { a.runner.onAnnounce(now, offer) }) {
 		return vwverdict.Errorf(vwverdict.NotRun, "the agent has stopped")
@@ -109,15 +109,35 @@
 }
 
 func (r *runner) onAnnounce(now time.Time, offer WorkerOffer) {
-	if offer.Life.Born < r.offer.Life.Born {
-		r.agent.logger.Warn("ignored the announcement of an earlier incarnation", "Worker", string(offer.Life.ID), "Born", offer.Life.Born)
-		return
-	}
 	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence {
 		r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", r.offer.Sequence)
 		return
 	}
-	changed := !r.sameOffer(&offer)
+	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity})
+	if r.tracker.IsPending() && r.tracker.Life() != offer.Life {
+		r.pendingOffer = &offer
+		return
+	}
+	r.acceptOffer(now, &offer)
+}
+
+// resolvePendingOffer accepts the pending offer once the worker has confirmed its incarnation, and drops it if the worker
+// has denied it.
+func (r *runner) resolvePendingOffer(now time.Time) {
+	pending := r.pendingOffer
+	switch {
+	case pending == nil:
+	case r.tracker.Life() == pending.Life:
+		r.pendingOffer = nil
+		r.acceptOffer(now, pending)
+	case !r.tracker.IsPending():
+		r.pendingOffer = nil
+	}
+}
+
+// acceptOffer makes the offer of the tracked incarnation the current one and sends it to the entries if it has changed.
+func (r *runner) acceptOffer(now time.Time, offer *WorkerOffer) {
+	changed := !r.sameOffer(offer)
 	if changed {
 		r.agent.logger.Info("worker is announced", "Worker", string(offer.Life.ID), "Born", offer.Life.Born, "Service", string(offer.Service),
 			"Capacity", offer.Capacity.String(), "Labels", offer.Labels, "Draining", offer.Draining)
@@ -125,8 +145,7 @@
 	if offer.Life != r.offer.Life {
 		r.health = health{}
 	}
-	r.offer, r.announcedAt = offer, now
-	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity, Now: offer.Now})
+	r.offer, r.announcedAt = *offer, now
 	if !changed {
 		return
 	}
@@ -326,7 +345,9 @@
 			r.resume(now, o, entry)
 		}
 	}
-	for _, order := range r.tracker.TakeOrders(now) {
+	orders := r.tracker.TakeOrders(now)
+	r.resolvePendingOffer(now)
+	for _, order := range orders {
 		r.agent.group.Run(func(ctx context.Context) { r.callWorker(ctx, order) })
 	}
 	results := r.tracker.TakeResults()
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -85,7 +85,7 @@
 	f.t.Helper()
 	require.NoError(f.t, f.agent.AnnounceWorker(f.t.Context(), WorkerOffer{
 		Life: f.worker.Life(), Sequence: sequence, Service: "pedidos",
-		Capacity: vwresource.Amount{CPU: 4000, Memory: vwunit.GiB}, Now: f.worker.Now(), Draining: draining,
+		Capacity: vwresource.Amount{CPU: 4000, Memory: vwunit.GiB}, Draining: draining,
 	}))
 }
 
@@ -230,6 +230,68 @@
 	}
 }
 
+// Guards against another writer that announces an incarnation which the worker does not have: the worker, its runs and
+// its offer must stay. Such an announcement ended the runs as lost while they went on.
+func TestFalseAnnouncementChangesNothing(t *testing.T) {
+	largest := int64(1 << 53)
+	cases := map[string]func(real vwworker.Life) vwworker.Life{
+		"other id":           func(real vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: real.Born + 1} },
+		"other id, largest":  func(vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: largest} },
+		"other id, earliest": func(vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: 1} },
+		"same id, largest":   func(real vwworker.Life) vwworker.Life { return vwworker.Life{ID: real.ID, Born: largest} },
+		"same id, earliest":  func(real vwworker.Life) vwworker.Life { return vwworker.Life{ID: real.ID, Born: 1} },
+	}
+	for name, falsify := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				f.worker.RunTime = func(vwworker.Task) time.Duration { return 2 * time.Second }
+				e := f.attach("e1", "e1-1")
+				e.run("j", 2, 2*time.Second)
+				offer := f.agent.runner.offer
+				for sequence := range uint64(3) {
+					require.NoError(t, f.agent.AnnounceWorker(t.Context(), WorkerOffer{
+						Life: falsify(f.worker.Life()), Sequence: sequence, Service: "pedidos", Capacity: vwresource.Amount{CPU: 1 << 30, Memory: vwunit.GiB}, Draining: true,
+					}))
+					time.Sleep(100 * time.Millisecond)
+					f.announce(2+sequence, false)
+					require.True(t, e.load().Accepting, e.load().Reason)
+				}
+				require.Equal(t, 2, f.worker.Running())
+				require.Empty(t, e.ends("j"))
+				offer.Sequence = 4
+				require.Equal(t, offer, f.agent.runner.offer)
+				e.run("k", 3, 2*time.Second)
+				require.Equal(t, map[int]vwrun.Outcome{2: vwrun.OutcomeRefused}, e.ends("k"), "the worker has room for four tasks")
+				time.Sleep(3 * time.Second)
+				require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeDone, 1: vwrun.OutcomeDone}, e.ends("j"))
+			})
+		})
+	}
+}
+
+// Guards against a worker that is not used after a restart: its new incarnation must replace the previous one at its first
+// announcement, with its own capacity, although the previous one was in use.
+func TestRestartedWorkerIsUsed(t *testing.T) {
+	for name, id := range map[string]vwid.Worker{"same id": "w1", "other id": "w2"} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				f.worker.RunTime = func(vwworker.Task) time.Duration { return 2 * time.Second }
+				e := f.attach("e1", "e1-1")
+				e.run("j", 2, 2*time.Second)
+				f.worker.Restart(id)
+				f.announce(1, false)
+				// The hold in flight may last for its wait and its timeout.
+				settings := vwrun.DefaultSettings()
+				time.Sleep(settings.RenewInterval + settings.AnswerTimeout + 10*time.Millisecond)
+				require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeLost, 1: vwrun.OutcomeLost}, e.ends("j"))
+				require.Equal(t, f.worker.Life(), f.agent.runner.offer.Life)
+				e.run("k", 4, 2*time.Second)
+				require.Equal(t, 4, f.worker.Running())
+			})
+		})
+	}
+}
+
 // Guards against starvation of an entry that waits for capacity: freed capacity must be reserved for it, or the
 // entry that is notified first would take it each time.
 func TestFreedRoomIsKept(t *testing.T) {
--- a/internal/process/vwhistory/effortcluster_test.go
+++ b/internal/process/vwhistory/effortcluster_test.go
@@ -173,7 +173,7 @@
 		if w.worker.IsUp() {
 			_ = agent.AnnounceWorker(ctx, vwagent.WorkerOffer{
 				Life: w.worker.Life(), Sequence: sequence, Service: service, Labels: []string{"a"}, Capacity: workerRoom(),
-				Now: w.worker.Now(), Draining: w.hasLeft(),
+				Draining: w.hasLeft(),
 			})
 		}
 		if vwgroup.Sleep(ctx, announceInterval) != nil {
--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -128,10 +128,13 @@
 		t.countUnanswered(now, err)
 	case report.Born > t.life.Born:
 		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
-	case report.Born != 0 && report.Born < t.life.Born:
+	case report.Born != 0 && report.Born < t.life.Born && order.Token < t.lifeToken:
 		t.logger.Warn("ignored the report of an earlier incarnation", "worker", string(t.life.ID), "born", report.Born, "current", t.life.Born)
+	case report.Born != 0 && report.Born < t.life.Born:
+		// The order was sent after the tracking of life began, so the announcement of that life was false.
+		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
 	default:
-		t.handleReport(now, order, &report)
+		t.handleReport(now, sent, &report)
 	}
 }
 
@@ -159,7 +162,8 @@
 	}
 }
 
-func (t *Tracker) handleReport(now time.Time, order *vwworker.HoldOrder, report *vwworker.Report) {
+func (t *Tracker) handleReport(now time.Time, sent Order, report *vwworker.Report) {
+	order := sent.Hold
 	if t.tokenGuessed && order.Token == t.token {
 		t.tokenGuessed = false
 		t.token++
@@ -171,7 +175,15 @@
 		t.scheduleSync(now)
 		return
 	}
+	if t.runsWorker != t.life.ID {
+		// Orders carry the worker's id, so this worker rejects those to the previous one.
+		t.markAllLost(now, "worker "+string(t.life.ID)+" has taken the place of this one")
+		t.runsWorker = t.life.ID
+	}
 	t.reportedAt = now
+	if t.reportOrdered.Before(sent.Sent) {
+		t.reportOrdered = sent.Sent
+	}
 	t.syncWait = 0
 	t.nextSync = now.Add(foreignPollInterval)
 	t.lastEndAcknowledged = max(t.lastEndAcknowledged, order.Seen)
--- a/internal/request/vwrun/driver_test.go
+++ b/internal/request/vwrun/driver_test.go
@@ -121,7 +121,7 @@
 
 func (d *driver) announce() {
 	d.update(func(now time.Time) {
-		d.tracker.Announce(now, Announcement{Life: d.worker.Life(), Capacity: capacity, Now: d.worker.Now()})
+		d.tracker.Announce(now, Announcement{Life: d.worker.Life(), Capacity: capacity})
 	})
 }
 
--- a/internal/request/vwrun/history_test.go
+++ b/internal/request/vwrun/history_test.go
@@ -144,6 +144,8 @@
 		h.agent.update(func(now time.Time) { h.agent.tracker.StopOwnedBy(now, "e", "test") })
 	case 4, 5:
 		h.agent.announce()
+	case 9:
+		h.announceFalsely()
 	case 6, 7, 8:
 		h.agent.stopTask(vwid.SubmissionID(fmt.Sprint("j", h.random.IntN(h.jobCount+1))))
 	default:
@@ -152,6 +154,16 @@
 	time.Sleep(time.Duration(h.random.IntN(60)) * time.Millisecond)
 }
 
+// announceFalsely announces an incarnation that the worker does not have.
+func (h *history) announceFalsely() {
+	life := h.worker.Life()
+	if h.random.IntN(2) == 0 {
+		life.ID = "other"
+	}
+	life.Born += []int64{-1, 1, 1 << 50}[h.random.IntN(3)]
+	h.agent.update(func(now time.Time) { h.agent.tracker.Announce(now, Announcement{Life: life, Capacity: capacity}) })
+}
+
 // startTask starts a new task or, in one of four cases, an earlier task that is not running.
 func (h *history) startTask() {
 	task := vwworker.Task{Job: vwid.SubmissionID(fmt.Sprint("j", h.jobCount))}
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -23,6 +23,7 @@
 
 // TakeOrders returns the calls to make now.
 func (t *Tracker) TakeOrders(now time.Time) []Order {
+	t.resolvePending(now)
 	t.planHold(now)
 	orders := t.orders
 	t.orders = nil
--- a/internal/request/vwrun/overdue_test.go
+++ b/internal/request/vwrun/overdue_test.go
@@ -84,7 +84,7 @@
 	begun := time.Date(2026, 12, 4, 10, 0, 0, 0, time.UTC)
 	life := vwworker.Life{ID: "w", Born: 1}
 	tracker := Make(DefaultSettings(), 1, slog.New(slog.DiscardHandler))
-	tracker.Announce(begun, Announcement{Life: life, Capacity: capacity, Now: 1000})
+	tracker.Announce(begun, Announcement{Life: life, Capacity: capacity})
 	orders := tracker.TakeOrders(begun)
 	require.Len(t, orders, 1)
 	tracker.HoldAnswered(begun, orders[0], vwworker.Report{Answer: vwworker.Answer{Now: 1000}, Born: 1}, nil)
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -49,12 +49,11 @@
 	maxReportedEnds = 500
 )
 
-// Announcement describes an incarnation of a worker and its capacity.
+// Announcement describes an incarnation of a worker and its capacity. It may come from another writer than the worker,
+// so only answers of the worker decide which incarnation is tracked and what its clock shows.
 type Announcement struct {
 	Life     vwworker.Life
 	Capacity vwresource.Amount
-	// Now is the time on the worker's clock.
-	Now vwworker.Clock
 }
 
 // Tracker tracks the runs of one worker. It is not safe for concurrent use.
@@ -66,6 +65,16 @@
 	life     vwworker.Life
 	capacity vwresource.Amount
 	clock    workerClock
+	// lifeToken is the fencing token with which the tracking of life began.
+	lifeToken uint64
+	// pending is the last announcement of another incarnation, made at pendingAt, until an answer of the worker shows
+	// whether life has ended. verifiedAt is when the worker was last asked for it.
+	pending               *Announcement
+	pendingAt, verifiedAt time.Time
+	// reportOrdered is when the last hold that life has answered with a valid report was sent.
+	reportOrdered time.Time
+	// runsWorker is the worker that got the orders for runs.
+	runsWorker vwid.Worker
 	// token is the fencing token. tokenRaises counts the rejections of a token that was too low. tokenGuessed is set
 	// after a raise: another process of the agent may hold exactly the raised token, so the first report under it raises
 	// it by one more.
@@ -83,7 +92,7 @@
 	// foreignRuns are runs that the worker lists but that are not in runs, for example those of an earlier process
 	// of the agent. They are stopped. Until they have ended no run starts, because their size is unknown.
 	foreignRuns map[vwworker.Run]*stopRequest
-	// absentSince is when phaseAbsent began.
+	// absentSince is when the last incarnation that has reported became absent.
 	absentSince time.Time
 	// recentlyEnded maps runs that have certainly ended to the time at which the end was recorded. A report made
 	// before the end may still list them.
@@ -126,25 +135,61 @@
 	}
 }
 
-// Announce handles an announcement of the worker. An announcement with an earlier Born than that of the current
-// incarnation is ignored, whatever its id, as a late one. Another worker id ends all runs as lost; for a new incarnation
-// with the same id they are kept until its first report.
+// Announce handles an announcement of the worker. While no worker is tracked, or the tracked one is gone, the announced
+// incarnation is tracked at once. Otherwise an announcement of another incarnation is late, comes from another writer, or
+// means that the tracked one has ended: it is kept as pending and the worker is asked which incarnation it is.
 func (t *Tracker) Announce(now time.Time, announcement Announcement) {
 	switch {
-	case announcement.Life.Born < t.life.Born:
-		t.logger.Warn("ignored the announcement of an earlier incarnation", "worker", string(announcement.Life.ID), "born", announcement.Life.Born, "current", t.life.Born)
-		return
-	case announcement.Life.ID != t.life.ID:
-		// Orders carry the worker's id, so the new worker rejects those to the previous one.
-		t.markAllLost(now, "worker "+string(announcement.Life.ID)+" has taken the place of this one")
-		t.resetForLife(now, announcement.Life)
-	case announcement.Life != t.life:
-		t.resetForLife(now, announcement.Life)
+	case announcement.Life == t.life:
+		if t.phase == phaseAbsent {
+			t.sync(now)
+		}
+		t.capacity = announcement.Capacity
 	case t.phase == phaseAbsent:
-		t.sync(now)
+		t.track(now, &announcement)
+	default:
+		t.pending, t.pendingAt = &announcement, now
+		t.verifyLife(now)
 	}
+}
+
+// track switches to the incarnation of an announcement.
+func (t *Tracker) track(now time.Time, announcement *Announcement) {
+	t.resetForLife(now, announcement.Life)
 	t.capacity = announcement.Capacity
-	t.clock.observe(now, announcement.Now)
+}
+
+// IsPending reports whether an announced incarnation may replace the tracked one.
+func (t *Tracker) IsPending() bool {
+	return t.pending != nil
+}
+
+// verifyLife asks the worker for a report, which shows whether the tracked incarnation goes on. The higher token fences off
+// orders in flight, which would otherwise be accepted by another incarnation under the same id after this order.
+func (t *Tracker) verifyLife(now time.Time) {
+	t.token++
+	t.verifiedAt, t.pollNow = now, true
+	t.nextSync, t.syncWait = now, 0
+}
+
+// resolvePending tracks the pending incarnation if the tracked one is gone, and drops it if the tracked one has reported
+// since the announcement.
+func (t *Tracker) resolvePending(now time.Time) {
+	pending := t.pending
+	switch {
+	case pending == nil:
+	case pending.Life == t.life:
+		t.pending, t.capacity = nil, pending.Capacity
+	case t.phase == phaseAbsent:
+		t.pending = nil
+		t.track(now, pending)
+	case !t.reportOrdered.Before(t.pendingAt):
+		t.pending = nil
+		t.logger.Warn("announcement of another incarnation is not confirmed by the worker", "worker", string(pending.Life.ID), "born", pending.Life.Born,
+			"current", string(t.life.ID), "current born", t.life.Born)
+	case now.Sub(t.verifiedAt) >= t.settings.AnswerTimeout:
+		t.verifyLife(now)
+	}
 }
 
 // MarkGone marks the worker as gone and settles its confirmed runs as lost. Unconfirmed runs are kept, because a start
@@ -154,7 +199,10 @@
 	if t.phase == phaseAbsent {
 		return
 	}
-	t.phase, t.absentSince = phaseAbsent, now
+	if !t.reportOrdered.IsZero() || t.absentSince.IsZero() {
+		t.absentSince = now
+	}
+	t.phase = phaseAbsent
 	t.logger.Warn("worker is gone", "worker", string(t.life.ID), "runs", len(t.runs), "reason", reason)
 	clear(t.foreignRuns)
 	for _, r := range t.runs {
@@ -215,6 +263,7 @@
 	case !spec.Needs.Fits(t.Free()):
 		return vwverdict.Errorf(vwverdict.NotRun, "the worker has no room for %v; %v is free", spec.Needs, t.Free())
 	}
+	t.runsWorker = t.life.ID
 	r := &run{spec: spec, id: vwworker.Run{Task: spec.Task, Number: t.numbers.next(now, spec.Task, spec.Attempt)}}
 	t.runs[spec.Task] = r
 	t.usedCapacity = t.usedCapacity.Plus(spec.Needs)
@@ -317,13 +366,14 @@
 // because an order in flight may have reached it if it has the same id.
 func (t *Tracker) resetForLife(now time.Time, life vwworker.Life) {
 	t.logger.Info("tracking another worker incarnation", "worker", string(life.ID), "born", life.Born, "previous", string(t.life.ID), "runs", len(t.runs))
-	t.life = life
+	t.life, t.reportOrdered = life, time.Time{}
 	t.clock = workerClock{maxDrift: t.settings.MaxClockDrift}
 	t.leaseEnd, t.reportClock, t.lastEndSeen, t.lastEndAcknowledged, t.unansweredHolds = 0, 0, 0, 0, 0
 	clear(t.foreignRuns)
 	clear(t.recentlyEnded)
 	// The higher token fences off orders to the previous incarnation that are still in flight.
 	t.token++
+	t.lifeToken = t.token
 	for _, r := range t.runs {
 		// The first report of the new incarnation shows which runs it has. It starts no others, since their orders
 		// carry a lower token.
--- a/internal/request/vwrun/tracker_test.go
+++ b/internal/request/vwrun/tracker_test.go
@@ -247,17 +247,92 @@
 // A delayed announcement of an earlier incarnation must not replace the current one.
 func TestLateAnnouncement(t *testing.T) {
 	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
-		earlier := Announcement{Life: w.Life(), Capacity: capacity, Now: w.Now()}
+		earlier := Announcement{Life: w.Life(), Capacity: capacity}
 		time.Sleep(time.Second)
 		w.Restart("w2")
 		d.announce()
 		time.Sleep(50 * time.Millisecond)
 		d.update(func(now time.Time) { d.tracker.Announce(now, earlier) })
-		require.Equal(t, vwid.Worker("w2"), d.tracker.Life().ID)
-		require.True(t, d.ready())
+		for range 10 {
+			require.Equal(t, vwid.Worker("w2"), d.tracker.Life().ID)
+			require.True(t, d.ready())
+			time.Sleep(20 * time.Millisecond)
+		}
 	})
 }
 
+// falseLives are incarnations that another writer may announce beside that of the worker.
+func falseLives(real vwworker.Life) map[string]vwworker.Life {
+	return map[string]vwworker.Life{
+		"other id, later":   {ID: "other", Born: real.Born + 1},
+		"other id, earlier": {ID: "other", Born: real.Born - 1},
+		"other id, largest": {ID: "other", Born: 1 << 53},
+		"same id, later":    {ID: real.ID, Born: real.Born + 1},
+		"same id, largest":  {ID: real.ID, Born: 1 << 53},
+		"same id, earlier":  {ID: real.ID, Born: real.Born - 1},
+	}
+}
+
+// An announcement from another writer must not end the runs of the worker, nor keep the agent from using it. Each of them
+// replaced the worker: its runs were lost while they went on, and one with a large start time was never replaced again.
+func TestFalseAnnouncementReplacesNoWorker(t *testing.T) {
+	for name := range falseLives(vwworker.Life{}) {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+				w.RunTime = func(vwworker.Task) time.Duration { return 3 * time.Second }
+				life := falseLives(w.Life())[name]
+				require.NoError(t, d.start("a", small))
+				for range 20 {
+					d.update(func(now time.Time) { d.tracker.Announce(now, Announcement{Life: life}) })
+					time.Sleep(100 * time.Millisecond)
+					require.Equal(t, w.Life(), d.tracker.Life())
+					require.True(t, d.ready())
+					require.Equal(t, capacity, d.tracker.Capacity())
+				}
+				require.Equal(t, 1, w.Running())
+				require.Empty(t, d.outcomes("a"))
+				require.NoError(t, d.start("b", small))
+				time.Sleep(4 * time.Second)
+				require.Equal(t, []Outcome{OutcomeDone}, d.outcomes("a"))
+				require.Equal(t, []Outcome{OutcomeDone}, d.outcomes("b"))
+			})
+		})
+	}
+}
+
+// A false announcement that comes first, while no worker is tracked, must not lock out the worker, and must not make the
+// agent ask it without a pause. One under the id of the worker with a later start time did both.
+func TestFalseAnnouncementLocksOutNoWorker(t *testing.T) {
+	for name := range falseLives(vwworker.Life{}) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := vwworkertest.Make("w1")
+				d := startDriver(t, w, 1, nil)
+				defer func() {
+					d.stop()
+					w.Crash()
+					time.Sleep(time.Minute)
+				}()
+				var calls atomic.Int64
+				w.SetFaults(func(string) vwworkertest.Fault {
+					calls.Add(1)
+					return vwworkertest.Fault{Delay: time.Millisecond}
+				})
+				d.update(func(now time.Time) { d.tracker.Announce(now, Announcement{Life: falseLives(w.Life())[name]}) })
+				time.Sleep(time.Second)
+				require.Less(t, calls.Load(), int64(50))
+				d.announce()
+				time.Sleep(50 * time.Millisecond)
+				require.Equal(t, w.Life(), d.tracker.Life())
+				require.True(t, d.ready())
+				require.NoError(t, d.start("a", small))
+				time.Sleep(200 * time.Millisecond)
+				require.Equal(t, []Outcome{OutcomeDone}, d.outcomes("a"))
+			})
+		})
+	}
+}
+
 // An agent that restarts must find the runs that its worker still has, stop them, and find a fencing token that the
 // worker accepts although the agent's wall clock was set back.
 func TestAgentRestarts(t *testing.T) {
