Count rejected announcements, and bound their log lines

What operators saw: a line for each rejected announcement, so one writer that sends an invalid one each second fills the log, and none at all for those of a backend server; no metric shows either.

Fix: agents count announcements that are invalid, and those of an incarnation that the worker denies, at vanillawind_announcements_rejected_total by reason. One line each 10 s, announcement rejected, gives the last reason and how many were skipped. Both interfaces, that of the platform and that of backend servers, use it.

--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -73,16 +73,18 @@
 
 // Agent is the agent process.
 type Agent struct {
-	settings  Settings
-	options   Options
-	logger    *slog.Logger
-	counters  Counters
-	gauges    Gauges
-	group     *vwgroup.Group
-	events    chan event
-	done      chan struct{}
-	closeDone sync.Once
-	timing    vwlink.Timing
+	settings Settings
+	options  Options
+	logger   *slog.Logger
+	counters Counters
+	gauges   Gauges
+	// rejections logs the announcements that Counters.Invalid and Counters.Denied count.
+	rejections rejectionLog
+	group      *vwgroup.Group
+	events     chan event
+	done       chan struct{}
+	closeDone  sync.Once
+	timing     vwlink.Timing
 
 	// The control goroutine owns the fields below.
 	runner     *runner
--- a/internal/process/vwagent/counters.go
+++ b/internal/process/vwagent/counters.go
@@ -18,6 +18,10 @@
 	Crossed atomic.Uint64
 	// Undelivered counts results that stayed in the records because their entry has no link or the send failed.
 	Undelivered atomic.Uint64
+	// Invalid counts announcements that could not be read or were invalid, and Denied those of an incarnation that the
+	// worker denied.
+	Invalid atomic.Uint64
+	Denied  atomic.Uint64
 	// Unexpected counts messages that an agent does not serve.
 	Unexpected atomic.Uint64
 }
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
@@ -132,6 +134,8 @@
 		r.acceptOffer(now, pending)
 	case !r.tracker.IsPending():
 		r.pendingOffer = nil
+		r.agent.counters.Denied.Add(1)
+		r.agent.rejections.record(r.agent.logger, now, string(pending.Life.ID), trace.BadParameter("the worker denies the start time %d; it is %s, started at %d", pending.Life.Born, r.tracker.Life().ID, r.tracker.Life().Born))
 	}
 }
 
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -234,12 +234,12 @@
 // its offer must stay. Such an announcement ended the runs as lost while they went on.
 func TestFalseAnnouncementChangesNothing(t *testing.T) {
 	largest := int64(1 << 53)
-	cases := map[string]func(real vwworker.Life) vwworker.Life{
-		"other id":           func(real vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: real.Born + 1} },
+	cases := map[string]func(current vwworker.Life) vwworker.Life{
+		"other id":           func(current vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: current.Born + 1} },
 		"other id, largest":  func(vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: largest} },
 		"other id, earliest": func(vwworker.Life) vwworker.Life { return vwworker.Life{ID: "other", Born: 1} },
-		"same id, largest":   func(real vwworker.Life) vwworker.Life { return vwworker.Life{ID: real.ID, Born: largest} },
-		"same id, earliest":  func(real vwworker.Life) vwworker.Life { return vwworker.Life{ID: real.ID, Born: 1} },
+		"same id, largest":   func(current vwworker.Life) vwworker.Life { return vwworker.Life{ID: current.ID, Born: largest} },
+		"same id, earliest":  func(current vwworker.Life) vwworker.Life { return vwworker.Life{ID: current.ID, Born: 1} },
 	}
 	for name, falsify := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/process/vwagent/server.go
+++ b/internal/process/vwagent/server.go
@@ -28,6 +28,7 @@
 type AnnouncementReceiver interface {
 	Announce(ctx context.Context, announcement Announcement) error
 	Leave(ctx context.Context) error
+	RejectAnnouncement(announcer string, reason error)
 }
 
 // Handler returns the HTTP interface for the backend server.
@@ -48,13 +49,20 @@
 	var announcement Announcement
 	var tooLarge *http.MaxBytesError
 	err := vwjson.Decode(http.MaxBytesReader(c.Writer, c.Request.Body, maxAnnouncement), &announcement)
+	if err != nil {
+		target.RejectAnnouncement(c.Request.RemoteAddr, err)
+	}
 	switch {
 	case errors.As(err, &tooLarge):
 		writeProblem(c, vwapi.CodeTooLarge, fmt.Sprintf("the body has more than %d bytes", tooLarge.Limit))
 	case err != nil:
 		writeProblem(c, vwapi.CodeMalformed, err.Error())
 	default:
-		answer(c, target.Announce(c.Request.Context(), announcement))
+		err = target.Announce(c.Request.Context(), announcement)
+		if trace.IsBadParameter(err) {
+			target.RejectAnnouncement(c.Request.RemoteAddr, err)
+		}
+		answer(c, err)
 	}
 }
 
--- a/internal/process/vwagent/server_test.go
+++ b/internal/process/vwagent/server_test.go
@@ -20,7 +20,9 @@
 type fakeAgent struct {
 	announced *vwagent.Announcement
 	left      bool
-	err       error
+	// rejected counts the rejected announcements.
+	rejected int
+	err      error
 }
 
 func (f *fakeAgent) Announce(_ context.Context, announcement vwagent.Announcement) error {
@@ -33,6 +35,10 @@
 	return f.err
 }
 
+func (f *fakeAgent) RejectAnnouncement(string, error) {
+	f.rejected++
+}
+
 // Guards against a wrong announcement that is rejected without a problem document stating the cause.
 func TestHandler(t *testing.T) {
 	good := `{"Service":"pedidos","Address":"127.0.0.1:80","Slots":8}`
@@ -70,6 +76,8 @@
 			require.Equal(t, c.code, problem.Code)
 			require.Equal(t, vwverdict.NotRun, problem.Verdict)
 			require.NotEmpty(t, problem.Detail)
+			announced := c.path == "/Announce" && c.method == "POST"
+			require.Equal(t, announced, agent.rejected == 1, "the operator must see a rejected announcement")
 		})
 	}
 }
--- a/internal/process/vwmetrics/description.go
+++ b/internal/process/vwmetrics/description.go
@@ -73,14 +73,15 @@
 
 // The metrics of agents.
 var (
-	TasksStarted       = describe("tasks_started_total", KindCounter, UnitCount, "Tasks that the agent gave to its backend server.")
-	TasksFinished      = describe("tasks_finished_total", KindCounter, UnitCount, "Tasks that came back from the backend server.")
-	StartsRefused      = describe("starts_refused_total", KindCounter, UnitCount, "Tasks that the agent answered with NotRun.")
-	ResultsUndelivered = describe("results_undelivered_total", KindCounter, UnitCount, "Results whose entry had no link when they came.")
-	SlotsBusy          = describe("slots_busy", KindGauge, UnitCount, "Slots with a running task.")
-	SlotsTotal         = describe("slots", KindGauge, UnitCount, "Slots that the backend server announced.")
-	BackendPresent     = describe("backend_present", KindGauge, UnitBool, "Whether the backend server has announced itself and is not leaving.")
-	RunTime            = describe("run_seconds", KindHistogram, UnitSeconds, "Time that the backend server took for a task.")
+	TasksStarted          = describe("tasks_started_total", KindCounter, UnitCount, "Tasks that the agent gave to its backend server.")
+	TasksFinished         = describe("tasks_finished_total", KindCounter, UnitCount, "Tasks that came back from the backend server.")
+	AnnouncementsRejected = describe("announcements_rejected_total", KindCounter, UnitCount, "Announcements that were invalid or that the worker denied, by reason.")
+	StartsRefused         = describe("starts_refused_total", KindCounter, UnitCount, "Tasks that the agent answered with NotRun.")
+	ResultsUndelivered    = describe("results_undelivered_total", KindCounter, UnitCount, "Results whose entry had no link when they came.")
+	SlotsBusy             = describe("slots_busy", KindGauge, UnitCount, "Slots with a running task.")
+	SlotsTotal            = describe("slots", KindGauge, UnitCount, "Slots that the backend server announced.")
+	BackendPresent        = describe("backend_present", KindGauge, UnitBool, "Whether the backend server has announced itself and is not leaving.")
+	RunTime               = describe("run_seconds", KindHistogram, UnitSeconds, "Time that the backend server took for a task.")
 )
 
 // The metrics of control members.
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -68,6 +68,8 @@
 	Watch(m, TasksStarted, counters.Started.Load)
 	Watch(m, TasksFinished, counters.Finished.Load)
 	Watch(m, StartsRefused, counters.Refused.Load)
+	Watch(m, AnnouncementsRejected, counters.Invalid.Load, reason("invalid"))
+	Watch(m, AnnouncementsRejected, counters.Denied.Load, reason("denied"))
 	Watch(m, ResultsUndelivered, counters.Undelivered.Load)
 	Watch(m, MessagesWasted, counters.Duplicate.Load, reason("duplicate"))
 	Watch(m, MessagesWasted, counters.Late.Load, reason("late"))
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -185,8 +185,6 @@
 		t.track(now, pending)
 	case !t.reportOrdered.Before(t.pendingAt):
 		t.pending = nil
-		t.logger.Warn("announcement of another incarnation is not confirmed by the worker", "worker", string(pending.Life.ID), "born", pending.Life.Born,
-			"current", string(t.life.ID), "current born", t.life.Born)
 	case now.Sub(t.verifiedAt) >= t.settings.AnswerTimeout:
 		t.verifyLife(now)
 	}
--- a/internal/request/vwrun/tracker_test.go
+++ b/internal/request/vwrun/tracker_test.go
@@ -262,14 +262,14 @@
 }
 
 // falseLives are incarnations that another writer may announce beside that of the worker.
-func falseLives(real vwworker.Life) map[string]vwworker.Life {
+func falseLives(current vwworker.Life) map[string]vwworker.Life {
 	return map[string]vwworker.Life{
-		"other id, later":   {ID: "other", Born: real.Born + 1},
-		"other id, earlier": {ID: "other", Born: real.Born - 1},
+		"other id, later":   {ID: "other", Born: current.Born + 1},
+		"other id, earlier": {ID: "other", Born: current.Born - 1},
 		"other id, largest": {ID: "other", Born: 1 << 53},
-		"same id, later":    {ID: real.ID, Born: real.Born + 1},
-		"same id, largest":  {ID: real.ID, Born: 1 << 53},
-		"same id, earlier":  {ID: real.ID, Born: real.Born - 1},
+		"same id, later":    {ID: current.ID, Born: current.Born + 1},
+		"same id, largest":  {ID: current.ID, Born: 1 << 53},
+		"same id, earlier":  {ID: current.ID, Born: current.Born - 1},
 	}
 }
 
