Follow a worker after an announcement with a large sequence

What was seen: an announcement with the id and the start time of the tracked worker and a sequence number of 2^53 made all later announcements of the worker count as late. One that said draining was acknowledged and not used, so tasks were started beyond the drain; a false draining was never taken back.

Cause: a lower sequence number was late whatever the age of the newest announcement.

Fix: a lower one is late only for 5 s after the newest. A worker announces itself each 1.5 s, so one whose newest number was true would have sent higher ones by then. Within the 5 s a lower one that says draining still drains the worker, since starting nothing is safe; the next announcement in order decides.

Evidence: TestLargeSequenceLocksOutNoWorker failed in both cases before; TestLateAnnouncementTakesBackNoDrain passed before and after.

--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -25,6 +25,8 @@
 	resultRetention = 3 * time.Second
 	// maxResults bounds the results that are kept for one entry.
 	maxResults = 512
+	// lateAnnouncementLimit is how late an announcement may arrive. It spans three announcements of a worker.
+	lateAnnouncementLimit = 5 * time.Second
 	// loadInterval is the minimum interval between load messages to an entry that are not urgent.
 	loadInterval = 50 * time.Millisecond
 	// loadStepDivisor divides the CPU capacity to give the smallest change of free CPU that is sent.
@@ -111,8 +113,10 @@
 }
 
 func (r *runner) onAnnounce(now time.Time, offer WorkerOffer) {
-	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence {
-		r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", r.offer.Sequence)
+	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence && now.Sub(r.announcedAt) < lateAnnouncementLimit {
+		r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", r.offer.Sequence, "Draining", offer.Draining)
+		// Should the newest one be false, a drain must still begin in time. A later announcement takes it back if it is late.
+		r.offer.Draining = r.offer.Draining || offer.Draining
 		return
 	}
 	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity})
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -269,6 +269,39 @@
 	}
 }
 
+// Guards against a false announcement with the worker's own id and start time, but a sequence number so large that all
+// later ones counted as late: the worker must be drained at once when it says so, and must be used again if it does not.
+func TestLargeSequenceLocksOutNoWorker(t *testing.T) {
+	cases := map[string]struct{ falseDraining, draining bool }{"hides a drain": {false, true}, "drains falsely": {true, false}}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				e := f.attach("e1", "e1-1")
+				f.announce(1<<53, c.falseDraining)
+				f.announce(2, c.draining)
+				time.Sleep(loadInterval)
+				require.False(t, e.load().Accepting)
+				time.Sleep(lateAnnouncementLimit)
+				f.announce(3, c.draining)
+				time.Sleep(loadInterval)
+				require.Equal(t, !c.draining, e.load().Accepting, e.load().Reason)
+				require.Equal(t, uint64(3), f.agent.runner.offer.Sequence)
+			})
+		})
+	}
+}
+
+// Guards against a late announcement that takes back a drain.
+func TestLateAnnouncementTakesBackNoDrain(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		f.announce(3, true)
+		f.announce(2, false)
+		time.Sleep(loadInterval)
+		require.False(t, e.load().Accepting)
+	})
+}
+
 // Guards against a worker that is not used after a restart: its new incarnation must replace the previous one at its first
 // announcement, with its own capacity, although the previous one was in use.
 func TestRestartedWorkerIsUsed(t *testing.T) {
