Pause between the polls of a worker that rejects them

What was seen: a worker that answers every hold with 400, 409 or 503 was polled without a pause, with a log line for each: 3,950 holds in 2 s at a round trip of a millisecond. An agent has a quarter of a core.

Cause: a rejection counted as an answer, so the hold was taken as lost and repeated at once.

A single rejection is repeated at once, as before; counting it as unanswered let leases run out more often in TestHistories.

Evidence: TestRejectedReportsAreNotRepeatedWithoutPause, three cases, 3,950 holds before, below 60 after.

--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -114,12 +114,22 @@
 func (t *Tracker) HoldAnswered(now time.Time, sent Order, report vwworker.Report, err error) {
 	order := sent.Hold
 	t.clearInFlight(order)
+	unanswered := t.unansweredHolds
 	if order.Worker != t.life.ID || !t.observeAnswer(now, sent.Sent, report.Now, err) {
 		return
 	}
+	_, isRejected := vwworker.RejectionOf(err)
 	switch {
 	case vwworker.IsRejected(err, vwworker.Fenced):
 		t.raiseToken(order.Token)
+	case isRejected && t.rejectedHolds >= immediateRetries:
+		// The worker answers, but it neither extends the lease nor reports, and may go on like this.
+		t.unansweredHolds = unanswered
+		t.countUnanswered(now, err)
+	case isRejected:
+		t.rejectedHolds++
+		t.logger.Info("hold order was rejected", "worker", string(t.life.ID), "error", err.Error())
+		t.pollNow = true
 	case err != nil && t.answeredAt.After(sent.Sent):
 		// The worker has answered another order since, so only this order or its answer is lost.
 		t.logger.Info("hold order was not answered", "worker", string(t.life.ID), "error", err.Error())
@@ -180,7 +190,7 @@
 		t.markAllLost(now, "worker "+string(t.life.ID)+" has taken the place of this one")
 		t.runsWorker = t.life.ID
 	}
-	t.reportedAt = now
+	t.reportedAt, t.rejectedHolds = now, 0
 	if t.reportOrdered.Before(sent.Sent) {
 		t.reportOrdered = sent.Sent
 	}
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -113,8 +113,10 @@
 	answeredAt, reportedAt time.Time
 	// unansweredHolds counts consecutive unanswered holds; any answer resets it.
 	unansweredHolds int
-	nextSync        time.Time
-	syncWait        time.Duration
+	// rejectedHolds counts the holds that were rejected since the last valid report and repeated at once.
+	rejectedHolds int
+	nextSync      time.Time
+	syncWait      time.Duration
 
 	orders  []Order
 	results []Result
--- a/internal/request/vwrun/tracker_test.go
+++ b/internal/request/vwrun/tracker_test.go
@@ -333,6 +333,33 @@
 	}
 }
 
+// A worker that rejects every report must be asked again with a growing pause. It was asked about a thousand times a second.
+func TestRejectedReportsAreNotRepeatedWithoutPause(t *testing.T) {
+	for name, reason := range map[string]vwworker.Reason{"unhealthy": vwworker.Unhealthy, "malformed": vwworker.Malformed, "late": vwworker.Late} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+				w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+				require.NoError(t, d.start("a", small))
+				time.Sleep(100 * time.Millisecond)
+				var holds atomic.Int64
+				w.SetFaults(func(call string) vwworkertest.Fault {
+					if call != "hold" {
+						return vwworkertest.Fault{}
+					}
+					holds.Add(1)
+					return vwworkertest.Fault{Delay: time.Millisecond, Reject: reason}
+				})
+				time.Sleep(2 * time.Second)
+				require.Less(t, holds.Load(), int64(60))
+				require.Equal(t, []Outcome{OutcomeLost}, d.outcomes("a"), "the lease was not extended")
+				w.SetFaults(nil)
+				time.Sleep(maxSyncInterval + 100*time.Millisecond)
+				require.True(t, d.ready())
+			})
+		})
+	}
+}
+
 // An agent that restarts must find the runs that its worker still has, stop them, and find a fencing token that the
 // worker accepts although the agent's wall clock was set back.
 func TestAgentRestarts(t *testing.T) {
