Extend no lease while another incarnation is announced

Found by reading a history that failed: the poll that follows an announcement of another incarnation carried a lease end on the clock of the tracked one. A worker that has restarted under its id has a clock that began anew, so it extends its lease to the longest that it grants, 1 s, while the agent counts 0.5 s.

Fix: while an announcement is pending, orders for reports extend no lease. The answer of the worker resolves it within a round trip, and a lease outlasts four renewals.

--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -100,8 +100,12 @@
 }
 
 // renewLease returns the lease end for a hold. It returns zero, which lets the lease expire, while a run has not ended
-// within StopTimeout of the request to stop it.
+// within StopTimeout of the request to stop it. It also returns zero while another incarnation is announced: on its clock,
+// which began anew, a lease end on the clock of the tracked one is too late.
 func (t *Tracker) renewLease(now time.Time) vwworker.Clock {
+	if t.pending != nil {
+		return 0
+	}
 	for _, r := range t.runs {
 		if r.stop != nil && now.Sub(r.stop.requestedAt) > t.settings.StopTimeout {
 			return 0
