Use a restarted worker only once it has announced its capacity

What was seen: a worker that restarts under its id and answers a hold before its first announcement was used with the capacity of its previous incarnation. A new boot may be of a smaller kind, and workers that do not check their capacity start whatever they are told (LIMIT).

Evidence: TestRestartedWorkerHasNoCapacityUntilAnnounced failed before: the second start succeeded.

--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -362,11 +362,14 @@
 	t.nextSync, t.syncWait = now, 0
 }
 
-// resetForLife switches to another incarnation of the worker, or to another worker. Runs are kept until its first report,
+// resetForLife switches to another incarnation of the worker, or to another worker, without capacity until it is announced.
+// Runs are kept until its first report,
 // because an order in flight may have reached it if it has the same id.
 func (t *Tracker) resetForLife(now time.Time, life vwworker.Life) {
 	t.logger.Info("tracking another worker incarnation", "worker", string(life.ID), "born", life.Born, "previous", string(t.life.ID), "runs", len(t.runs))
 	t.life, t.reportOrdered = life, time.Time{}
+	// The new incarnation may be of another kind.
+	t.capacity = vwresource.Amount{}
 	t.clock = workerClock{maxDrift: t.settings.MaxClockDrift}
 	t.leaseEnd, t.reportClock, t.lastEndSeen, t.lastEndAcknowledged, t.unansweredHolds = 0, 0, 0, 0, 0
 	clear(t.foreignRuns)
--- a/internal/request/vwrun/tracker_test.go
+++ b/internal/request/vwrun/tracker_test.go
@@ -333,6 +333,25 @@
 	}
 }
 
+// A worker that restarts under the same id may be of a smaller kind, so nothing may start there before it has announced its
+// capacity. The capacity of the previous incarnation was used.
+func TestRestartedWorkerHasNoCapacityUntilAnnounced(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		require.NoError(t, d.start("a", small))
+		time.Sleep(time.Second)
+		w.Restart("w1")
+		time.Sleep(time.Second)
+		require.Equal(t, w.Life(), d.tracker.Life())
+		require.Error(t, d.start("b", small))
+		d.update(func(now time.Time) {
+			d.tracker.Announce(now, Announcement{Life: w.Life(), Capacity: vwresource.Amount{CPU: small.CPU}})
+		})
+		require.NoError(t, d.start("b", small))
+		require.Error(t, d.start("c", small))
+	})
+}
+
 // A worker that rejects every report must be asked again with a growing pause. It was asked about a thousand times a second.
 func TestRejectedReportsAreNotRepeatedWithoutPause(t *testing.T) {
 	for name, reason := range map[string]vwworker.Reason{"unhealthy": vwworker.Unhealthy, "malformed": vwworker.Malformed, "late": vwworker.Late} {
