Reject a backend server's address with a port out of range

What was seen: an announcement to a plain agent with port 70000, 0 or of 400 digits was accepted, and replaced the address of the backend server that was in use; its tasks then failed.

Cause: the port only had to be there.

Fix: the port must be from 1 to 65535, and the error quotes at most 80 bytes.

Evidence: three cases of TestParseAddress failed before.

--- a/internal/connection/vwbackend/address.go
+++ b/internal/connection/vwbackend/address.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/url"
+	"strconv"
 	"strings"
 
 	"github.com/gravitational/trace"
@@ -26,8 +27,9 @@
 		return "", trace.BadParameter("backend address %q is not a plain http URL", text)
 	}
 	host, port, err := net.SplitHostPort(parsed.Host)
-	if err != nil || host == "" || port == "" {
-		return "", trace.BadParameter("backend address %q names no host and port", text)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || host == "" || portErr != nil || number == 0 {
+		return "", trace.BadParameter("backend address %.80q names no host and port", text)
 	}
 	return Address(strings.TrimRight(parsed.String(), "/")), nil
 }
--- a/internal/connection/vwbackend/client_test.go
+++ b/internal/connection/vwbackend/client_test.go
@@ -283,14 +283,18 @@
 // A wrong address must be refused at the announcement and not at the first task.
 func TestParseAddress(t *testing.T) {
 	cases := map[string]struct{ text, want string }{
-		"host and port": {"127.0.0.1:80", "http://127.0.0.1:80"},
-		"with a path":   {"http://127.0.0.1:80/base/", "http://127.0.0.1:80/base"},
-		"no port":       {"127.0.0.1", ""},
-		"no host":       {":80", ""},
-		"empty":         {"", ""},
-		"other scheme":  {"https://127.0.0.1:80", ""},
-		"with a query":  {"http://127.0.0.1:80?a=b", ""},
-		"with a user":   {"http://a:b@127.0.0.1:80", ""},
+		"host and port":  {"127.0.0.1:80", "http://127.0.0.1:80"},
+		"with a path":    {"http://127.0.0.1:80/base/", "http://127.0.0.1:80/base"},
+		"no port":        {"127.0.0.1", ""},
+		"no host":        {":80", ""},
+		"empty":          {"", ""},
+		"other scheme":   {"https://127.0.0.1:80", ""},
+		"with a query":   {"http://127.0.0.1:80?a=b", ""},
+		"largest port":   {"127.0.0.1:65535", "http://127.0.0.1:65535"},
+		"port too large": {"127.0.0.1:70000", ""},
+		"port zero":      {"127.0.0.1:0", ""},
+		"long port":      {"127.0.0.1:" + strings.Repeat("9", 400), ""},
+		"with a user":    {"http://a:b@127.0.0.1:80", ""},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
