Require that damaged records are rejected in FuzzDecodeRecord

The target flipped a bit, which could lie beyond the record, and threw away the result. It now flips each bit of five bytes of the record and requires an error, and that the undamaged record decodes to the same value again.

--- a/internal/process/vwstore/store_test.go
+++ b/internal/process/vwstore/store_test.go
@@ -1,6 +1,7 @@
 package vwstore_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -378,7 +379,8 @@
 	})
 }
 
-// Guards against a panic on damaged bytes, and against a record that its checksum does not protect.
+// Guards against a panic on damaged bytes, and against a record that its checksum does not protect: one with a flipped bit
+// must be rejected.
 func FuzzDecodeRecord(f *testing.F) {
 	disk := vwstoretest.Make()
 	store, _ := open(f, disk)
@@ -396,7 +398,19 @@
 			return
 		}
 		require.False(t, record.Entry != nil && record.HardState != nil)
-		data[len(data)/2] ^= 1
-		_, _ = vwstore.DecodeRecord(data)
+		const lengthOffset, headerSize = 4, 17
+		size := headerSize + int(binary.LittleEndian.Uint32(data[lengthOffset:]))
+		require.LessOrEqual(t, size, len(data))
+		for _, index := range []int{0, lengthOffset, headerSize - 1, size / 2, size - 1} {
+			for bit := range 8 {
+				data[index] ^= 1 << bit
+				_, err := vwstore.DecodeRecord(data)
+				require.Error(t, err, "bit %d of byte %d is flipped", bit, index)
+				data[index] ^= 1 << bit
+			}
+		}
+		again, err := vwstore.DecodeRecord(data)
+		require.NoError(t, err)
+		require.Equal(t, record, again)
 	})
 }
