--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -114,12 +114,22 @@
 func (t *Tracker) HoldAnswered(now time.Time, sent Order, report vwworker.Report, err error) {
 	order := sent.Hold
 	t.clearInFlight(order)
+	unanswered := t.unansweredHolds
 	if order.Worker != t.life.ID || !t.observeAnswer(now, sent.Sent, report.Now, err) {
 		return
 	}
+	_, isRejected := vwworker.RejectionOf(err)
 	switch {
 	case vwworker.IsRejected(err, vwworker.Fenced):
 		t.raiseToken(order.Token)
+	case isRejected && t.rejectedHolds >= immediateRetries:
+		// The worker answers, but it neither extends the lease nor reports, and may go on like this.
+		t.unansweredHolds = unanswered
+		t.countUnanswered(now, err)
+	case isRejected:
+		t.rejectedHolds++
+		t.logger.Info("hold order was rejected", "worker", string(t.life.ID), "error", err.Error())
+		t.pollNow = true
 	case err != nil && t.answeredAt.After(sent.Sent):
 		// The worker has answered another order since, so only this order or its answer is lost.
 		t.logger.Info("hold order was not answered", "worker", string(t.life.ID), "error", err.Error())
@@ -128,10 +138,13 @@
 		t.countUnanswered(now, err)
 	case report.Born > t.life.Born:
 		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
-	case report.Born != 0 && report.Born < t.life.Born:
+	case report.Born != 0 && report.Born < t.life.Born && order.Token < t.lifeToken:
 		t.logger.Warn("ignored the report of an earlier incarnation", "worker", string(t.life.ID), "born", report.Born, "current", t.life.Born)
+	case report.Born != 0 && report.Born < t.life.Born:
+		// The order was sent after the tracking of life began, so the announcement of that life was false.
+		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
 	default:
-		t.handleReport(now, order, &report)
+		t.handleReport(now, sent, &report)
 	}
 }
 
@@ -159,7 +172,8 @@
 	}
 }
 
-func (t *Tracker) handleReport(now time.Time, order *vwworker.HoldOrder, report *vwworker.Report) {
+func (t *Tracker) handleReport(now time.Time, sent Order, report *vwworker.Report) {
+	order := sent.Hold
 	if t.tokenGuessed && order.Token == t.token {
 		t.tokenGuessed = false
 		t.token++
@@ -171,7 +185,15 @@
 		t.scheduleSync(now)
 		return
 	}
-	t.reportedAt = now
+	if t.runsWorker != t.life.ID {
+		// Orders carry the worker's id, so this worker rejects those to the previous one.
+		t.markAllLost(now, "worker "+string(t.life.ID)+" has taken the place of this one")
+		t.runsWorker = t.life.ID
+	}
+	t.reportedAt, t.rejectedHolds = now, 0
+	if t.reportOrdered.Before(sent.Sent) {
+		t.reportOrdered = sent.Sent
+	}
 	t.syncWait = 0
 	t.nextSync = now.Add(foreignPollInterval)
 	t.lastEndAcknowledged = max(t.lastEndAcknowledged, order.Seen)
