Keep the store usable when the disk has no room

A refusal for lack of room (ENOSPC, EDQUOT) happens before anything is promised: what was synced earlier is intact, and of the refused batch at most a torn tail is left. The store now returns ErrFull, drops the batch, and removes the torn tail before the next write, also before a new segment, since only the newest one may have a torn tail. A directory with a log opens on a full disk: what cannot be removed is counted as a leftover. A failed sync stays final, with ENOSPC too, because the state of the written range is unknown after it and a second sync may succeed without it.

Directory converted an ENOSPC of open to "access denied"; it now keeps it.

The fake disk can now be full: writes are torn, no file is created, and on demand none is renamed, removed or truncated. Removing a file that does not exist returns an error, as a real directory does.

--- a/internal/process/vwstore/directory.go
+++ b/internal/process/vwstore/directory.go
@@ -16,7 +16,7 @@
 // OpenDirectory returns the data directory at path, and creates it when it does not exist.
 func OpenDirectory(path string) (*Directory, error) {
 	if err := os.MkdirAll(path, 0o700); err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, convertError(err)
 	}
 	return &Directory{path: path}, nil
 }
@@ -25,7 +25,7 @@
 func (d *Directory) Lock(name string) (io.Closer, error) {
 	file, err := os.OpenFile(d.join(name), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, convertError(err)
 	}
 	if err := syscall.Flock(int(file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		closeErr := file.Close()
@@ -41,7 +41,7 @@
 func (d *Directory) List() ([]string, error) {
 	entries, err := os.ReadDir(d.path)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, convertError(err)
 	}
 	var names []string
 	for _, entry := range entries {
@@ -55,7 +55,7 @@
 // Read implements FileSystem.
 func (d *Directory) Read(name string) ([]byte, error) {
 	data, err := os.ReadFile(d.join(name))
-	return data, trace.ConvertSystemError(err)
+	return data, convertError(err)
 }
 
 // Create implements FileSystem.
@@ -71,7 +71,7 @@
 func (d *Directory) open(name string, flag int) (File, error) {
 	file, err := os.OpenFile(d.join(name), flag, 0o600)
 	if err != nil {
-		return nil, trace.ConvertSystemError(err)
+		return nil, convertError(err)
 	}
 	return file, nil
 }
@@ -80,34 +80,42 @@
 func (d *Directory) Truncate(name string, size int64) error {
 	file, err := os.OpenFile(d.join(name), os.O_WRONLY, 0)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return convertError(err)
 	}
 	err = file.Truncate(size)
 	if err == nil {
-		err = file.Sync()
+		err = failedSync(file.Sync())
 	}
 	return trace.NewAggregate(err, file.Close())
 }
 
 // Rename implements FileSystem.
 func (d *Directory) Rename(from, to string) error {
-	return trace.ConvertSystemError(os.Rename(d.join(from), d.join(to)))
+	return convertError(os.Rename(d.join(from), d.join(to)))
 }
 
 // Remove implements FileSystem.
 func (d *Directory) Remove(name string) error {
-	return trace.ConvertSystemError(os.Remove(d.join(name)))
+	return convertError(os.Remove(d.join(name)))
 }
 
 // SyncDir implements FileSystem.
 func (d *Directory) SyncDir() error {
 	directory, err := os.Open(d.path)
 	if err != nil {
-		return trace.ConvertSystemError(err)
+		return convertError(err)
 	}
 	return trace.NewAggregate(directory.Sync(), directory.Close())
 }
 
+// convertError converts an error of the operating system, and keeps the cause of a refusal for lack of room.
+func convertError(err error) error {
+	if isNoRoom(err) {
+		return trace.Wrap(err)
+	}
+	return trace.ConvertSystemError(err)
+}
+
 func (d *Directory) join(name string) string {
 	return filepath.Join(d.path, name)
 }
--- a/internal/process/vwstore/filesystem.go
+++ b/internal/process/vwstore/filesystem.go
@@ -3,7 +3,8 @@
 import "io"
 
 // FileSystem gives access to the files of one data directory. Names are file names without a path. Data written to a
-// file is durable after File.Sync; the creation, renaming and removal of files is durable after SyncDir.
+// file is durable after File.Sync; the creation, renaming and removal of files is durable after SyncDir. An operation
+// that the operating system refuses for lack of room returns an error that wraps its ENOSPC or EDQUOT.
 type FileSystem interface {
 	// Lock takes an exclusive lock, which is held until the returned closer is closed. It returns ErrLocked when the
 	// lock is already held.
--- a/internal/process/vwstore/identity.go
+++ b/internal/process/vwstore/identity.go
@@ -50,21 +50,37 @@
 }
 
 // writeAtomic writes a file by a synced temporary file and a rename, so that a crash never leaves it partly written.
+// After an error it removes the temporary file, whose bytes may be the last that fit on the disk.
 func writeAtomic(files FileSystem, name string, data []byte) error {
 	temporary := name + temporarySuffix
-	file, err := files.Create(temporary)
+	err := writeSynced(files, temporary, data)
+	if err == nil {
+		err = files.Rename(temporary, name)
+	}
+	if err != nil {
+		return trace.NewAggregate(err, removeExisting(files, temporary))
+	}
+	return trace.Wrap(failedSync(files.SyncDir()))
+}
+
+// writeSynced writes a new file and syncs it.
+func writeSynced(files FileSystem, name string, data []byte) error {
+	file, err := files.Create(name)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	_, err = file.Write(data)
 	if err == nil {
-		err = file.Sync()
+		err = failedSync(file.Sync())
 	}
-	if err := trace.NewAggregate(err, file.Close()); err != nil {
-		return trace.Wrap(err)
-	}
-	if err := files.Rename(temporary, name); err != nil {
-		return trace.Wrap(err)
+	return trace.NewAggregate(err, file.Close())
+}
+
+// removeExisting removes a file that may not exist.
+func removeExisting(files FileSystem, name string) error {
+	err := files.Remove(name)
+	if trace.IsNotFound(err) {
+		return nil
 	}
-	return trace.Wrap(files.SyncDir())
+	return trace.Wrap(err)
 }
--- a/internal/process/vwstore/load.go
+++ b/internal/process/vwstore/load.go
@@ -20,6 +20,8 @@
 	Entries   []vwraft.Entry
 	// Truncated is the number of bytes cut from a torn tail of the newest segment.
 	Truncated int64
+	// Leftovers counts the temporary files and torn tails that could not be removed because the disk is full.
+	Leftovers int
 }
 
 // Empty reports whether neither a snapshot nor an entry was loaded.
@@ -43,7 +45,7 @@
 	for _, name := range names {
 		switch {
 		case strings.HasSuffix(name, temporarySuffix):
-			if err := s.files.Remove(name); err != nil {
+			if err := s.leaveIfFull(s.files.Remove(name)); err != nil {
 				return trace.Wrap(err)
 			}
 		case logFileKind(name) == "snapshot":
@@ -88,9 +90,11 @@
 	}
 	if torn := int64(len(data)) - result.validSize; torn > 0 {
 		s.loaded.Truncated = torn
-		if err := s.files.Truncate(name, result.validSize); err != nil {
+		leftovers := s.loaded.Leftovers
+		if err := s.leaveIfFull(s.files.Truncate(name, result.validSize)); err != nil {
 			return trace.Wrap(err)
 		}
+		s.hasTornTail = s.loaded.Leftovers > leftovers
 	}
 	var seg segment
 	if _, err := fmt.Sscanf(name, "segment-%016x", &seg.sequence); err != nil {
@@ -109,6 +113,16 @@
 	return nil
 }
 
+// leaveIfFull counts a leftover if err is a refusal for lack of room, and returns any other error. A torn tail is
+// removed before the next write, and a temporary file is replaced by the next one or removed at the next start.
+func (s *Store) leaveIfFull(err error) error {
+	if !IsFull(asFull(err)) {
+		return err
+	}
+	s.loaded.Leftovers++
+	return nil
+}
+
 // replay applies one record to s.loaded.
 func (s *Store) replay(record Record) error {
 	l := &s.loaded
--- a/internal/process/vwstoretest/disk.go
+++ b/internal/process/vwstoretest/disk.go
@@ -6,9 +6,12 @@
 	"errors"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,8 +22,8 @@
 var (
 	// ErrSync is returned by a sync that SetFailSync makes fail.
 	ErrSync = errors.New("input/output error on sync")
-	// ErrFull is returned by a write that exceeds the free space.
-	ErrFull = errors.New("no space left on device")
+	// ErrFull is returned by a write that exceeds the free space, and by all that SetFull makes fail.
+	ErrFull = os.NewSyscallError("write", syscall.ENOSPC)
 	// ErrCrashed is returned by handles that were opened before a kill or crash, and by changes after the limit that
 	// FailAfterChanges sets.
 	ErrCrashed = errors.New("the machine has crashed")
@@ -70,16 +73,19 @@
 	generation   int
 	syncs        int
 	syncDelay    time.Duration
-	failSync     bool
-	ignoreSync   bool
-	freeBytes    int
+	// syncFailure is nil or the error of every sync.
+	syncFailure error
+	ignoreSync  bool
+	freeBytes   int
+	// refusesNames makes renaming, removing and truncating fail while no byte is free.
+	refusesNames bool
 	// remainingChanges is the number of changes that succeed before all fail. A negative value means no limit.
 	remainingChanges int
 }
 
 // Make returns an empty disk without faults.
 func Make() *Disk {
-	return &Disk{files: map[string]*fileContent{}, durableFiles: map[string]*fileContent{}, freeBytes: 1 << 40, remainingChanges: -1}
+	return &Disk{files: map[string]*fileContent{}, durableFiles: map[string]*fileContent{}, freeBytes: math.MaxInt, remainingChanges: -1}
 }
 
 // SetSyncDelay makes every sync of a file take delay.
@@ -93,7 +99,18 @@
 func (d *Disk) SetFailSync(fail bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.failSync = fail
+	d.syncFailure = nil
+	if fail {
+		d.syncFailure = ErrSync
+	}
+}
+
+// SetFullAtSync makes every sync fail for lack of room, and drops the unsynced bytes, as an operating system does that
+// allocates the blocks of a file late.
+func (d *Disk) SetFullAtSync() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.syncFailure = ErrFull
 }
 
 // SetIgnoreSync makes every sync of a file report success without effect, as a device that ignores flushes does. It
@@ -104,11 +121,31 @@
 	d.ignoreSync = ignore
 }
 
-// SetSpace limits the disk to space further bytes of writes.
-func (d *Disk) SetSpace(space int) {
+// SetFull lets the disk take room further bytes. After them, a write that exceeds them is torn, and no file can be
+// created; with refusesNames no file can be renamed, removed or truncated either. Reads and syncs succeed.
+func (d *Disk) SetFull(room int, refusesNames bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.freeBytes = space
+	d.freeBytes, d.refusesNames = room, refusesNames
+}
+
+// EndFull ends the effect of SetFull.
+func (d *Disk) EndFull() {
+	d.SetFull(math.MaxInt, false)
+}
+
+// changeName counts a change of a name or a size, and returns ErrFull if the disk is full and refuses it. The caller
+// holds mu.
+func (d *Disk) changeName() error {
+	if d.freeBytes == 0 && d.refusesNames {
+		return ErrFull
+	}
+	return d.consumeChange()
+}
+
+// release gives back the room of removed bytes. The caller holds mu.
+func (d *Disk) release(size int) {
+	d.freeBytes += min(size, math.MaxInt-d.freeBytes)
 }
 
 // Syncs returns the number of syncs of files.
@@ -119,6 +156,7 @@
 }
 
 // FailAfterChanges lets the next after changes of the disk succeed and fails all later ones, until Kill, Crash or Wipe.
+// A negative number removes the limit.
 func (d *Disk) FailAfterChanges(after int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -241,6 +279,9 @@
 	if err := d.consumeChange(); err != nil {
 		return nil, err
 	}
+	if d.freeBytes == 0 {
+		return nil, ErrFull
+	}
 	file := &fileContent{}
 	d.files[name] = file
 	return &fileHandle{disk: d, file: file, generation: d.generation}, nil
@@ -261,10 +302,11 @@
 func (d *Disk) Truncate(name string, size int64) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.consumeChange(); err != nil {
+	if err := d.changeName(); err != nil {
 		return err
 	}
 	file := d.files[name]
+	d.release(len(file.data) - int(size))
 	file.data = file.data[:size]
 	file.synced, file.writeEnds = len(file.data), nil
 	return nil
@@ -274,7 +316,7 @@
 func (d *Disk) Rename(from, to string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.consumeChange(); err != nil {
+	if err := d.changeName(); err != nil {
 		return err
 	}
 	d.files[to] = d.files[from]
@@ -286,9 +328,14 @@
 func (d *Disk) Remove(name string) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.consumeChange(); err != nil {
+	if err := d.changeName(); err != nil {
 		return err
 	}
+	file, ok := d.files[name]
+	if !ok {
+		return trace.NotFound("no file %s", name)
+	}
+	d.release(len(file.data))
 	delete(d.files, name)
 	return nil
 }
@@ -300,8 +347,8 @@
 	if err := d.consumeChange(); err != nil {
 		return err
 	}
-	if d.failSync {
-		return ErrSync
+	if d.syncFailure != nil {
+		return d.syncFailure
 	}
 	d.durableFiles = maps.Clone(d.files)
 	return nil
--- a/internal/process/vwstoretest/handle.go
+++ b/internal/process/vwstoretest/handle.go
@@ -45,9 +45,9 @@
 	if err := h.disk.consumeChange(); err != nil {
 		return err
 	}
-	if h.disk.failSync {
+	if h.disk.syncFailure != nil {
 		h.file.data, h.file.writeEnds = h.file.data[:h.file.synced], nil
-		return ErrSync
+		return h.disk.syncFailure
 	}
 	h.disk.syncs++
 	if h.disk.ignoreSync {
