Keep a control member running while its disk is full

What on-call saw: a member whose disk is full ended, was started, and ended again every 0.6 s until there was room.

The writer now tries a batch that found no room again each 100 ms. Meanwhile the member takes no part in the log: it steps through no message and no tick, so it acknowledges nothing, votes for nobody and holds nothing in memory. A leader asks the best voter to start an election and steps down (vwraft Withdraw). Waiting proposals are answered MayHaveRun at once; requests are forwarded to the leader whose messages the member sees, or refused as not run, with a code that makes link callers try another member. Replies that waited for the sync are dropped, so a candidate that could not store its vote does not ask for votes later.

The loss of room and its end are logged once each; vanillawind_control_disk_full and /readyz show it. A failed sync ends the member as before.

No guarantee of section 7.1 changes: only synced batches are acknowledged, and to lose the messages of a member is what the log tolerates anyway.

TestSimulation and TestFaults gained full disks; vwraft TestSchedules gained Withdraw at any moment.

--- a/internal/process/vwcontrol/cluster_test.go
+++ b/internal/process/vwcontrol/cluster_test.go
@@ -185,6 +185,7 @@
 	c.network.heal()
 	for at := range c.disks {
 		c.disks[at].SetFailSync(false)
+		c.disks[at].EndFull()
 		if m := c.member(at); m != nil && m.group.Context().Err() != nil {
 			c.crash(at)
 		}
--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -40,6 +40,8 @@
 	discovery             discovery
 	snapshots             snapshots
 	peers                 peers
+	disk                  fullDisk
+	outage                outage
 	leadershipTransferred chan struct{}
 }
 
@@ -63,7 +65,7 @@
 		return nil, trace.NewAggregate(err, store.Close())
 	}
 	settings.Logger.Info("control member starts", "member", string(loaded.Member), "empty", loaded.Empty(),
-		"snapshot", uint64(loaded.Snapshot.Index), "entries", len(loaded.Entries), "torn_bytes", loaded.Truncated)
+		"snapshot", uint64(loaded.Snapshot.Index), "entries", len(loaded.Entries), "torn_bytes", loaded.Truncated, "leftovers", loaded.Leftovers)
 	return c, nil
 }
 
@@ -99,6 +101,11 @@
 // message or request is passed to the node.
 func (c *core) advanceClock() {
 	now := time.Now()
+	if c.outage.active {
+		// The ticks are delivered when the outage ends.
+		c.now = now
+		return
+	}
 	// At most twice the longest election timeout is delivered (ElectionTicks is the shortest, half of it). More
 	// ticks change nothing: every lease and leadership has ended by then.
 	ticks, suspended := c.clock.elapsedTicks(now, int64(4*c.raftSettings.ElectionTicks))
@@ -117,6 +124,12 @@
 // runDueWork runs the work that is due by time and handles every Ready of the raft node.
 func (c *core) runDueWork() error {
 	c.advanceClock()
+	if c.outage.active {
+		c.forwards.failStale(c.knownLeader())
+		c.expireRequests()
+		c.finishLeadershipTransfer()
+		return nil
+	}
 	if err := c.runDiscovery(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -124,17 +137,22 @@
 	if err := c.compactLog(); err != nil {
 		return trace.Wrap(err)
 	}
+	c.handleReadies()
+	c.expireRequests()
+	c.finishLeadershipTransfer()
+	return nil
+}
+
+// handleReadies handles every Ready of the raft node.
+func (c *core) handleReadies() {
 	for {
 		ready, ok := c.node.Ready()
 		c.observeLeadership()
 		if !ok {
-			break
+			return
 		}
 		c.handleReady(ready)
 	}
-	c.expireRequests()
-	c.finishLeadershipTransfer()
-	return nil
 }
 
 // handleReady sends messages, starts a sync if one is needed, applies committed entries and completes reads. finishSync
@@ -159,6 +177,11 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	if c.outage.active {
+		// The messages are old. Those who wait for them ask again.
+		ready.AfterSync = nil
+		c.outage = outage{}
+	}
 	c.advanceClock()
 	c.send(ready.AfterSync)
 	if ready.Snapshot != nil {
@@ -167,6 +190,7 @@
 		}
 	}
 	c.node.Advance()
+	c.recordRoom()
 	return nil
 }
 
@@ -178,6 +202,7 @@
 	}
 	c.state, c.appliedIndex = state, snapshot.Index
 	c.snapshots.recordSnapshot(snapshot)
+	c.snapshots.unsaved = nil
 	c.proposals.failThrough(snapshot.Index)
 	c.notifyConfigWatchers()
 	return nil
@@ -273,13 +298,13 @@
 }
 
 func (c *core) status() Status {
-	return Status{Self: c.self, Log: c.node.Status(), Applied: c.appliedIndex, Config: c.state.Version()}
+	return Status{Self: c.self, Log: c.node.Status(), Applied: c.appliedIndex, Config: c.state.Version(), DiskFull: c.disk.isFull()}
 }
 
 // close waits for the writer, fails all waiting requests and closes the data directory.
 func (c *core) close() error {
 	c.writer.wait()
-	c.proposals.failAll()
+	c.proposals.failAll(ErrStopped)
 	c.reads.failAll(vwverdict.Wrap(vwverdict.NotRun, ErrStopped))
 	c.forwards.failAll(ErrStopped)
 	return c.store.Close()
--- a/internal/process/vwcontrol/discovery.go
+++ b/internal/process/vwcontrol/discovery.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"vanillawind.example/vanillawind/internal/process/vwraft"
+	"vanillawind.example/vanillawind/internal/process/vwstore"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
@@ -102,7 +103,7 @@
 		d.probers[from.Address] = from.Member
 		c.sendPacket(from, Packet{Probe: &Probe{Empty: true, Reply: true}})
 	default:
-		c.sendPacket(from, Packet{Probe: &Probe{Reply: true, Leader: c.node.Status().Leader.Address}})
+		c.sendPacket(from, Packet{Probe: &Probe{Reply: true, Leader: c.knownLeader().Address}})
 		c.admitLearner(from)
 	}
 }
@@ -132,12 +133,19 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	if err := c.store.Append(&hard, []vwraft.Entry{entry}); err != nil {
-		return trace.Wrap(err)
+	err = c.store.Append(&hard, []vwraft.Entry{entry})
+	if err == nil {
+		err = c.store.Sync()
+	}
+	if vwstore.IsFull(err) {
+		// The next probe tries again.
+		c.recordFull(err)
+		return nil
 	}
-	if err := c.store.Sync(); err != nil {
+	if err != nil {
 		return trace.Wrap(err)
 	}
+	c.recordRoom()
 	node, err := vwraft.MakeNode(c.raftSettings, hard, vwraft.Snapshot{}, []vwraft.Entry{entry})
 	if err != nil {
 		return trace.Wrap(err)
--- a/internal/process/vwcontrol/member.go
+++ b/internal/process/vwcontrol/member.go
@@ -51,6 +51,8 @@
 	Log     vwraft.Status
 	Applied vwraft.Index
 	Config  vwid.ConfigVersion
+	// DiskFull means that the member finds no room on its disk. It then acknowledges nothing that it cannot store.
+	DiskFull bool
 }
 
 // Start opens the data directory and runs a member until Stop, Kill, the end of ctx or a failure of the disk.
@@ -184,7 +186,7 @@
 // elect a leader that can commit.
 func (m *Member) handleEvent(ctx context.Context, ticks <-chan time.Time) error {
 	packets, requests := m.packets, m.requests
-	if m.core.writer.stuck(time.Now()) {
+	if m.core.writer.stuck(time.Now()) && !m.core.outage.active {
 		ticks, packets, requests = nil, nil, nil
 	}
 	select {
@@ -192,6 +194,8 @@
 	case <-ticks:
 	case err := <-m.core.writer.results:
 		return m.core.finishSync(err)
+	case err := <-m.core.writer.full:
+		m.core.beginOutage(err)
 	case data := <-packets:
 		m.core.handlePacket(data)
 	case r := <-requests:
--- a/internal/process/vwcontrol/member_test.go
+++ b/internal/process/vwcontrol/member_test.go
@@ -62,6 +62,8 @@
 		"lossy network": func(c *cluster) { c.network.setLoss(0.2) },
 		"slow disk":     func(c *cluster) { c.disks[c.waitForLeader()].SetSyncDelay(800 * time.Millisecond) },
 		"failing disk":  func(c *cluster) { c.disks[c.waitForLeader()].SetFailSync(true) },
+		"full disk":     func(c *cluster) { c.disks[c.waitForLeader()].SetFull(50, false) },
+		"full disks":    fillMajority,
 		"lost disk":     func(c *cluster) { c.wipe(c.follower()) },
 		"lost leader":   func(c *cluster) { c.wipe(c.waitForLeader()) },
 		"killed, then without power": func(c *cluster) {
@@ -101,6 +103,14 @@
 	}
 }
 
+// fillMajority lets a majority of the disks run full one after another.
+func fillMajority(c *cluster) {
+	for at := range len(c.disks)/2 + 1 {
+		c.disks[at].SetFull(c.random.IntN(200), at == 0)
+		time.Sleep(200 * time.Millisecond)
+	}
+}
+
 func oneAfterRepair(c *cluster) {
 	first := c.follower()
 	c.crash(first)
--- a/internal/process/vwcontrol/peer.go
+++ b/internal/process/vwcontrol/peer.go
@@ -91,6 +91,10 @@
 	}
 	c.peers.addresses[packet.From.Member] = packet.From.Address
 	for at := range packet.Messages {
+		if c.outage.active {
+			c.outage.observeLeader(&packet.Messages[at], c.now)
+			continue
+		}
 		// Messages in the name of another member than the packet's sender are dropped.
 		if packet.Messages[at].From == packet.From.Member {
 			c.node.Step(packet.Messages[at])
--- a/internal/process/vwcontrol/proposal.go
+++ b/internal/process/vwcontrol/proposal.go
@@ -90,9 +90,9 @@
 	}
 }
 
-func (p *proposals) failAll() {
+func (p *proposals) failAll(cause error) {
 	for at, prop := range p.waiting {
 		delete(p.waiting, at)
-		prop.answer(nil, vwverdict.Wrap(vwverdict.MayHaveRun, ErrStopped))
+		prop.answer(nil, vwverdict.Wrap(vwverdict.MayHaveRun, cause))
 	}
 }
--- a/internal/process/vwcontrol/serve.go
+++ b/internal/process/vwcontrol/serve.go
@@ -31,9 +31,9 @@
 
 // forward sends a request to the leader, or fails it with ErrNotLeader.
 func (c *core) forward(body vwmessage.Body, answer Answer, mayForward bool) {
-	leader := c.resolvePeer(c.node.Status().Leader.Member)
+	leader := c.knownLeader()
 	if leader.Address == "" || !mayForward {
-		answer(nil, vwverdict.Wrap(vwverdict.NotRun, ErrNotLeader{Leader: leader}))
+		answer(nil, c.notLeader(leader))
 		return
 	}
 	if len(c.forwards.waiting) >= c.settings.MaxWaiting {
--- a/internal/process/vwcontrol/simulation_test.go
+++ b/internal/process/vwcontrol/simulation_test.go
@@ -17,7 +17,7 @@
 }
 
 // Guards against the same violations as TestFaults under random sequences of crashes, restarts, partitions, packet loss,
-// slow disks, planned stops and lost disks.
+// slow and full disks, planned stops and lost disks.
 func TestSimulation(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		size := rapid.SampledFrom([]int{3, 5}).Draw(rt, "size")
@@ -92,6 +92,9 @@
 	{"heal", func(c *cluster, _ int) { c.network.heal() }},
 	{"slow disk", func(c *cluster, at int) { c.disks[at].SetSyncDelay(300 * time.Millisecond) }},
 	{"fast disk", func(c *cluster, at int) { c.disks[at].SetSyncDelay(time.Millisecond) }},
+	{"full disk", func(c *cluster, at int) { c.disks[at].SetFull(c.random.IntN(300), false) }},
+	{"full disk that frees nothing", func(c *cluster, at int) { c.disks[at].SetFull(c.random.IntN(300), true) }},
+	{"room on the disk", func(c *cluster, at int) { c.disks[at].EndFull() }},
 	{"planned stop", (*cluster).shutDown},
 	{"lose disk", (*cluster).loseDisk},
 }
--- a/internal/process/vwcontrol/writer.go
+++ b/internal/process/vwcontrol/writer.go
@@ -8,8 +8,13 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
+// roomRetryInterval is how often a write that found the disk full is tried again. A try costs at most the bytes of one
+// Ready.
+const roomRetryInterval = 100 * time.Millisecond
+
 // writer writes the entries and snapshots of one Ready at a time to the store and syncs it. It owns the store from begin
 // until the result is received from results; at all other times the member's goroutine owns it.
 type writer struct {
@@ -18,6 +23,9 @@
 	stuckAfter time.Duration
 	queue      chan vwraft.Ready
 	results    chan error
+	// full receives the error of the first write of a Ready that finds the disk full. The result follows once a later
+	// one has found room.
+	full chan error
 	// inFlight and startedAt are accessed only by the member's goroutine.
 	inFlight  *vwraft.Ready
 	startedAt time.Time
@@ -25,7 +33,7 @@
 }
 
 func makeWriter(store *vwstore.Store, stuckAfter time.Duration) *writer {
-	return &writer{store: store, stuckAfter: stuckAfter, queue: make(chan vwraft.Ready, 1), results: make(chan error, 1), stopped: make(chan struct{})}
+	return &writer{store: store, stuckAfter: stuckAfter, queue: make(chan vwraft.Ready, 1), results: make(chan error, 1), full: make(chan error, 1), stopped: make(chan struct{})}
 }
 
 // run writes what begin queues until ctx ends.
@@ -36,11 +44,23 @@
 		case <-ctx.Done():
 			return
 		case ready := <-w.queue:
-			w.results <- w.write(&ready)
+			w.results <- w.writeOnceRoom(ctx, &ready)
 		}
 	}
 }
 
+// writeOnceRoom writes a Ready, and tries again as long as the disk is full and ctx has not ended.
+func (w *writer) writeOnceRoom(ctx context.Context, ready *vwraft.Ready) error {
+	err := w.write(ready)
+	if vwstore.IsFull(err) {
+		w.full <- err
+	}
+	for vwstore.IsFull(err) && vwgroup.Sleep(ctx, roomRetryInterval) == nil {
+		err = w.write(ready)
+	}
+	return err
+}
+
 func (w *writer) write(ready *vwraft.Ready) error {
 	if ready.Snapshot != nil {
 		if err := w.store.Install(*ready.Snapshot); err != nil {
@@ -61,6 +81,11 @@
 
 // end takes the store back after a result was received from results, and returns the Ready that was written.
 func (w *writer) end() vwraft.Ready {
+	select {
+	case <-w.full:
+		// The disk had room again before the member's goroutine noticed.
+	default:
+	}
 	ready := *w.inFlight
 	w.inFlight = nil
 	return ready
--- a/internal/process/vwmetrics/description.go
+++ b/internal/process/vwmetrics/description.go
@@ -89,5 +89,6 @@
 	ControlTerm     = describe("control_term", KindGauge, UnitCount, "Term of the replicated log.")
 	ControlApplied  = describe("control_applied_index", KindGauge, UnitCount, "Index of the last applied entry of the replicated log.")
 	ControlSyncTime = describe("control_sync_seconds", KindHistogram, UnitSeconds, "Time of a synced write.")
+	ControlDiskFull = describe("control_disk_full", KindGauge, UnitBool, "Whether the member finds no room on its disk.")
 	ControlDisk     = describe("control_disk_bytes", KindGauge, UnitBytes, "Size of the log segments and snapshots.")
 )
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -56,6 +56,7 @@
 	})
 	Watch(m, ControlTerm, func() uint64 { return uint64(member.Status().Log.Term) })
 	Watch(m, ControlApplied, func() uint64 { return uint64(member.Status().Applied) })
+	WatchBool(m, ControlDiskFull, func() bool { return member.Status().DiskFull })
 }
 
 // WatchEvents adds the drops of an event log.
--- a/internal/process/vwprocess/control.go
+++ b/internal/process/vwprocess/control.go
@@ -134,9 +134,13 @@
 	return process.operatorsServices, err
 }
 
-// ready returns an error while the member knows no leader.
+// ready returns an error while the member knows no leader or has no room on its disk.
 func (p *Control) ready(context.Context) error {
-	if p.member.Status().Log.Leader.Member == "" {
+	status := p.member.Status()
+	if status.DiskFull {
+		return trace.LimitExceeded("the disk of the control log is full")
+	}
+	if status.Log.Leader.Member == "" {
 		return trace.ConnectionProblem(nil, "no leader of the control log is known")
 	}
 	return nil
--- a/internal/process/vwraft/node_test.go
+++ b/internal/process/vwraft/node_test.go
@@ -151,6 +151,9 @@
 		clear(c.blockedLinks)
 	case roll < 965 && node != nil:
 		c.compact(member)
+	case roll < 972 && node != nil:
+		node.Withdraw()
+		c.processReady(member, false)
 	case node == nil:
 		c.start(member)
 	}
