Open a directory whose first start ended while it wrote the identity

The temporary file that the first start left was listed, then replaced by the new identity, and then its removal failed, because it no longer existed: the process ended once more at its second start. Found by TestFirstStartOnFullDisk, a member with an empty directory on a full disk; TestStartAfterFirstStartEndedEarly shows it on a real directory. Both failed before: "no file identity.tmp", "no such file or directory". The removal of a file that is gone is no error now.

The fake disk's Wipe, which stands for a replaced disk, now ends a full disk too: TestSimulation (rapid, under -race) had replaced a full disk by an empty full one.

--- a/internal/process/vwstore/full_test.go
+++ b/internal/process/vwstore/full_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 
@@ -192,6 +194,38 @@
 	require.True(t, vwstore.IsUnusable(store.Append(nil, entries(3, 3, 1))))
 }
 
+// Guards against a start that fails because the first one ended while it wrote the identity: the temporary file that it
+// left is replaced by the new identity before all temporary files are removed.
+func TestStartAfterFirstStartEndedEarly(t *testing.T) {
+	path := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(path, "identity.tmp"), []byte("part"), 0o600))
+	files, err := vwstore.OpenDirectory(path)
+	require.NoError(t, err)
+	store, loaded := open(t, files)
+	require.True(t, loaded.Empty())
+	require.NoError(t, store.Close())
+}
+
+// Guards against an empty directory that a start on a full disk leaves in a state in which no later start succeeds.
+func TestFirstStartOnFullDisk(t *testing.T) {
+	// An identity needs 45 bytes.
+	for room := range 45 {
+		for _, refusesNames := range []bool{false, true} {
+			disk := vwstoretest.Make()
+			disk.SetFull(room, refusesNames)
+			for range 3 {
+				_, _, err := vwstore.Open(disk, smallSegmentBytes)
+				require.True(t, vwstore.IsFull(err), "room %d: %v", room, err)
+			}
+			disk.EndFull()
+			store, loaded := open(t, disk)
+			require.True(t, loaded.Empty())
+			require.Zero(t, loaded.Leftovers)
+			save(t, store, nil, entries(1, 2, 1))
+		}
+	}
+}
+
 // Guards against a directory with a log that cannot be opened while its disk is full, whatever was being written when
 // the process was killed.
 func TestStartOnFullDisk(t *testing.T) {
--- a/internal/process/vwstore/load.go
+++ b/internal/process/vwstore/load.go
@@ -45,7 +45,7 @@
 	for _, name := range names {
 		switch {
 		case strings.HasSuffix(name, temporarySuffix):
-			if err := s.leaveIfFull(s.files.Remove(name)); err != nil {
+			if err := s.leaveIfFull(removeExisting(s.files, name)); err != nil {
 				return trace.Wrap(err)
 			}
 		case logFileKind(name) == "snapshot":
--- a/internal/process/vwstoretest/disk.go
+++ b/internal/process/vwstoretest/disk.go
@@ -218,12 +218,13 @@
 	d.files, d.durableFiles = files, maps.Clone(files)
 }
 
-// Wipe empties the disk, as when it is replaced, and invalidates all open handles.
+// Wipe empties the disk, as when it is replaced by one with room, and invalidates all open handles.
 func (d *Disk) Wipe() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.invalidateHandles()
 	d.files, d.durableFiles = map[string]*fileContent{}, map[string]*fileContent{}
+	d.freeBytes, d.refusesNames = math.MaxInt, false
 }
 
 // Damage inverts all bits of one byte of a file.
