Let a stopping agent answer the starts that are under way

Callers saw: during a rolling restart of agents a job failed with "the outcome of task 2 is not known: worker incarnation ... is gone", although nothing had crashed.

Cause: an agent without running tasks ended its stop in the same pass in which it queued Leaving. A start that an entry had sent before it handled Leaving found a closed link, and an entry that has sent a start over a link that closes cannot know whether it has run.

Starts that come are refused as not run.

TestStartUnderWayIsAnsweredByStoppingAgent failed before (no result) and passes.

--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -50,6 +50,8 @@
 	// expired is set once the registration has expired; no task starts from then on.
 	expired     bool
 	ackDeadline time.Time
+	// receivedStarts counts the Start messages of entries.
+	receivedStarts uint64
 }
 
 // taskKey identifies a task across submissions.
--- a/internal/process/vwagent/stop.go
+++ b/internal/process/vwagent/stop.go
@@ -82,20 +82,22 @@
 	})
 }
 
-// confirmResults ends the stop once all entries have handled what was sent to them. A link that closes drops the messages
-// in its queue, and an entry that has not received a result runs the task again. What entries sent meanwhile has been
-// refused, so the confirmation is repeated until no more ends of runs were sent.
+// confirmResults ends the stop once all entries have handled what was sent to them, also that this agent accepts nothing
+// more. A link that closes drops the messages in its queue, and an entry that has not received a result does not know
+// whether the task has run. What entries sent meanwhile must be answered as well, so the confirmation is repeated until
+// nothing more has come.
 func (a *Agent) confirmResults() {
 	if a.confirming {
 		return
 	}
-	if a.runner == nil || len(a.current.links) == 0 {
+	r := a.current
+	if len(r.links) == 0 {
 		a.stopped = true
 		return
 	}
 	a.confirming = true
-	before, links := a.runner.sentEnds, slices.Collect(maps.Values(a.current.links))
-	request := vwmessage.LeaseRequest{Incarnation: a.current.incarnation, Held: a.current.lease.Held()}
+	before, links := a.handledWork(), slices.Collect(maps.Values(r.links))
+	request := vwmessage.LeaseRequest{Incarnation: r.incarnation, Held: r.lease.Held()}
 	a.group.Run(func(ctx context.Context) {
 		limited, cancel := context.WithTimeout(ctx, a.timing.Silence)
 		defer cancel()
@@ -105,11 +107,20 @@
 		}
 		_ = calls.Wait()
 		a.post(eventFunc(func(time.Time) {
-			a.confirming, a.stopped = false, a.runner.sentEnds == before
+			a.confirming, a.stopped = false, a.handledWork() == before
 		}))
 	})
 }
 
+// handledWork counts what entries have sent to this registration and what was sent to them about runs.
+func (a *Agent) handledWork() uint64 {
+	count := a.current.receivedStarts
+	if a.runner != nil {
+		count += a.runner.sentEnds
+	}
+	return count
+}
+
 // confirm waits until the entry has handled all messages sent over the link so far. Messages are handled in order, and
 // every entry answers a LeaseRequest.
 func (l *link) confirm(ctx context.Context, request vwmessage.LeaseRequest) {
--- a/internal/process/vwagent/stop_test.go
+++ b/internal/process/vwagent/stop_test.go
@@ -64,6 +64,26 @@
 	}
 }
 
+// Guards against a task whose outcome is unknown to its entry because the agent had stopped before the start, which was under
+// way, had reached it.
+func TestStartUnderWayIsAnsweredByStoppingAgent(t *testing.T) {
+	withAgent(t, func(t *testing.T, f *fixture, e1, e2 *fakeEntry) {
+		id := vwid.MakeSubmissionID()
+		holder := e1
+		if e1.heldCredits() == 0 {
+			holder = e2
+		}
+		holder.start(t, id, 1, "t")
+		stopped, _ := f.stop(t)
+		advance(time.Second)
+		result := holder.result(t, id, "t")
+		require.NotNil(t, result)
+		require.Equal(t, vwverdict.NotRun, result.Verdict)
+		require.NoError(t, stopped.Wait())
+		require.NoError(t, <-f.ended)
+	})
+}
+
 // tolerance covers the ticks of the agent and the delay of the network.
 const tolerance = 200 * time.Millisecond
 
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -38,6 +38,7 @@
 
 // onStart queues the tasks that use a credit and refuses the others.
 func (r *registration) onStart(now time.Time, l *link, start *vwmessage.Start) {
+	r.receivedStarts++
 	credited := min(len(start.Tasks), l.credits)
 	l.credits -= credited
 	r.granter.CreditsUsed(l.entry, credited)
