--- a/internal/connection/vwworkertest/worker.go
+++ b/internal/connection/vwworkertest/worker.go
@@ -31,6 +31,16 @@
 	Reject vwworker.Reason
 	// Dropped means that the call never reaches the worker.
 	Dropped bool
+	// Shifted moves the end of the requested lease by Delay, as if it was counted from the arrival of the call.
+	Shifted bool
+}
+
+// shift returns the time to add to the end of the lease that a call requests.
+func (f *Fault) shift() vwworker.Clock {
+	if !f.Shifted {
+		return 0
+	}
+	return vwworker.Clock(f.Delay / time.Millisecond)
 }
 
 // Worker is a worker that grants leases.
@@ -215,7 +225,10 @@
 
 // Start implements vwworker.Worker.
 func (w *Worker) Start(ctx context.Context, order vwworker.StartOrder) (vwworker.Answer, error) {
-	return call(ctx, w, "start", func() (vwworker.Answer, error) { return w.start(order) })
+	return call(ctx, w, "start", func(fault *Fault) (vwworker.Answer, error) {
+		order.Until += fault.shift()
+		return w.start(order)
+	})
 }
 
 func (w *Worker) start(order vwworker.StartOrder) (vwworker.Answer, error) {
@@ -281,7 +294,7 @@
 
 // Stop implements vwworker.Worker.
 func (w *Worker) Stop(ctx context.Context, order vwworker.StopOrder) (vwworker.Answer, error) {
-	return call(ctx, w, "stop", func() (vwworker.Answer, error) {
+	return call(ctx, w, "stop", func(*Fault) (vwworker.Answer, error) {
 		if err := w.check(order.Worker, order.Token); err != nil {
 			return vwworker.Answer{}, err
 		}
@@ -301,7 +314,12 @@
 
 // Hold implements vwworker.Worker.
 func (w *Worker) Hold(ctx context.Context, order vwworker.HoldOrder) (vwworker.Report, error) {
-	return call(ctx, w, "hold", func() (vwworker.Report, error) { return w.hold(order) })
+	return call(ctx, w, "hold", func(fault *Fault) (vwworker.Report, error) {
+		if order.Until > 0 {
+			order.Until += fault.shift()
+		}
+		return w.hold(order)
+	})
 }
 
 func (w *Worker) hold(order vwworker.HoldOrder) (vwworker.Report, error) {
@@ -374,7 +392,7 @@
 }
 
 // call carries out one call with the faults that are drawn for it.
-func call[A any](ctx context.Context, w *Worker, name string, act func() (A, error)) (A, error) {
+func call[A any](ctx context.Context, w *Worker, name string, act func(*Fault) (A, error)) (A, error) {
 	var none A
 	fault := w.drawFault(name)
 	if fault.Dropped {
@@ -399,7 +417,7 @@
 			done <- outcome{none, vwworker.ErrRejected{Reason: fault.Reject, Now: w.now()}}
 			return
 		}
-		answer, err := act()
+		answer, err := act(&fault)
 		if !fault.Lost {
 			done <- outcome{answer, err}
 		}
