--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -224,7 +224,7 @@
 		}
 	}
 	for _, r := range t.runs {
-		t.updateFromReport(now, r, listed[r.id], report.Now)
+		t.updateFromReport(now, r, listed[r.id], report.Now, order.Token)
 	}
 	if t.phase == phaseSyncing && len(t.foreignRuns) == 0 {
 		t.phase = phaseReady
@@ -265,9 +265,9 @@
 	}
 }
 
-// updateFromReport updates a run from a report that the worker made at reportTime of its clock. listed tells whether the
-// report lists the run as running. The ends in the same report must be handled before.
-func (t *Tracker) updateFromReport(now time.Time, r *run, listed bool, reportTime vwworker.Clock) {
+// updateFromReport updates a run from a report that the worker made at reportTime of its clock, in answer to a hold with
+// token. listed tells whether the report lists the run as running. The ends in the same report must be handled before.
+func (t *Tracker) updateFromReport(now time.Time, r *run, listed bool, reportTime vwworker.Clock, token uint64) {
 	switch {
 	case listed:
 		r.confirm(reportTime)
@@ -277,13 +277,22 @@
 	case r.confirmed:
 	case r.stop != nil && r.stop.acknowledged && reportTime > r.stop.acknowledgedAt:
 		t.settleNotRun(now, r, r.stop.reason)
-	case reportTime > r.startDeadline:
+	case reportTime > r.startDeadline && token > r.startToken:
 		t.settleNotRun(now, r, "the start order ran out before the worker carried it out")
+	case reportTime > r.startDeadline:
+		// A worker may count the time of a late order from its arrival, so only a higher token rules the start out.
+		t.fenceStart(r)
 	case r.startUnanswered && r.stop == nil:
 		t.stop(now, r, false, "the start order was not answered")
 	}
 }
 
+// fenceStart raises the fencing token above that of a run's start order and requests a report under it.
+func (t *Tracker) fenceStart(r *run) {
+	t.token = max(t.token, r.startToken+1)
+	t.pollNow = true
+}
+
 // settleNotRun settles a run that the worker does not have and can no longer start.
 func (t *Tracker) settleNotRun(now time.Time, r *run, reason string) {
 	t.recentlyEnded[r.id] = now
--- a/internal/request/vwrun/history_test.go
+++ b/internal/request/vwrun/history_test.go
@@ -58,14 +58,14 @@
 	h.violations = append(h.violations, fmt.Sprintf("%v: ", time.Now().UnixMilli())+fmt.Sprintf(format, args...))
 }
 
-func (h *history) fault(string) vwworkertest.Fault {
+func (h *history) fault(call string) vwworkertest.Fault {
 	h.mu.Lock()
 	faulty := h.faulty
 	h.mu.Unlock()
 	if !faulty {
 		return vwworkertest.Fault{Delay: time.Duration(h.random.IntN(3)) * time.Millisecond}
 	}
-	switch h.random.IntN(24) {
+	switch h.random.IntN(26) {
 	case 0:
 		return vwworkertest.Fault{Lost: true}
 	case 1:
@@ -76,6 +76,8 @@
 		return vwworkertest.Fault{Delay: time.Duration(h.random.IntN(200)) * time.Millisecond}
 	case 4:
 		return vwworkertest.Fault{Reject: vwworker.Unhealthy}
+	case 5, 6:
+		return vwworkertest.Fault{Lost: true, Shifted: call == "start", Delay: 2*time.Second + time.Duration(h.random.IntN(10_000))*time.Millisecond}
 	}
 	return vwworkertest.Fault{Delay: time.Duration(h.random.IntN(5)) * time.Millisecond}
 }
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -72,6 +72,8 @@
 	startSent time.Time
 	// startDeadline is the time on the worker's clock after which it no longer carries out the start order.
 	startDeadline vwworker.Clock
+	// startToken is the fencing token of the last start order.
+	startToken uint64
 	// confirmed is set once the worker has acknowledged or listed the run; confirmedAt is its clock at that answer.
 	confirmed   bool
 	confirmedAt vwworker.Clock
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -318,6 +318,7 @@
 		t.orderStop(now, id, s)
 	}
 	t.checkLeaseExpiry(now)
+	t.settleOldStarts(now)
 	t.checkReportTimeout(now)
 	t.numbers.expire(now)
 	for id, at := range t.recentlyEnded {
@@ -341,7 +342,7 @@
 	}
 }
 
-// checkLeaseExpiry settles all runs as lost once the worker's lease has certainly expired, or once the worker has been
+// checkLeaseExpiry acts once the worker's lease has certainly expired, and settles all runs as lost once the worker has been
 // absent for longer than an order can stay in flight.
 func (t *Tracker) checkLeaseExpiry(now time.Time) {
 	switch {
@@ -351,8 +352,32 @@
 			t.markAllLost(now, "no worker has come back")
 		}
 	case t.clock.known() && t.leaseEnd > 0 && now.After(t.clock.latestTimeOf(t.leaseEnd)):
-		t.markAllLost(now, "the lease of the worker has run out without an answer")
-		t.sync(now)
+		t.expireLease(now)
+	}
+}
+
+// expireLease settles the runs that have ended with the lease and synchronizes with the worker again. Runs whose start is
+// not confirmed are kept: a worker may count the time of a late start order from its arrival, so only a report under a
+// higher token shows that they will not start.
+func (t *Tracker) expireLease(now time.Time) {
+	t.logger.Warn("lease of the worker has run out without an answer", "worker", string(t.life.ID), "runs", len(t.runs), "foreign", len(t.foreignRuns))
+	clear(t.foreignRuns)
+	for _, r := range t.runs {
+		if r.confirmed {
+			t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, "the lease of the worker has run out without an answer")
+		}
+	}
+	t.leaseEnd = 0
+	t.token++
+	t.sync(now)
+}
+
+// settleOldStarts settles the runs whose start order can no longer reach the worker.
+func (t *Tracker) settleOldStarts(now time.Time) {
+	for _, r := range t.runs {
+		if !r.confirmed && now.Sub(r.startSent) > maxOrderDelay {
+			t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, "the worker has not answered the start order, which can no longer reach it")
+		}
 	}
 }
 
