--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -99,22 +99,35 @@
 	return until
 }
 
-// renewLease returns the lease end for a hold. It returns zero, which lets the lease expire, while a run has not ended
-// within StopTimeout of the request to stop it. It also returns zero while another incarnation is announced: on its clock,
-// which began anew, a lease end on the clock of the tracked one is too late.
+// renewLease returns the lease end for a hold, or zero, which lets the lease expire, while the lease is withheld.
 func (t *Tracker) renewLease(now time.Time) vwworker.Clock {
-	if t.pending != nil {
+	if t.leaseWithheld(now) {
 		return 0
 	}
+	return t.extendLease(now)
+}
+
+// leaseWithheld reports whether no order may extend the lease: a run has not ended within StopTimeout of the request to
+// stop it, or another incarnation is announced, on whose clock, which began anew, a lease end on the clock of the tracked one
+// is too late.
+func (t *Tracker) leaseWithheld(now time.Time) bool {
+	if t.pending != nil {
+		return true
+	}
 	for _, r := range t.runs {
-		if r.stop != nil && now.Sub(r.stop.requestedAt) > t.settings.StopTimeout {
-			return 0
+		if r.stop.isOverdue(now, t.settings.StopTimeout) {
+			return true
 		}
 	}
 	for _, s := range t.foreignRuns {
-		if now.Sub(s.requestedAt) > t.settings.StopTimeout {
-			return 0
+		if s.isOverdue(now, t.settings.StopTimeout) {
+			return true
 		}
 	}
-	return t.extendLease(now)
+	return false
+}
+
+// isOverdue reports whether the run has not ended within timeout of the request; there may be none.
+func (s *stopRequest) isOverdue(now time.Time, timeout time.Duration) bool {
+	return s != nil && now.Sub(s.requestedAt) > timeout
 }
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -212,11 +212,17 @@
 	}
 }
 
-// IsReady reports whether runs can be started: the worker answers, and it has no runs that are not tracked.
+// IsReady reports whether the worker answers and has no runs that are not tracked.
 func (t *Tracker) IsReady() bool {
 	return t.phase == phaseReady && t.unansweredHolds == 0 && len(t.foreignRuns) == 0
 }
 
+// CanStart reports whether runs can be started now: the tracker is ready, and start orders may extend the lease of what runs
+// at the worker.
+func (t *Tracker) CanStart(now time.Time) bool {
+	return t.IsReady() && !t.leaseWithheld(now)
+}
+
 // Free returns the capacity that no run occupies.
 func (t *Tracker) Free() vwresource.Amount {
 	return t.capacity.Minus(t.usedCapacity)
@@ -258,6 +264,8 @@
 	switch {
 	case !t.IsReady():
 		return vwverdict.Errorf(vwverdict.NotRun, "the worker is not ready")
+	case t.leaseWithheld(now):
+		return vwverdict.Errorf(vwverdict.NotRun, "the lease of the worker is not extended, because a run has not stopped or another incarnation is announced")
 	case t.runs[spec.Task] != nil:
 		return vwverdict.Errorf(vwverdict.NotRun, "a run of the task has not ended")
 	case !spec.Needs.Fits(t.Free()):
