--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// Reset closes all open links between two addresses; new ones work.
+func (n *Network) Reset(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p := range n.pipes {
+		if (p.from == a && p.to == b) || (p.from == b && p.to == a) {
+			p.close()
+			delete(n.pipes, p)
+		}
+	}
+}
+
 // Kill closes an endpoint and all its links, as the death of its process does.
 func (n *Network) Kill(address string) {
 	n.mu.Lock()
--- a/internal/process/vwhistory/effort_test.go
+++ b/internal/process/vwhistory/effort_test.go
@@ -90,10 +90,11 @@
 		job, entry := h.makeJob(), h.random.IntN(effortEntries)
 		entries := []int{entry, h.random.IntN(effortEntries), h.random.IntN(effortEntries)}
 		leaves := time.Duration(0)
-		if h.random.IntN(12) == 0 {
-			leaves = time.Duration(h.random.IntN(400)) * time.Millisecond
+		if h.random.IntN(6) == 0 {
+			leaves = time.Duration(h.random.IntN(800)) * time.Millisecond
 		}
-		h.callers.Run(func(ctx context.Context) { h.call(ctx, job, entries, leaves) })
+		comesBack := h.random.IntN(2) == 0
+		h.callers.Run(func(ctx context.Context) { h.call(ctx, job, entries, leaves, comesBack) })
 	}
 }
 
@@ -102,7 +103,7 @@
 	job := vwplace.Job{
 		ID: vwid.SubmissionID(fmt.Sprintf("%016x", h.random.Uint64())), Service: service, Team: team, Level: 5, Payload: []byte(`"x"`),
 		Count: 1 + h.random.IntN(6), Needs: vwresource.Amount{CPU: vwresource.MilliCPU(1000 * (1 + h.random.IntN(2))), Memory: vwunit.MiB},
-		Estimate: time.Duration(20+h.random.IntN(1200)) * time.Millisecond, Slowdown: 1.6, Target: 60 * time.Millisecond, MaxFailures: 3,
+		Estimate: time.Duration(20+h.random.IntN(1200)*(1+2*h.random.IntN(2))) * time.Millisecond, Slowdown: 1.6, Target: 60 * time.Millisecond, MaxFailures: 3,
 	}
 	for i := range job.Count {
 		task := vwworker.Task{Job: job.ID, Index: i}
@@ -115,8 +116,8 @@
 }
 
 // call hands a job in as a client does: after a broken connection it comes back, at any entry. A client that leaves
-// does so after a while.
-func (h *effortHistory) call(ctx context.Context, job vwplace.Job, entries []int, leaves time.Duration) {
+// does so after a while, and may come back as after a broken connection.
+func (h *effortHistory) call(ctx context.Context, job vwplace.Job, entries []int, leaves time.Duration, comesBack bool) {
 	refusals := 0
 	for try, index := range entries {
 		limited, cancel := context.WithTimeout(ctx, patience+answerSlack)
@@ -140,12 +141,13 @@
 				h.checkNotRun(&job)
 			}
 			return
-		case leaves > 0:
+		case leaves > 0 && !comesBack:
 			return
-		case err != nil && time.Since(started) >= patience+answerSlack:
+		case leaves == 0 && err != nil && time.Since(started) >= patience+answerSlack:
 			h.violate("job %s got no answer in %v", job.ID, patience)
 			return
 		}
+		leaves = 0
 		time.Sleep(resendAfter)
 	}
 }
@@ -188,7 +190,7 @@
 	// lasts until both ends have given the link up.
 	cut := duration + 2*effortTiming.Silence
 	same, seed := h.random.IntN(2) == 0, h.random.Uint64()
-	kind := h.random.IntN(10)
+	kind := h.random.IntN(11)
 	c.log.Info("fault", "kind", kind, "entry", e.index, "worker", w.index, "duration", duration.String(), "same", same)
 	switch kind {
 	case 0:
@@ -231,6 +233,15 @@
 	case 9:
 		w.setLeaving(true)
 		h.later(duration, func() { w.setLeaving(false) })
+	case 10:
+		random := rand.New(rand.NewPCG(seed, 3))
+		h.faults.Run(func(context.Context) {
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond) {
+				for _, w := range c.workers {
+					c.network.Reset(e.address, w.address)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -25,7 +25,7 @@
 	most := q.mostFree()
 	for _, j := range q.waiting {
 		// Under overload no worker has free capacity, and checking each one for each job would take most of the time.
-		if j.Needs.Fits(most) {
+		if j.Needs.Fits(most) && !q.stale.has(j.ID) {
 			q.place(now, j)
 		}
 	}
@@ -189,7 +189,8 @@
 }
 
 // LinkUp handles the first message of an agent on a new link. It marks the worker as linked, takes the ends of runs
-// that the agent reports, and requeues the tasks sent over earlier links that the agent no longer holds.
+// that the agent reports, requeues the tasks sent over earlier links that the agent no longer holds, and stops the runs that
+// it holds but that are not in flight there.
 func (q *Queue) LinkUp(now time.Time, description Worker, resume *vwmessage.Resume) {
 	q.removeEarlierIncarnations(now, &description)
 	w := q.workers[description.Incarnation]
@@ -207,6 +208,7 @@
 		q.handleRunEnd(now, w, &resume.Ended[i])
 	}
 	q.requeueMissing(w, resume.Held)
+	q.stopUnexpected(w, resume.Held)
 }
 
 // removeEarlierIncarnations removes the earlier incarnations of an agent and requeues their tasks. This is safe because
@@ -240,6 +242,34 @@
 	}
 }
 
+// stopUnexpected stops the runs that an agent holds but that are not in flight there: those of a job that has ended without a
+// link to the agent, whose stop was lost with the link, or whose task was requeued. Runs of the same job that are in flight
+// there stop with them.
+func (q *Queue) stopUnexpected(w *worker, held []vwmessage.RunRef) {
+	q.stale.removeWorker(w)
+	stopped := map[vwid.SubmissionID]bool{}
+	for _, ref := range held {
+		if q.isInFlight(w, ref) {
+			continue
+		}
+		q.stale.add(w, ref)
+		if !stopped[ref.JobID] {
+			stopped[ref.JobID] = true
+			q.stops = append(q.stops, Stop{Worker: w.Incarnation, Stop: vwmessage.StopRuns{JobID: ref.JobID, Reason: "the entry does not expect the run"}})
+		}
+	}
+}
+
+// isInFlight reports whether a run is the one of its task that the queue waits for.
+func (q *Queue) isInFlight(w *worker, ref vwmessage.RunRef) bool {
+	j := q.jobs[ref.JobID]
+	if j == nil || ref.Index < 0 || ref.Index >= len(j.tasks) {
+		return false
+	}
+	t := &j.tasks[ref.Index]
+	return t.state == taskSent && t.worker == w && t.attempt == ref.Attempt
+}
+
 // LinkDown marks the link to an agent as down. The agent's runs may go on for Worker.SettleTime; unless the agent links
 // again, Tick requeues their tasks after that.
 func (q *Queue) LinkDown(now time.Time, incarnation vwid.Incarnation) {
@@ -269,6 +299,7 @@
 // removeWorker removes a worker whose runs have certainly ended, and requeues its tasks.
 func (q *Queue) removeWorker(now time.Time, w *worker) {
 	delete(q.workers, w.Incarnation)
+	q.stale.removeWorker(w)
 	q.workerOrder = slices.DeleteFunc(q.workerOrder, func(other *worker) bool { return other == w })
 	for j := range w.running {
 		for i := range j.tasks {
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -49,6 +49,7 @@
 	workers  map[vwid.Incarnation]*worker
 	// workerOrder lists the workers by when they were added, so that placement does not depend on map iteration order.
 	workerOrder []*worker
+	stale       staleRuns
 	// excludedDataCentres get no tasks.
 	excludedDataCentres map[vwid.DataCentre]bool
 	runTimes            map[vwid.Team]*runTimeEstimate
@@ -81,6 +82,7 @@
 		random:              rand.New(settings.Random),
 		jobs:                map[vwid.SubmissionID]*job{},
 		workers:             map[vwid.Incarnation]*worker{},
+		stale:               makeStaleRuns(),
 		excludedDataCentres: map[vwid.DataCentre]bool{},
 		runTimes:            map[vwid.Team]*runTimeEstimate{},
 	}
@@ -213,6 +215,8 @@
 		q.refuseOrGiveUp(now, j, "the time for an answer is over")
 	case j.waitingTasks > 0 && now.After(j.latestStart()):
 		q.refuseOrGiveUp(now, j, "the tasks that wait can no longer end in time")
+	case !j.isDispatched() && now.After(j.refusalTime()) && q.stale.has(j.ID):
+		q.refuseOrGiveUp(now, j, "earlier runs of the job have not ended in time")
 	case !j.isDispatched() && now.After(j.refusalTime()):
 		q.refuseOrGiveUp(now, j, "no worker has had room in time")
 	}
@@ -306,14 +310,11 @@
 }
 
 func (q *Queue) handleRunEnd(now time.Time, w *worker, end *vwmessage.RunEnd) bool {
-	j := q.jobs[end.Ref.JobID]
-	if j == nil || end.Ref.Index < 0 || end.Ref.Index >= len(j.tasks) {
+	if q.stale.remove(w, end.Ref) || !q.isInFlight(w, end.Ref) {
 		return false
 	}
+	j := q.jobs[end.Ref.JobID]
 	t := &j.tasks[end.Ref.Index]
-	if t.state != taskSent || t.worker != w || t.attempt != end.Ref.Attempt {
-		return false
-	}
 	w.removeTask(j)
 	t.worker = nil
 	switch vwrun.Outcome(end.Outcome) {
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -376,3 +376,75 @@
 		})
 	}
 }
+
+// withHeld reports runs of a job as held by the agent, as index and attempt.
+func withHeld(job string, runs ...[2]int) func(*Worker, *vwmessage.Resume) {
+	return func(_ *Worker, resume *vwmessage.Resume) {
+		for _, run := range runs {
+			resume.Held = append(resume.Held, vwmessage.RunRef{JobID: vwid.SubmissionID(job), Index: run[0], Attempt: run[1]})
+		}
+	}
+}
+
+// stops returns the stops since the last call, as worker:job.
+func (f *fixture) stops() []string {
+	f.Helper()
+	var stops []string
+	for _, stop := range f.queue.TakeStops() {
+		stops = append(stops, fmt.Sprintf("%s:%s", stop.Worker, stop.Stop.JobID))
+	}
+	return stops
+}
+
+// A run whose job ended without a link to its agent, or whose stop was lost with the link, must be stopped over the next
+// link: a caller that submits the job again would get a second run at the same time.
+func TestRunsOfEndedJobsStopOverTheNextLink(t *testing.T) {
+	cases := map[string]func(f *fixture){
+		"ends without a link": func(f *fixture) {
+			f.queue.LinkDown(at(100*time.Millisecond), "w1")
+			f.queue.Cancel(at(110*time.Millisecond), "j1", "the caller has left")
+		},
+		"stop is lost with the link": func(f *fixture) {
+			f.queue.Cancel(at(100*time.Millisecond), "j1", "the caller has left")
+			require.Equal(f, []string{"w1:j1"}, f.stops())
+			f.queue.LinkDown(at(110*time.Millisecond), "w1")
+		},
+		"link is replaced": func(f *fixture) {
+			f.queue.Cancel(at(100*time.Millisecond), "j1", "the caller has left")
+			require.Equal(f, []string{"w1:j1"}, f.stops())
+		},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := makeFixture(t)
+			f.open(at(0), "w1", 4)
+			f.submit(at(0), "j1", 2)
+			f.submit(at(0), "j2", 1)
+			require.Len(t, f.dispatch(at(0)), 3)
+			end(f)
+			require.Empty(t, f.stops(), "there is no link to send a stop over")
+			f.open(at(200*time.Millisecond), "w1", 2, withHeld("j1", [2]int{0, 1}, [2]int{1, 1}), withHeld("j2", [2]int{0, 1}))
+			require.Equal(t, []string{"w1:j1"}, f.stops(), "j2 goes on")
+			require.True(t, f.finish(at(300*time.Millisecond), "w1", "j2", 0, 1, vwrun.OutcomeDone))
+		})
+	}
+}
+
+// An agent whose runs count as ended must be stopped if it comes back with them, and their tasks must not be sent
+// meanwhile. Other tasks of the same job that it has in flight stop with them and must be sent again.
+func TestUnexpectedRunsEndBeforeTheirTasksAreSent(t *testing.T) {
+	f := makeFixture(t)
+	patient := func(j *Job) { j.Estimate = 2 * time.Second }
+	f.open(at(0), "w1", 1)
+	f.submit(at(0), "j1", 1, patient)
+	require.Equal(t, []string{"w1:j1/0#1"}, f.dispatch(at(0)))
+	f.queue.LinkDown(at(100*time.Millisecond), "w1")
+	back := at(100*time.Millisecond + settleTime)
+	f.queue.Tick(back)
+	f.open(back, "w1", 1, withHeld("j1", [2]int{0, 1}))
+	f.open(back, "w2", 1)
+	require.Equal(t, []string{"w1:j1"}, f.stops())
+	require.Empty(t, f.dispatch(back), "the first run of the task goes on")
+	f.finish(back.Add(20*time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeStopped)
+	require.Len(t, f.dispatch(back.Add(20*time.Millisecond)), 1)
+}
--- a/internal/process/vwplace/want.go
+++ b/internal/process/vwplace/want.go
@@ -55,7 +55,7 @@
 func (q *Queue) demandFor(now time.Time, w *worker) workerDemand {
 	found := workerDemand{}
 	for _, j := range q.waiting {
-		if !q.isEligible(w, j) || j.PreferredLabel != "" && !w.hasLabel(j.PreferredLabel) && now.Before(j.remoteAllowedAt) && q.hasPreferredWorker(j) {
+		if !q.isEligible(w, j) || q.stale.has(j.ID) || j.PreferredLabel != "" && !w.hasLabel(j.PreferredLabel) && now.Before(j.remoteAllowedAt) && q.hasPreferredWorker(j) {
 			continue
 		}
 		found.tasks += j.waitingTasks
