--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -237,7 +237,8 @@
 	return slices.ContainsFunc(j.tasks, func(t task) bool { return t.state == taskSent })
 }
 
-// endJob removes a job from the queue, adds its answer, and stops its runs at the agents that are linked.
+// endJob removes a job from the queue, adds its answer, and stops its runs at the agents that are linked. A job that is
+// submitted again under its id has to wait for the end of these runs.
 func (q *Queue) endJob(now time.Time, j *job, outcome Outcome, reason string) {
 	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt), EndedByStop: j.endedByStop}
 	if outcome == OutcomeRefused {
@@ -254,6 +255,11 @@
 	j.ended = true
 	delete(q.jobs, j.ID)
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *job) bool { return other == j })
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == taskSent && t.worker != nil {
+			q.stale.add(t.worker, vwmessage.RunRef{JobID: j.ID, Index: i, Attempt: t.attempt})
+		}
+	}
 	for _, w := range q.workerOrder {
 		if w.running[j] == 0 {
 			continue
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -448,3 +448,62 @@
 	f.finish(back.Add(20*time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeStopped)
 	require.Len(t, f.dispatch(back.Add(20*time.Millisecond)), 1)
 }
+
+// A job that is submitted again must not start before the runs of the first submission have ended, whether their end is
+// reported, missing at the next link or certain after Worker.SettleTime. The end of an old run must not count as that of
+// a new one.
+func TestJobSubmittedAgainWaitsForItsFirstRuns(t *testing.T) {
+	const again = 200 * time.Millisecond
+	cases := map[string]func(f *fixture){
+		"end is reported": func(f *fixture) {
+			f.finish(at(again), "w1", "j1", 0, 1, vwrun.OutcomeStopped)
+		},
+		"not held over the next link": func(f *fixture) {
+			f.queue.LinkDown(at(again), "w1")
+			require.Empty(f, f.dispatch(at(again)))
+			f.open(at(again), "w1", 4)
+		},
+		"end is reported over the next link": func(f *fixture) {
+			f.queue.LinkDown(at(again), "w1")
+			f.open(at(again), "w1", 4, func(_ *Worker, resume *vwmessage.Resume) {
+				resume.Ended = []vwmessage.RunEnd{{Ref: vwmessage.RunRef{JobID: "j1", Attempt: 1}, Outcome: uint8(vwrun.OutcomeStopped)}}
+			})
+		},
+		"link stays down": func(f *fixture) {
+			f.queue.LinkDown(at(again-settleTime), "w1")
+			require.Empty(f, f.dispatch(at(again)))
+			f.queue.Tick(at(again))
+		},
+		"agent has restarted": func(f *fixture) {
+			f.open(at(again), "w1-2", 4, func(w *Worker, _ *vwmessage.Resume) { w.Process = "side-w1" })
+		},
+	}
+	for name, end := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := makeFixture(t)
+			f.open(at(0), "w1", 4)
+			f.submit(at(0), "j1", 1)
+			require.Equal(t, []string{"w1:j1/0#1"}, f.dispatch(at(0)))
+			f.queue.Cancel(at(100*time.Millisecond), "j1", "the caller has left")
+			require.Equal(t, []string{"w1:j1"}, f.stops())
+			f.open(at(0), "w2", 1)
+			f.submit(at(again), "j1", 1, func(j *Job) { j.Estimate = 2 * time.Second })
+			require.Empty(t, f.dispatch(at(again)), "the first run may go on")
+			end(f)
+			require.Len(t, f.dispatch(at(again)), 1)
+		})
+	}
+}
+
+// A failed job that is submitted again must not wait for the run whose end made it fail.
+func TestFailedJobSubmittedAgainIsSent(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 4)
+	once := func(j *Job) { j.MaxFailures = 1 }
+	f.submit(at(0), "j1", 1, once)
+	require.Len(t, f.dispatch(at(0)), 1)
+	f.finish(at(time.Millisecond), "w1", "j1", 0, 1, vwrun.OutcomeFailed)
+	require.Equal(t, OutcomeFailed, f.answer().Outcome)
+	f.submit(at(2*time.Millisecond), "j1", 1, once)
+	require.Len(t, f.dispatch(at(2*time.Millisecond)), 1)
+}
