--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -104,7 +104,7 @@
 	return nil
 }
 
-// LeaveWorker records that the worker has left. It has no effect if another worker is announced.
+// LeaveWorker records that the worker leaves. It has no effect if another worker is announced.
 func (a *Agent) LeaveWorker(_ context.Context, worker vwid.Worker) error {
 	if !a.do(func(now time.Time) { a.runner.onLeave(now, worker) }) {
 		return vwverdict.Errorf(vwverdict.NotRun, "the agent has stopped")
@@ -177,13 +177,15 @@
 	}
 }
 
+// onLeave starts nothing more until the next announcement, and asks the worker whether it has ended. The message does not
+// show that: the worker ends after it has sent it, and it may come from another writer.
 func (r *runner) onLeave(now time.Time, worker vwid.Worker) {
 	if worker != r.offer.Life.ID {
 		return
 	}
-	r.agent.logger.Info("worker has left", "Worker", string(worker))
+	r.agent.logger.Info("worker leaves", "Worker", string(worker), "Runs", r.tracker.Len())
 	r.offer.Draining = true
-	r.tracker.MarkGone(now, "the worker has left")
+	r.tracker.Poll(now)
 }
 
 // attach adds a new link to an entry and stops the runs of earlier incarnations of the entry, whose results are
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -367,3 +367,74 @@
 		})
 	}
 }
+
+// leave delivers the message with which a worker leaves.
+func (f *runnerFixture) leave() {
+	f.t.Helper()
+	require.NoError(f.t, f.agent.LeaveWorker(f.t.Context(), f.worker.Life().ID))
+}
+
+// Guards against a leave that counts as the end of runs that go on: the message may come from another writer, and a worker
+// ends some seconds later if it gets no response. Their tasks were sent elsewhere at once.
+func TestLeaveEndsNoRuns(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		f.worker.RunTime = func(vwworker.Task) time.Duration { return 2 * time.Second }
+		e := f.attach("e1", "e1-1")
+		e.run("j", 2, 2*time.Second)
+		f.leave()
+		time.Sleep(time.Second)
+		require.Equal(t, 2, f.worker.Running())
+		require.Empty(t, e.ends("j"))
+		require.False(t, e.load().Accepting)
+		e.run("k", 1, 100*time.Millisecond)
+		require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeRefused}, e.ends("k"))
+		require.Zero(t, f.starts("k", 0))
+		time.Sleep(1100 * time.Millisecond)
+		require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeDone, 1: vwrun.OutcomeDone}, e.ends("j"))
+	})
+}
+
+// Guards against tasks that wait long for another worker after theirs has left: the end of the worker must be found within
+// milliseconds of the leave, or with the hold in flight if the worker ends later.
+func TestRunsOfLeftWorkerAreLostAtOnce(t *testing.T) {
+	settings := vwrun.DefaultSettings()
+	cases := map[string]struct{ endsAfter, within time.Duration }{
+		"ends at the leave": {0, 10 * time.Millisecond},
+		"ends later":        {700 * time.Millisecond, settings.RenewInterval + settings.AnswerTimeout},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				f.worker.RunTime = func(vwworker.Task) time.Duration { return 2 * time.Second }
+				e := f.attach("e1", "e1-1")
+				e.run("j", 2, 2*time.Second)
+				ends := time.AfterFunc(c.endsAfter, f.worker.Crash)
+				defer ends.Stop()
+				synctest.Wait()
+				f.leave()
+				if c.endsAfter > 0 {
+					time.Sleep(c.endsAfter - time.Millisecond)
+					require.Empty(t, e.ends("j"))
+				}
+				time.Sleep(c.within)
+				require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeLost, 1: vwrun.OutcomeLost}, e.ends("j"))
+				require.False(t, e.load().Accepting)
+			})
+		})
+	}
+}
+
+// Guards against a worker that is locked out by a leave from another writer: its next announcement must make it usable.
+func TestWorkerIsUsedAfterFalseLeave(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		f.leave()
+		time.Sleep(loadInterval)
+		require.False(t, e.load().Accepting)
+		f.announce(2, false)
+		time.Sleep(loadInterval)
+		require.True(t, e.load().Accepting, e.load().Reason)
+		e.run("j", 4, 100*time.Millisecond)
+		require.Equal(t, 4, f.worker.Running())
+	})
+}
--- a/internal/process/vwhistory/effort_test.go
+++ b/internal/process/vwhistory/effort_test.go
@@ -190,7 +190,7 @@
 	// lasts until both ends have given the link up.
 	cut := duration + 2*effortTiming.Silence
 	same, seed := h.random.IntN(2) == 0, h.random.Uint64()
-	kind := h.random.IntN(11)
+	kind := h.random.IntN(12)
 	c.log.Info("fault", "kind", kind, "entry", e.index, "worker", w.index, "duration", duration.String(), "same", same)
 	switch kind {
 	case 0:
@@ -242,6 +242,14 @@
 				}
 			}
 		})
+	case 11:
+		if agent := w.current(); agent != nil {
+			_ = agent.LeaveWorker(context.Background(), w.worker.Life().ID)
+		}
+		// Otherwise the message comes from another writer.
+		if !same {
+			h.later(duration, func() { w.restartWorker(false) })
+		}
 	}
 }
 
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -192,6 +192,11 @@
 	}
 }
 
+// Poll asks the worker for a report at once, beside a hold in flight.
+func (t *Tracker) Poll(now time.Time) {
+	t.pollNow, t.nextSync = true, now
+}
+
 // MarkGone marks the worker as gone and settles its confirmed runs as lost. Unconfirmed runs are kept, because a start
 // order in flight may still reach another incarnation under the same id; they are settled once that incarnation
 // rejects the start or reports without them.
