--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -258,6 +258,8 @@
 		return "the worker is draining"
 	case !r.tracker.IsReady():
 		return "the worker does not answer, or it is not known what it runs"
+	case r.tracker.HasOverdueStop(now):
+		return "a run that was stopped at the worker has not ended"
 	case r.health.isEjected(now):
 		return "the worker fails what it starts"
 	}
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -438,3 +438,39 @@
 		require.Equal(t, 4, f.worker.Running())
 	})
 }
+
+// Guards against runs that outlast the time in which an agent ends them: if no stop order arrives, a run must end with the
+// lease of its worker, and starts must not extend that.
+func TestStartsExtendNoRunWhoseStopIsLost(t *testing.T) {
+	cases := map[string]func(e *entryLink){
+		"job has ended": func(e *entryLink) { e.deliver(&vwmessage.StopRuns{JobID: "j"}) },
+		"entry is silent": func(e *entryLink) {
+			e.link.timedOut = true
+			e.fixture.agent.do(func(now time.Time) { e.fixture.agent.runner.detach(now, e.link) })
+		},
+	}
+	for name, stop := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				f.worker.RunTime = func(task vwworker.Task) time.Duration {
+					if task.Job == "j" {
+						return 5 * time.Second
+					}
+					return 20 * time.Millisecond
+				}
+				e1, e2 := f.attach("e1", "e1-1"), f.attach("e2", "e2-1")
+				e1.run("j", 1, 5*time.Second)
+				f.worker.SetFaults(func(call string) vwworkertest.Fault { return vwworkertest.Fault{Dropped: call == "stop"} })
+				stop(e1)
+				settings := vwrun.DefaultSettings()
+				for end := time.Now().Add(settings.MaxTimeToEnd() + 2*runnerTickInterval); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+					e2.run(vwid.SubmissionID("k"+time.Now().String()), 1, 20*time.Millisecond)
+				}
+				require.False(t, f.worker.Runs(vwworker.Task{Job: "j"}))
+				time.Sleep(time.Second)
+				e2.run("l", 1, 20*time.Millisecond)
+				require.Equal(t, 1, f.starts("l", 0), "the worker must be used again")
+			})
+		})
+	}
+}
--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -63,7 +63,7 @@
 // handleStartRejection retries a rejected start with a higher run number or fencing token where that may help, and
 // settles the run otherwise. The worker does not have the run.
 func (t *Tracker) handleStartRejection(now time.Time, r *run, token uint64, rejected vwworker.ErrRejected) {
-	again := r.stop == nil && r.startRetries < maxStartRetries
+	again := r.stop == nil && r.startRetries < maxStartRetries && !t.HasOverdueStop(now)
 	switch {
 	case rejected.Reason == vwworker.Superseded && again:
 		r.id.Number += 1 << r.startRetries
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -103,18 +103,24 @@
 // within StopTimeout of the request to stop it. It also returns zero while another incarnation is announced: on its clock,
 // which began anew, a lease end on the clock of the tracked one is too late.
 func (t *Tracker) renewLease(now time.Time) vwworker.Clock {
-	if t.pending != nil {
+	if t.pending != nil || t.HasOverdueStop(now) {
 		return 0
 	}
+	return t.extendLease(now)
+}
+
+// HasOverdueStop reports whether a run has not ended within StopTimeout of the request to stop it. No order may extend the
+// lease until it has, so no run may start.
+func (t *Tracker) HasOverdueStop(now time.Time) bool {
 	for _, r := range t.runs {
 		if r.stop != nil && now.Sub(r.stop.requestedAt) > t.settings.StopTimeout {
-			return 0
+			return true
 		}
 	}
 	for _, s := range t.foreignRuns {
 		if now.Sub(s.requestedAt) > t.settings.StopTimeout {
-			return 0
+			return true
 		}
 	}
-	return t.extendLease(now)
+	return false
 }
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -263,6 +263,8 @@
 	switch {
 	case !t.IsReady():
 		return vwverdict.Errorf(vwverdict.NotRun, "the worker is not ready")
+	case t.HasOverdueStop(now):
+		return vwverdict.Errorf(vwverdict.NotRun, "a run that was stopped has not ended")
 	case t.runs[spec.Task] != nil:
 		return vwverdict.Errorf(vwverdict.NotRun, "a run of the task has not ended")
 	case !spec.Needs.Fits(t.Free()):
