--- a/internal/request/vwrun/clock.go
+++ b/internal/request/vwrun/clock.go
@@ -6,8 +6,8 @@
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 )
 
-// workerClock estimates the clock of a worker from the agent's clock. It keeps the observation with the highest lower
-// bound of the worker's clock. Each observation is a lower bound, because the answer took time to arrive.
+// workerClock estimates the clock of a worker from the agent's clock. It holds the highest lower bound of the worker's clock
+// at the last observation. Each observation is a lower bound, because the answer took time to arrive.
 type workerClock struct {
 	// maxDrift is the fraction by which the worker's clock may be slower than the agent's.
 	maxDrift   float64
@@ -19,14 +19,15 @@
 	return !c.observedAt.IsZero()
 }
 
-// observe records a time of the worker's clock if it gives a higher lower bound than the stored observation.
+// observe records a time of the worker's clock. A late answer gives a lower bound than earlier observations do.
 func (c *workerClock) observe(received time.Time, value vwworker.Clock) {
 	if value <= 0 {
 		return
 	}
-	if !c.known() || float64(value) > float64(c.value)+(1-c.maxDrift)*milliseconds(received.Sub(c.observedAt)) {
-		c.observedAt, c.value = received, value
+	if c.known() {
+		value = max(value, c.value+vwworker.Clock((1-c.maxDrift)*milliseconds(received.Sub(c.observedAt))))
 	}
+	c.observedAt, c.value = received, value
 }
 
 // estimate returns the time of the worker's clock at now, assuming that it runs as fast as the agent's.
