--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -47,7 +47,7 @@
 	case isRejected:
 		t.handleStartRejection(now, r, order.Token, rejected)
 	default:
-		// Perhaps only the answer was lost, so a report is requested before any stop order.
+		// Perhaps only the answer was lost, which a report shows.
 		t.logger.Warn("start order was not answered", "run", r.spec.Task.String(), "number", r.id.Number, "error", err.Error())
 		r.startUnanswered = true
 		t.pollNow = true
@@ -258,7 +258,7 @@
 		t.settle(now, r, OutcomeDone, vwverdict.Ran, "")
 	case ended.How == vwworker.Failed:
 		t.settle(now, r, OutcomeFailed, vwverdict.Ran, "the run failed at the worker")
-	case ended.How == vwworker.Stopped && r.stop != nil && r.stop.explicit:
+	case ended.How == vwworker.Stopped && r.stop != nil:
 		t.settle(now, r, OutcomeStopped, vwverdict.MayHaveRun, r.stop.reason)
 	default:
 		t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, "the worker ended the run: "+ended.How.String())
@@ -277,13 +277,11 @@
 	case r.confirmed:
 	case r.stop != nil && r.stop.acknowledged && reportTime > r.stop.acknowledgedAt:
 		t.settleNotRun(now, r, r.stop.reason)
-	case reportTime > r.startDeadline && token > r.startToken:
-		t.settleNotRun(now, r, "the start order ran out before the worker carried it out")
-	case reportTime > r.startDeadline:
-		// A worker may count the time of a late order from its arrival, so only a higher token rules the start out.
+	case token > r.startToken && (r.startUnanswered || reportTime > r.startDeadline):
+		t.settleNotRun(now, r, "the start order was not answered, and the worker has not started the run")
+	case r.startUnanswered || reportTime > r.startDeadline:
+		// A late start order may still arrive, and the worker may count its time from then.
 		t.fenceStart(r)
-	case r.startUnanswered && r.stop == nil:
-		t.stop(now, r, false, "the start order was not answered")
 	}
 }
 
--- a/internal/request/vwrun/overdue.go
+++ b/internal/request/vwrun/overdue.go
@@ -53,7 +53,7 @@
 	for _, r := range t.runs {
 		hangs := t.lastOwnEnd.Before(r.startSent) || now.Sub(r.startSent) > 2*t.overdueLimit(r)
 		if r.overdue && r.stop == nil && hangs {
-			t.stop(now, r, true, reason)
+			t.stop(now, r, reason)
 		}
 	}
 }
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -94,7 +94,5 @@
 	// the run.
 	acknowledged   bool
 	acknowledgedAt vwworker.Clock
-	// explicit is false when the only cause is a start order that was not answered.
-	explicit bool
-	reason   string
+	reason         string
 }
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -287,7 +287,7 @@
 // Stop requests the end of a task's run. TakeResults returns the result once the run has certainly ended.
 func (t *Tracker) Stop(now time.Time, task vwworker.Task, reason string) {
 	if r := t.runs[task]; r != nil {
-		t.stop(now, r, true, reason)
+		t.stop(now, r, reason)
 	}
 }
 
@@ -295,7 +295,7 @@
 func (t *Tracker) StopJob(now time.Time, owner vwid.Incarnation, job vwid.SubmissionID, reason string) {
 	for task, r := range t.runs {
 		if task.Job == job && r.spec.Owner == owner {
-			t.stop(now, r, true, reason)
+			t.stop(now, r, reason)
 		}
 	}
 }
@@ -304,16 +304,15 @@
 func (t *Tracker) StopOwnedBy(now time.Time, owner vwid.Incarnation, reason string) {
 	for _, r := range t.runs {
 		if r.spec.Owner == owner {
-			t.stop(now, r, true, reason)
+			t.stop(now, r, reason)
 		}
 	}
 }
 
-func (t *Tracker) stop(now time.Time, r *run, explicit bool, reason string) {
+func (t *Tracker) stop(now time.Time, r *run, reason string) {
 	if r.stop == nil {
 		r.stop = &stopRequest{requestedAt: now, reason: reason}
 	}
-	r.stop.explicit = r.stop.explicit || explicit
 	t.orderStop(now, r.id, r.stop)
 }
 
@@ -324,7 +323,7 @@
 		if r.stop != nil {
 			t.orderStop(now, r.id, r.stop)
 		} else if !r.spec.Deadline.IsZero() && !now.Before(r.spec.Deadline) {
-			t.stop(now, r, true, "its time is over")
+			t.stop(now, r, "its time is over")
 		}
 	}
 	for id, s := range t.foreignRuns {
