--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -64,7 +64,10 @@
 func (e *Entry) RunBestEffort(ctx context.Context, job vwplace.Job) (vwplace.Answer, error) {
 	call := make(chan vwplace.Answer, 1)
 	err := runOnLoopForError(ctx, e, func() error { return e.bestEffort.submit(time.Now(), job, call) })
+	removeCall := func() { e.bestEffort.removeCall(time.Now(), job.ID, call) }
 	if err != nil {
+		// The submission may still be in the mailbox.
+		e.post(removeCall)
 		return vwplace.Answer{}, err
 	}
 	select {
@@ -73,7 +76,7 @@
 	case <-e.group.Context().Done():
 		return vwplace.Answer{}, vwverdict.Errorf(vwverdict.MayHaveRun, "the entry has stopped")
 	case <-ctx.Done():
-		e.post(func() { e.bestEffort.removeCall(time.Now(), job.ID, call) })
+		e.post(removeCall)
 		return vwplace.Answer{}, vwverdict.Wrap(vwverdict.MayHaveRun, ctx.Err())
 	}
 }
--- a/internal/process/vwhistory/effort_test.go
+++ b/internal/process/vwhistory/effort_test.go
@@ -11,12 +11,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
-	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwresource"
@@ -68,10 +65,7 @@
 			t: t, random: rand.New(rand.NewPCG(seed, 1)), callers: vwgroup.Make(context.Background()), faults: vwgroup.Make(context.Background()),
 			cluster: makeEffortCluster(slog.New(slog.NewTextHandler(&buffer, nil)), effortEntries, effortWorkers),
 		}
-		change := vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "first", Text: []byte(effortRules), By: "Ana"}}
-		_, err := h.cluster.control.Client().Propose(t.Context(), change)
-		require.NoError(t, err)
-		time.Sleep(5 * time.Second)
+		h.cluster.changeRules(t, effortRules)
 		h.run()
 		h.finish()
 		found = append(h.found, h.cluster.record.found...)
--- a/internal/process/vwhistory/effortcluster_test.go
+++ b/internal/process/vwhistory/effortcluster_test.go
@@ -5,14 +5,18 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
 	"vanillawind.example/vanillawind/internal/process/vwagent"
 	"vanillawind.example/vanillawind/internal/request/vwrun"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwresource"
@@ -142,6 +146,15 @@
 	return c
 }
 
+// changeRules stores the first rules and waits until all processes have them.
+func (c *effortCluster) changeRules(t *testing.T, text string) {
+	t.Helper()
+	change := vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "first", Text: []byte(text), By: "Ana"}}
+	_, err := c.control.Client().Propose(t.Context(), change)
+	require.NoError(t, err)
+	time.Sleep(5 * time.Second)
+}
+
 // startEffortAgent starts an agent beside a worker. It has no disk, so its fencing token comes from the time.
 func (c *effortCluster) startEffortAgent(w *effortWorker) {
 	var seeds []string
--- a/internal/process/vwhistory/sentagain_test.go
+++ b/internal/process/vwhistory/sentagain_test.go
@@ -12,7 +12,6 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
-	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwresource"
 	"vanillawind.example/vanillawind/pkg/vwunit"
@@ -39,10 +38,7 @@
 							t.Log(log.String())
 						}
 					}()
-					change := vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "first", Text: []byte(effortRules), By: "Ana"}}
-					_, err := c.control.Client().Propose(t.Context(), change)
-					require.NoError(t, err)
-					time.Sleep(5 * time.Second)
+					c.changeRules(t, effortRules)
 					const runTime = 3 * time.Second
 					job := vwplace.Job{
 						ID: "0123456789abcdef", Service: service, Team: team, Level: 5, Payload: []byte(`"x"`), Count: 2,
@@ -70,3 +66,25 @@
 		}
 	}
 }
+
+// Guards against a job that nobody cancels: its caller leaves while the entry has not yet handled the call, for example
+// because it stood still. The caller may have sent the job to another entry since.
+func TestJobOfCallerThatHasLeftIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := makeEffortCluster(slog.New(slog.DiscardHandler), 1, 1)
+		defer c.stopAll()
+		c.changeRules(t, effortRules)
+		task := vwworker.Task{Job: "0123456789abcdef"}
+		c.record.expect(task, 3*time.Second)
+		ctx, leave := context.WithCancel(t.Context())
+		leave()
+		entry, _ := c.entries[0].current()
+		_, err := entry.RunBestEffort(ctx, vwplace.Job{
+			ID: task.Job, Service: service, Team: team, Level: 5, Payload: []byte(`"x"`), Count: 1,
+			Needs: vwresource.Amount{CPU: 2000, Memory: vwunit.MiB}, Estimate: 3 * time.Second, Slowdown: 10, MaxFailures: 3,
+		})
+		require.ErrorIs(t, err, context.Canceled)
+		time.Sleep(time.Second)
+		require.Zero(t, c.workers[0].worker.Running())
+	})
+}
