--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -335,6 +335,7 @@
 	if err := r.tracker.Start(now, *spec); err != nil {
 		return vwverdict.Reason(err)
 	}
+	r.owners[spec.Owner].dropResult(runRefOf(spec))
 	r.reservations.Deduct(spec.Owner, spec.Needs)
 	r.agent.counters.Started.Add(1)
 	return ""
@@ -433,6 +434,12 @@
 	o.results = append(o.results[old:], retainedResult{at: now, end: end})
 }
 
+// dropResult drops the results of earlier runs with the same reference as one that starts: an entry refers to the runs of a
+// job that is submitted again as to those of its first submission.
+func (o *owner) dropResult(ref vwmessage.RunRef) {
+	o.results = slices.DeleteFunc(o.results, func(r retainedResult) bool { return r.end.Ref == ref })
+}
+
 // logEnd logs the end of a run unless it is done; those would flood the log.
 func (r *runner) logEnd(result *vwrun.Result, o *owner) {
 	if result.Outcome == vwrun.OutcomeDone {
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -143,6 +143,16 @@
 	return outcomes
 }
 
+// resume returns the first message that the entry received.
+func (e *entryLink) resume() *vwmessage.Resume {
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	require.NotEmpty(e.fixture.t, e.conn.sent)
+	resume, isResume := e.conn.sent[0].(*vwmessage.Resume)
+	require.True(e.fixture.t, isResume)
+	return resume
+}
+
 // load returns the last load that the entry received.
 func (e *entryLink) load() (last vwmessage.Load) {
 	e.conn.mu.Lock()
@@ -474,3 +484,19 @@
 		})
 	}
 }
+
+// Guards against the result of an earlier run that is taken as that of a run in flight: a caller that submits a job again at
+// the same entry gets runs of the same task and attempt, and results are kept for the next link.
+func TestKeptResultsAreNotThoseOfHeldRuns(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		e.run("j", 1, 100*time.Millisecond)
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeDone}, e.ends("j"))
+		f.worker.RunTime = func(vwworker.Task) time.Duration { return time.Second }
+		e.run("j", 1, time.Second)
+		resume := f.attach("e1", "e1-1").resume()
+		require.Len(t, resume.Held, 1)
+		require.Empty(t, resume.Ended)
+	})
+}
