--- /dev/null
+++ b/internal/request/vwrun/capacity_test.go
@@ -0,0 +1,84 @@
+package vwrun
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwworker"
+	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
+	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwresource"
+)
+
+// announceCapacity announces the worker's current incarnation with another capacity.
+func (d *driver) announceCapacity(amount vwresource.Amount) {
+	d.update(func(now time.Time) {
+		d.tracker.Announce(now, Announcement{Life: d.worker.Life(), Capacity: amount})
+	})
+}
+
+// Guards against starts beyond a capacity that has shrunk: what runs continues and counts, and no run starts before enough
+// of it has ended. After the capacity has grown again, runs start at once.
+func TestShrunkCapacityIsNotExceeded(t *testing.T) {
+	cases := map[string]vwresource.Amount{
+		"half": {CPU: 2 * small.CPU},
+		"zero": {},
+	}
+	for name, shrunk := range cases {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+				w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+				for i := range 4 {
+					require.NoError(t, d.start(vwid.SubmissionID(rune('a'+i)), small))
+				}
+				d.announceCapacity(shrunk)
+				time.Sleep(time.Second)
+				require.Equal(t, 4, w.Running())
+				fit := int(shrunk.CPU / small.CPU)
+				for i := range 4 {
+					require.Equal(t, 4-i < fit, d.start("x"+vwid.SubmissionID(rune('0'+i)), small) == nil)
+					d.stopTask(vwid.SubmissionID(rune('a' + i)))
+					time.Sleep(100 * time.Millisecond)
+				}
+				d.announceCapacity(capacity)
+				require.NoError(t, d.start("y", capacity.Minus(small)))
+			})
+		})
+	}
+}
+
+// Guards against a pending announcement that replaces the capacity of a newer one of the same incarnation.
+func TestNewerAnnouncementReplacesPendingOne(t *testing.T) {
+	for name, id := range map[string]vwid.Worker{"same id": "w1", "other id": "w2"} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+				w.Restart(id)
+				d.update(func(now time.Time) {
+					d.tracker.Announce(now, Announcement{Life: w.Life(), Capacity: capacity})
+					require.True(t, d.tracker.IsPending())
+					d.tracker.MarkGone(now, "test")
+					d.tracker.Announce(now, Announcement{Life: w.Life(), Capacity: small})
+				})
+				time.Sleep(time.Second)
+				require.True(t, d.ready())
+				require.Equal(t, small, d.tracker.Capacity())
+			})
+		})
+	}
+}
+
+// Guards against a pending announcement that changes the capacity of the tracked incarnation.
+func TestPendingAnnouncementChangesNoCapacity(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		d.announceCapacity(small)
+		for _, life := range []vwworker.Life{{ID: "other", Born: w.Life().Born + 1}, {ID: "w1", Born: w.Life().Born + 1}, {ID: "w1", Born: 1}} {
+			d.update(func(now time.Time) { d.tracker.Announce(now, Announcement{Life: life, Capacity: capacity}) })
+			require.Equal(t, small, d.tracker.Capacity())
+			time.Sleep(time.Second)
+			require.Equal(t, small, d.tracker.Capacity())
+			require.True(t, d.ready())
+		}
+	})
+}
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -141,6 +141,10 @@
 // incarnation is tracked at once. Otherwise an announcement of another incarnation is late, comes from another writer, or
 // means that the tracked one has ended: it is kept as pending and the worker is asked which incarnation it is.
 func (t *Tracker) Announce(now time.Time, announcement Announcement) {
+	if t.pending != nil && t.pending.Life == announcement.Life {
+		// The pending capacity is outdated.
+		t.pending = nil
+	}
 	switch {
 	case announcement.Life == t.life:
 		if t.phase == phaseAbsent {
