--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -63,7 +63,8 @@
 // handleStartRejection retries a rejected start with a higher run number or fencing token where that may help, and
 // settles the run otherwise. The worker does not have the run.
 func (t *Tracker) handleStartRejection(now time.Time, r *run, token uint64, rejected vwworker.ErrRejected) {
-	again := r.stop == nil && r.startRetries < maxStartRetries
+	// The capacity may have shrunk since the start was admitted.
+	again := r.stop == nil && r.startRetries < maxStartRetries && t.usedCapacity.Fits(t.capacity)
 	switch {
 	case rejected.Reason == vwworker.Superseded && again:
 		r.id.Number += 1 << r.startRetries
@@ -74,12 +75,33 @@
 	case rejected.Reason == vwworker.Fenced && again:
 		r.startRetries++
 		t.raiseToken(token)
-		t.orderStart(now, r)
+		// The rejection may come from the pending incarnation, whose capacity may be smaller.
+		if r.startDeferred = t.pending != nil; !r.startDeferred {
+			t.orderStart(now, r)
+		}
 		return
 	}
 	t.settle(now, r, OutcomeRefused, vwverdict.NotRun, rejected.Error())
 }
 
+// retryDeferredStarts orders the starts that were deferred while an incarnation was pending, and refuses those that no
+// longer fit.
+func (t *Tracker) retryDeferredStarts(now time.Time) {
+	if t.pending != nil {
+		return
+	}
+	for _, r := range t.runs {
+		switch {
+		case !r.startDeferred:
+		case r.stop == nil && t.phase == phaseReady && t.usedCapacity.Fits(t.capacity):
+			r.startDeferred = false
+			t.orderStart(now, r)
+		default:
+			t.settle(now, r, OutcomeRefused, vwverdict.NotRun, "the worker rejected the order, and it is not repeated")
+		}
+	}
+}
+
 // StopAnswered handles the answer to a stop order.
 func (t *Tracker) StopAnswered(now time.Time, sent Order, answer vwworker.Answer, err error) {
 	order := sent.Stop
--- a/internal/request/vwrun/capacity_test.go
+++ b/internal/request/vwrun/capacity_test.go
@@ -1,6 +1,7 @@
 package vwrun
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -82,3 +83,47 @@
 		}
 	})
 }
+
+// Guards against a retried start that exceeds a capacity which has shrunk since the first order.
+func TestRetriedStartFitsShrunkCapacity(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		require.NoError(t, d.start("a", small))
+		time.Sleep(100 * time.Millisecond)
+		faultOnce(w, "start", vwworkertest.Fault{Delay: 50 * time.Millisecond, Reject: vwworker.Superseded})
+		require.NoError(t, d.start("b", small))
+		d.announceCapacity(small)
+		time.Sleep(time.Second)
+		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("b"))
+		require.Zero(t, w.Starts(vwworker.Task{Job: "b"}))
+		require.Equal(t, small, w.Peak())
+	})
+}
+
+// Guards against a start that the next incarnation rejects by its token and that is retried there although its capacity is
+// smaller.
+func TestFencedStartFitsNextCapacity(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		var holds atomic.Int32
+		w.SetFaults(func(call string) vwworkertest.Fault {
+			switch call {
+			case "start":
+				return vwworkertest.Fault{Delay: 50 * time.Millisecond}
+			case "hold":
+				// The second one raises the token at the worker, but its report is lost.
+				return vwworkertest.Fault{Lost: holds.Add(1) == 2}
+			}
+			return vwworkertest.Fault{}
+		})
+		d.update(func(now time.Time) {
+			require.NoError(t, d.tracker.Start(now, Spec{Task: vwworker.Task{Job: "a"}, Attempt: 1, Owner: "e", Needs: small}))
+			w.Restart("w1")
+			d.tracker.Announce(now, Announcement{Life: w.Life(), Capacity: vwresource.Amount{CPU: 1000}})
+		})
+		time.Sleep(time.Second)
+		require.Equal(t, w.Life(), d.tracker.Life())
+		require.Zero(t, w.Starts(vwworker.Task{Job: "a"}))
+		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("a"))
+	})
+}
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -24,6 +24,7 @@
 // TakeOrders returns the calls to make now.
 func (t *Tracker) TakeOrders(now time.Time) []Order {
 	t.resolvePending(now)
+	t.retryDeferredStarts(now)
 	t.planHold(now)
 	orders := t.orders
 	t.orders = nil
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -79,8 +79,10 @@
 	startUnanswered bool
 	// startRetries counts the retries with a higher run number or fencing token.
 	startRetries int
-	overdue      bool
-	stop         *stopRequest
+	// startDeferred is set while a rejected start waits to be retried until no incarnation is pending.
+	startDeferred bool
+	overdue       bool
+	stop          *stopRequest
 }
 
 // stopRequest is the request to end a run.
