--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -113,8 +113,12 @@
 }
 
 func (r *runner) onAnnounce(now time.Time, offer WorkerOffer) {
+	if p := r.pendingOffer; p != nil && offer.Life == p.Life && offer.Sequence < p.Sequence {
+		r.logOutOfOrder(&offer, p)
+		return
+	}
 	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence && now.Sub(r.announcedAt) < lateAnnouncementLimit {
-		r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", r.offer.Sequence, "Draining", offer.Draining)
+		r.logOutOfOrder(&offer, &r.offer)
 		// Should the newest one be false, a drain must still begin in time. A later announcement takes it back if it is late.
 		r.offer.Draining = r.offer.Draining || offer.Draining
 		return
@@ -127,6 +131,11 @@
 	r.acceptOffer(now, &offer)
 }
 
+func (r *runner) logOutOfOrder(offer, newest *WorkerOffer) {
+	r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", newest.Sequence,
+		"Draining", offer.Draining, "Capacity", offer.Capacity.String())
+}
+
 // resolvePendingOffer accepts the pending offer once the worker has confirmed its incarnation, and drops it if the worker
 // has denied it.
 func (r *runner) resolvePendingOffer(now time.Time) {
@@ -143,20 +152,27 @@
 	}
 }
 
-// acceptOffer makes the offer of the tracked incarnation the current one and sends it to the entries if it has changed.
+// acceptOffer makes the offer of the tracked incarnation the current one.
 func (r *runner) acceptOffer(now time.Time, offer *WorkerOffer) {
-	changed := !r.sameOffer(offer)
-	if changed {
-		r.agent.logger.Info("worker is announced", "Worker", string(offer.Life.ID), "Born", offer.Life.Born, "Service", string(offer.Service),
-			"Capacity", offer.Capacity.String(), "Labels", offer.Labels, "Draining", offer.Draining)
-	}
 	if offer.Life != r.offer.Life {
 		r.health = health{}
 	}
-	r.offer, r.announcedAt = *offer, now
+	if r.pendingOffer != nil && r.pendingOffer.Life == offer.Life {
+		r.pendingOffer = nil
+	}
+	r.announcedAt = now
+	r.setOffer(offer)
+}
+
+// setOffer sets the current offer and sends it to the entries if it has changed.
+func (r *runner) setOffer(offer *WorkerOffer) {
+	changed := !r.sameOffer(offer)
+	r.offer = *offer
 	if !changed {
 		return
 	}
+	r.agent.logger.Info("worker is announced", "Worker", string(offer.Life.ID), "Born", offer.Life.Born, "Service", string(offer.Service),
+		"Capacity", offer.Capacity.String(), "Labels", offer.Labels, "Draining", offer.Draining)
 	message := r.offerMessage()
 	for _, o := range r.owners {
 		if o.resumeSent {
