--- a/internal/process/vwagent/capacity_test.go
+++ b/internal/process/vwagent/capacity_test.go
@@ -63,6 +63,29 @@
 	})
 }
 
+// Guards against entries that use an outdated capacity: a change of any resource must reach them at once, however small
+// and however recent the last load.
+func TestCapacityChangeReachesEntries(t *testing.T) {
+	cases := map[string]vwresource.Amount{
+		"cpu":       smallCapacity,
+		"a bit":     {CPU: fullCapacity.CPU - 1, Memory: fullCapacity.Memory},
+		"no memory": {CPU: fullCapacity.CPU},
+		"nothing":   {},
+		"more gpus": {CPU: fullCapacity.CPU, Memory: fullCapacity.Memory, GPUs: 1},
+	}
+	for name, changed := range cases {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				e := f.attach("e1", "e1-1")
+				f.announceCapacity(2, changed)
+				require.Equal(t, changed, e.load().Free)
+				f.announceCapacity(3, fullCapacity)
+				require.Equal(t, fullCapacity, e.load().Free)
+			})
+		})
+	}
+}
+
 // Guards against runs that are stopped, or started beyond it, when the capacity shrinks.
 func TestRunsContinueWhenCapacityShrinks(t *testing.T) {
 	withRunner(t, func(t *testing.T, f *runnerFixture) {
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -73,7 +73,9 @@
 	tasksReceived uint64
 	lastLoad      vwmessage.Load
 	lastLoadAt    time.Time
-	resumeSent    bool
+	// loadDue is set when the offer has changed since the last load.
+	loadDue    bool
+	resumeSent bool
 	// graceStart is when orphanGrace and resultRetention began: when the last link ended, or orphanGrace earlier if
 	// the link timed out. It is zero while a link is open.
 	graceStart time.Time
@@ -164,7 +166,7 @@
 	r.setOffer(offer)
 }
 
-// setOffer sets the current offer and sends it to the entries if it has changed.
+// setOffer sets the current offer, and sends it to the entries with the next load if it has changed.
 func (r *runner) setOffer(offer *WorkerOffer) {
 	changed := !r.sameOffer(offer)
 	r.offer = *offer
@@ -176,6 +178,7 @@
 	message := r.offerMessage()
 	for _, o := range r.owners {
 		if o.resumeSent {
+			o.loadDue = true
 			o.link.send(&message)
 		}
 	}
@@ -466,9 +469,9 @@
 			continue
 		}
 		load := r.load(now, o, entry)
-		urgent := load.Accepting != o.lastLoad.Accepting || slices.Contains(toNotify, entry)
+		urgent := o.loadDue || load.Accepting != o.lastLoad.Accepting || slices.Contains(toNotify, entry)
 		if urgent || now.Sub(o.lastLoadAt) >= loadInterval && r.isSignificantChange(&load, &o.lastLoad) {
-			o.lastLoad, o.lastLoadAt = load, now
+			o.lastLoad, o.lastLoadAt, o.loadDue = load, now, false
 			o.link.send(&load)
 		}
 	}
