--- a/internal/process/vwagent/capacity_test.go
+++ b/internal/process/vwagent/capacity_test.go
@@ -29,6 +29,39 @@
 	return WorkerOffer{Life: f.worker.Life(), Sequence: sequence, Service: "pedidos", Capacity: amount}
 }
 
+// Guards against a late announcement that restores a capacity after it has shrunk, also if no announcement came for long.
+func TestLateAnnouncementRestoresNoCapacity(t *testing.T) {
+	for name, silence := range map[string]time.Duration{"at once": 0, "after a silence": lateAnnouncementLimit + time.Second} {
+		t.Run(name, func(t *testing.T) {
+			withRunner(t, func(t *testing.T, f *runnerFixture) {
+				e := f.attach("e1", "e1-1")
+				f.announceCapacity(4, smallCapacity)
+				time.Sleep(silence)
+				f.setRules(2, "DataCentre.a = {} # test\n")
+				f.announceCapacity(2, fullCapacity)
+				f.announceCapacity(3, fullCapacity)
+				require.Equal(t, smallCapacity, f.agent.runner.tracker.Capacity())
+				require.Equal(t, smallCapacity, e.load().Free)
+				time.Sleep(lateAnnouncementLimit)
+				f.setRules(3, "DataCentre.a = {} # test\n")
+				f.announceCapacity(5, fullCapacity)
+				require.Equal(t, fullCapacity, e.load().Free)
+			})
+		})
+	}
+}
+
+// Guards against a false announcement with the worker's own id and start time, but a sequence number so large that all
+// later ones counted as late: a capacity that has shrunk must be used at once.
+func TestLargeSequenceHidesNoShrink(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		f.announceCapacity(1<<53, fullCapacity)
+		f.announceCapacity(2, smallCapacity)
+		require.Equal(t, smallCapacity, e.load().Free)
+	})
+}
+
 // Guards against an announcement that arrives after a newer one of an incarnation that is still pending.
 func TestPendingAnnouncementIsTheNewest(t *testing.T) {
 	for name, id := range map[string]vwid.Worker{"same id": "w1", "other id": "w2"} {
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -56,6 +56,8 @@
 	pendingOffer *WorkerOffer
 	// announcedAt is the time of the last accepted announcement.
 	announcedAt time.Time
+	// growthAllowedAt is when the capacity may grow again after an out-of-order announcement was accepted, which may be late.
+	growthAllowedAt time.Time
 	// oldRunsEnded is set once the worker runs nothing of earlier incarnations of this agent.
 	oldRunsEnded bool
 	// owners holds the state of each entry that is linked or has runs or results here.
@@ -119,11 +121,17 @@
 		r.logOutOfOrder(&offer, p)
 		return
 	}
-	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence && now.Sub(r.announcedAt) < lateAnnouncementLimit {
-		r.logOutOfOrder(&offer, &r.offer)
-		// Should the newest one be false, a drain must still begin in time. A later announcement takes it back if it is late.
-		r.offer.Draining = r.offer.Draining || offer.Draining
-		return
+	if offer.Life == r.offer.Life {
+		if late := offer.Sequence < r.offer.Sequence; late && now.Sub(r.announcedAt) < lateAnnouncementLimit {
+			r.logOutOfOrder(&offer, &r.offer)
+			r.restrictOffer(now, &offer)
+			return
+		} else if late {
+			r.growthAllowedAt = now.Add(lateAnnouncementLimit)
+		}
+		if now.Before(r.growthAllowedAt) {
+			offer.Capacity = offer.Capacity.Min(r.offer.Capacity)
+		}
 	}
 	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity})
 	if r.tracker.IsPending() && r.tracker.Life() != offer.Life {
@@ -138,6 +146,18 @@
 		"Draining", offer.Draining, "Capacity", offer.Capacity.String())
 }
 
+// restrictOffer applies a drain and a smaller capacity from an out-of-order announcement: should the newest one be false,
+// both must still take effect in time. A later announcement takes them back if this one is late.
+func (r *runner) restrictOffer(now time.Time, late *WorkerOffer) {
+	restricted := r.offer
+	restricted.Draining = restricted.Draining || late.Draining
+	restricted.Capacity = restricted.Capacity.Min(late.Capacity)
+	if r.tracker.Life() == restricted.Life {
+		r.tracker.Announce(now, vwrun.Announcement{Life: restricted.Life, Capacity: restricted.Capacity})
+	}
+	r.setOffer(&restricted)
+}
+
 // resolvePendingOffer accepts the pending offer once the worker has confirmed its incarnation, and drops it if the worker
 // has denied it.
 func (r *runner) resolvePendingOffer(now time.Time) {
@@ -158,6 +178,7 @@
 func (r *runner) acceptOffer(now time.Time, offer *WorkerOffer) {
 	if offer.Life != r.offer.Life {
 		r.health = health{}
+		r.growthAllowedAt = time.Time{}
 	}
 	if r.pendingOffer != nil && r.pendingOffer.Life == offer.Life {
 		r.pendingOffer = nil
--- a/pkg/vwresource/amount.go
+++ b/pkg/vwresource/amount.go
@@ -34,6 +34,11 @@
 	return Amount{CPU: z.CPU - other.CPU, Memory: z.Memory - other.Memory, GPUs: z.GPUs - other.GPUs}
 }
 
+// Min returns the minimum of each resource.
+func (z Amount) Min(other Amount) Amount {
+	return Amount{CPU: min(z.CPU, other.CPU), Memory: min(z.Memory, other.Memory), GPUs: min(z.GPUs, other.GPUs)}
+}
+
 // Times returns so many of the amount.
 func (z Amount) Times(count int) Amount {
 	return Amount{CPU: z.CPU * MilliCPU(count), Memory: z.Memory * vwunit.Bytes(count), GPUs: z.GPUs * count}
