--- a/internal/process/vwagent/capacity_test.go
+++ b/internal/process/vwagent/capacity_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwresource"
@@ -29,6 +30,21 @@
 	return WorkerOffer{Life: f.worker.Life(), Sequence: sequence, Service: "pedidos", Capacity: amount}
 }
 
+// lastOffer returns the last offer that the entry received.
+func (e *entryLink) lastOffer() (last vwmessage.Offer) {
+	e.conn.mu.Lock()
+	defer e.conn.mu.Unlock()
+	for _, body := range e.conn.sent {
+		switch body := body.(type) {
+		case *vwmessage.Resume:
+			last = body.Offer
+		case *vwmessage.Offer:
+			last = *body
+		}
+	}
+	return last
+}
+
 // Guards against a late announcement that restores a capacity after it has shrunk, also if no announcement came for long.
 func TestLateAnnouncementRestoresNoCapacity(t *testing.T) {
 	for name, silence := range map[string]time.Duration{"at once": 0, "after a silence": lateAnnouncementLimit + time.Second} {
@@ -119,6 +135,18 @@
 	}
 }
 
+// Guards against entries that place tasks by outdated labels.
+func TestLabelChangeReachesEntries(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		offer := f.offer(2, fullCapacity)
+		offer.Labels = []string{"b"}
+		require.NoError(t, f.agent.AnnounceWorker(t.Context(), offer))
+		time.Sleep(time.Millisecond)
+		require.Equal(t, offer.Labels, e.lastOffer().Labels)
+	})
+}
+
 // Guards against runs that are stopped, or started beyond it, when the capacity shrinks.
 func TestRunsContinueWhenCapacityShrinks(t *testing.T) {
 	withRunner(t, func(t *testing.T, f *runnerFixture) {
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -206,7 +206,8 @@
 }
 
 func (r *runner) sameOffer(other *WorkerOffer) bool {
-	return r.offer.Life == other.Life && r.offer.Service == other.Service && r.offer.Capacity == other.Capacity && r.offer.Draining == other.Draining
+	return r.offer.Life == other.Life && r.offer.Service == other.Service && r.offer.Capacity == other.Capacity && r.offer.Draining == other.Draining &&
+		slices.Equal(r.offer.Labels, other.Labels)
 }
 
 func (r *runner) offerMessage() vwmessage.Offer {
