--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -56,6 +56,8 @@
 	pendingOffer *WorkerOffer
 	// announcedAt is the time of the last accepted announcement.
 	announcedAt time.Time
+	// growthAllowedAt is when the capacity may grow again after an out-of-order announcement was accepted, which may be late.
+	growthAllowedAt time.Time
 	// oldRunsEnded is set once the worker runs nothing of earlier incarnations of this agent.
 	oldRunsEnded bool
 	// owners holds the state of each entry that is linked or has runs or results here.
@@ -73,7 +75,9 @@
 	tasksReceived uint64
 	lastLoad      vwmessage.Load
 	lastLoadAt    time.Time
-	resumeSent    bool
+	// loadDue is set when the offer has changed since the last load.
+	loadDue    bool
+	resumeSent bool
 	// graceStart is when orphanGrace and resultRetention began: when the last link ended, or orphanGrace earlier if
 	// the link timed out. It is zero while a link is open.
 	graceStart time.Time
@@ -113,12 +117,22 @@
 }
 
 func (r *runner) onAnnounce(now time.Time, offer WorkerOffer) {
-	if offer.Life == r.offer.Life && offer.Sequence < r.offer.Sequence && now.Sub(r.announcedAt) < lateAnnouncementLimit {
-		r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", r.offer.Sequence, "Draining", offer.Draining)
-		// Should the newest one be false, a drain must still begin in time. A later announcement takes it back if it is late.
-		r.offer.Draining = r.offer.Draining || offer.Draining
+	if p := r.pendingOffer; p != nil && offer.Life == p.Life && offer.Sequence < p.Sequence {
+		r.logOutOfOrder(&offer, p)
 		return
 	}
+	if offer.Life == r.offer.Life {
+		if late := offer.Sequence < r.offer.Sequence; late && now.Sub(r.announcedAt) < lateAnnouncementLimit {
+			r.logOutOfOrder(&offer, &r.offer)
+			r.restrictOffer(now, &offer)
+			return
+		} else if late {
+			r.growthAllowedAt = now.Add(lateAnnouncementLimit)
+		}
+		if now.Before(r.growthAllowedAt) {
+			offer.Capacity = offer.Capacity.Min(r.offer.Capacity)
+		}
+	}
 	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity})
 	if r.tracker.IsPending() && r.tracker.Life() != offer.Life {
 		r.pendingOffer = &offer
@@ -127,6 +141,23 @@
 	r.acceptOffer(now, &offer)
 }
 
+func (r *runner) logOutOfOrder(offer, newest *WorkerOffer) {
+	r.agent.logger.Info("out-of-order announcement is ignored", "Worker", string(offer.Life.ID), "Sequence", offer.Sequence, "Newest", newest.Sequence,
+		"Draining", offer.Draining, "Capacity", offer.Capacity.String())
+}
+
+// restrictOffer applies a drain and a smaller capacity from an out-of-order announcement: should the newest one be false,
+// both must still take effect in time. A later announcement takes them back if this one is late.
+func (r *runner) restrictOffer(now time.Time, late *WorkerOffer) {
+	restricted := r.offer
+	restricted.Draining = restricted.Draining || late.Draining
+	restricted.Capacity = restricted.Capacity.Min(late.Capacity)
+	if r.tracker.Life() == restricted.Life {
+		r.tracker.Announce(now, vwrun.Announcement{Life: restricted.Life, Capacity: restricted.Capacity})
+	}
+	r.setOffer(&restricted)
+}
+
 // resolvePendingOffer accepts the pending offer once the worker has confirmed its incarnation, and drops it if the worker
 // has denied it.
 func (r *runner) resolvePendingOffer(now time.Time) {
@@ -143,30 +174,40 @@
 	}
 }
 
-// acceptOffer makes the offer of the tracked incarnation the current one and sends it to the entries if it has changed.
+// acceptOffer makes the offer of the tracked incarnation the current one.
 func (r *runner) acceptOffer(now time.Time, offer *WorkerOffer) {
-	changed := !r.sameOffer(offer)
-	if changed {
-		r.agent.logger.Info("worker is announced", "Worker", string(offer.Life.ID), "Born", offer.Life.Born, "Service", string(offer.Service),
-			"Capacity", offer.Capacity.String(), "Labels", offer.Labels, "Draining", offer.Draining)
-	}
 	if offer.Life != r.offer.Life {
 		r.health = health{}
+		r.growthAllowedAt = time.Time{}
+	}
+	if r.pendingOffer != nil && r.pendingOffer.Life == offer.Life {
+		r.pendingOffer = nil
 	}
-	r.offer, r.announcedAt = *offer, now
+	r.announcedAt = now
+	r.setOffer(offer)
+}
+
+// setOffer sets the current offer, and sends it to the entries with the next load if it has changed.
+func (r *runner) setOffer(offer *WorkerOffer) {
+	changed := !r.sameOffer(offer)
+	r.offer = *offer
 	if !changed {
 		return
 	}
+	r.agent.logger.Info("worker is announced", "Worker", string(offer.Life.ID), "Born", offer.Life.Born, "Service", string(offer.Service),
+		"Capacity", offer.Capacity.String(), "Labels", offer.Labels, "Draining", offer.Draining)
 	message := r.offerMessage()
 	for _, o := range r.owners {
 		if o.resumeSent {
+			o.loadDue = true
 			o.link.send(&message)
 		}
 	}
 }
 
 func (r *runner) sameOffer(other *WorkerOffer) bool {
-	return r.offer.Life == other.Life && r.offer.Service == other.Service && r.offer.Capacity == other.Capacity && r.offer.Draining == other.Draining
+	return r.offer.Life == other.Life && r.offer.Service == other.Service && r.offer.Capacity == other.Capacity && r.offer.Draining == other.Draining &&
+		slices.Equal(r.offer.Labels, other.Labels)
 }
 
 func (r *runner) offerMessage() vwmessage.Offer {
@@ -461,9 +502,9 @@
 			continue
 		}
 		load := r.load(now, o, entry)
-		urgent := load.Accepting != o.lastLoad.Accepting || slices.Contains(toNotify, entry)
+		urgent := o.loadDue || load.Accepting != o.lastLoad.Accepting || slices.Contains(toNotify, entry)
 		if urgent || now.Sub(o.lastLoadAt) >= loadInterval && r.isSignificantChange(&load, &o.lastLoad) {
-			o.lastLoad, o.lastLoadAt = load, now
+			o.lastLoad, o.lastLoadAt, o.loadDue = load, now, false
 			o.link.send(&load)
 		}
 	}
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -24,6 +24,7 @@
 // TakeOrders returns the calls to make now.
 func (t *Tracker) TakeOrders(now time.Time) []Order {
 	t.resolvePending(now)
+	t.retryDeferredStarts(now)
 	t.planHold(now)
 	orders := t.orders
 	t.orders = nil
@@ -107,13 +108,14 @@
 	return t.extendLease(now)
 }
 
-// leaseWithheld reports whether no order may extend the lease: a run has not ended within StopTimeout of the request to
-// stop it, or another incarnation is announced, on whose clock, which began anew, a lease end on the clock of the tracked one
-// is too late.
+// leaseWithheld reports whether no order may extend the lease: a stopped run has not ended in time, or another incarnation is
+// announced, on whose clock, which began anew, a lease end on the clock of the tracked one is too late.
 func (t *Tracker) leaseWithheld(now time.Time) bool {
-	if t.pending != nil {
-		return true
-	}
+	return t.pending != nil || t.hasOverdueStop(now)
+}
+
+// hasOverdueStop reports whether a run has not ended within StopTimeout of the request to stop it.
+func (t *Tracker) hasOverdueStop(now time.Time) bool {
 	for _, r := range t.runs {
 		if r.stop.isOverdue(now, t.settings.StopTimeout) {
 			return true
