--- a/internal/process/vwplace/policy_test.go
+++ b/internal/process/vwplace/policy_test.go
@@ -22,14 +22,20 @@
 // simulateUsers simulates 20 seconds of the users' kinds of jobs on 11 workers of 32 cores. At a load of 1 the jobs need
 // all cores on average.
 func simulateUsers(seed uint64, entries int, load float64, delays delays) *simulation {
-	const length, workers, coresEach, milli = 20 * time.Second, 11, 32, 3100
+	const length = 20 * time.Second
+	s := makeUserSimulation(seed, entries, load, delays)
+	s.run(length)
+	return s
+}
+
+// makeUserSimulation returns the simulation that simulateUsers runs.
+func makeUserSimulation(seed uint64, entries int, load float64, delays delays) *simulation {
+	const workers, coresEach, milli = 11, 32, 3100
 	work := 0.0
 	for _, kind := range userJobKinds(1, milli) {
 		work += kind.jobsPerSecond * kind.meanTasks * kind.meanRun.Seconds() * milli / 1000
 	}
-	s := makeSimulation(seed, entries, workers, coresEach, userJobKinds(load*workers*coresEach/work, milli), delays)
-	s.run(length)
-	return s
+	return makeSimulation(seed, entries, workers, coresEach, userJobKinds(load*workers*coresEach/work, milli), delays)
 }
 
 // Entries learn of each other's tasks only from the load reports of the agents. Placement from such partial, delayed
--- a/internal/process/vwplace/simulation_test.go
+++ b/internal/process/vwplace/simulation_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
@@ -33,6 +34,13 @@
 	refusals        int
 	starts          int
 	messages        int
+	// deadly maps jobs to the number of their first tasks that crash each worker that starts them.
+	deadly map[vwid.SubmissionID]int
+	// deadlyShare is the share of the jobs of the first kind of which one task is deadly.
+	deadlyShare float64
+	// taskCrashes counts the crashes of workers by the deadly task that caused them, crashes all of them.
+	taskCrashes map[vwworker.Task]int
+	crashes     int
 }
 
 // simulatedKind is one kind of job.
@@ -49,6 +57,8 @@
 // kindReport holds the outcomes of one kind of job.
 type kindReport struct {
 	submitted, inTime, late, refused, lost int
+	// failed counts the jobs that ended as failed, deadly ones included, and deadlyFailed the deadly ones of them.
+	deadly, failed, deadlyFailed int
 	// weight is the value of the jobs, earnedWeight the part that was earned, and lateRefusedWeight the part that was
 	// refused later than promptRefusalTime.
 	weight, earnedWeight, lateRefusedWeight float64
@@ -62,6 +72,8 @@
 	// passPending is set while a pass over the queue is scheduled for the current time.
 	passPending bool
 	jobs        map[vwid.SubmissionID]simulatedJob
+	// onAnswer gets the answers of jobs that the test submits itself; nil for none.
+	onAnswer func(*Answer)
 }
 
 type simulatedJob struct {
@@ -84,6 +96,10 @@
 	lastLoadAt   map[int]time.Duration
 	stopped      map[vwid.SubmissionID]bool
 	slowdown     float64
+	// running lists the runs in the order of their starts; life counts the crashes of the worker.
+	running []*vwrun.Spec
+	life    int
+	down    bool
 }
 
 type event struct {
@@ -131,6 +147,12 @@
 	// promptRefusalTime is the time within which a refusal counts as prompt: a quarter of the target of 60 ms, less
 	// 6 ms for the round trip to the caller.
 	promptRefusalTime = 9 * time.Millisecond
+	// crashDelay is the time from the start of a deadly task to the crash of its worker, restartTime that from the crash
+	// until the worker is back.
+	crashDelay  = 10 * time.Millisecond
+	restartTime = 2 * time.Second
+	// crashOutcome is the outcome that an agent reports for runs at a worker that has crashed.
+	crashOutcome = vwrun.OutcomeLost
 	// runTimeSpread is the largest relative deviation of a task's run time from that of its job.
 	runTimeSpread = 0.15
 )
@@ -146,7 +168,7 @@
 }
 
 func makeSimulation(seed uint64, entries, agents, coresEach int, kinds []simulatedKind, delays delays) *simulation {
-	s := &simulation{delays: delays, random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds, reports: make([]kindReport, len(kinds))}
+	s := &simulation{delays: delays, random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds, reports: make([]kindReport, len(kinds)), deadly: map[vwid.SubmissionID]int{}, taskCrashes: map[vwworker.Task]int{}}
 	speeds := []float64{0.8, 1, 1.25}
 	for i := range agents {
 		s.agents = append(s.agents, &simulatedAgent{
@@ -247,6 +269,9 @@
 		Estimate: time.Duration(float64(run) * (1 + estimateError*(2*s.random.Float64()-1))), Slowdown: 1.6, Target: 60 * time.Millisecond, MaxFailures: 2,
 		Payload: encodeDurations(durations), Deadline: at(s.now + 1500*time.Millisecond + 3*(longest*16/10+60*time.Millisecond)),
 	}
+	if s.deadlyShare > 0 && kindIndex == 0 && s.random.Float64() < s.deadlyShare {
+		s.deadly[id] = 1
+	}
 	if err := e.queue.Submit(s.at(), job); err != nil {
 		e.answer(&Answer{JobID: id, Outcome: OutcomeRefused})
 	}
@@ -309,12 +334,26 @@
 
 func (e *simulatedEntry) answer(answer *Answer) {
 	s := e.sim
+	if e.onAnswer != nil {
+		e.onAnswer(answer)
+		return
+	}
 	job := e.jobs[answer.JobID]
 	delete(e.jobs, answer.JobID)
 	report := &s.reports[job.kind]
 	report.submitted++
 	report.weight += job.weight
 	took, objective := s.now-job.arrivedAt, job.longestRun*16/10+60*time.Millisecond
+	isDeadly, isFailed := s.deadly[answer.JobID] > 0, answer.Outcome == OutcomeFailed
+	if isDeadly {
+		report.deadly++
+	}
+	if isFailed {
+		report.failed++
+	}
+	if isDeadly && isFailed {
+		report.deadlyFailed++
+	}
 	switch {
 	case answer.Outcome == OutcomeRefused:
 		report.refused++
@@ -347,6 +386,9 @@
 
 func (a *simulatedAgent) load(entry int) vwmessage.Load {
 	id := vwid.Incarnation(fmt.Sprintf("entry-%d", entry))
+	if a.down {
+		return vwmessage.Load{Received: a.received[entry], Slowdown: a.slowdown}
+	}
 	return vwmessage.Load{
 		Accepting: true, Received: a.received[entry], Slowdown: a.slowdown,
 		Free: a.reservations.FreeFor(a.sim.at(), id, a.free()), Kept: a.reservations.ReservedFor(a.sim.at(), id),
@@ -370,7 +412,7 @@
 		spec := vwrun.Spec{
 			Task: vwworker.Task{Job: run.JobID, Index: task.Index}, Attempt: task.Attempt, Owner: e.id, Needs: run.Needs, Payload: run.Payload,
 		}
-		if !run.Needs.Fits(a.reservations.FreeFor(s.at(), e.id, a.free())) {
+		if a.down || !run.Needs.Fits(a.reservations.FreeFor(s.at(), e.id, a.free())) {
 			s.refusals++
 			a.sendRunEnd(&spec, vwrun.OutcomeRefused, 0)
 			continue
@@ -379,12 +421,45 @@
 		a.used = a.used.Plus(run.Needs)
 		a.reservations.Deduct(e.id, run.Needs)
 		duration := time.Duration(float64(decodeDuration(run.Payload, task.Index)) * a.slowdown / a.speed)
-		s.after(s.delays.processing+duration, func() { a.endRun(&spec, duration) })
+		a.running = append(a.running, &spec)
+		life := a.life
+		if task.Index < s.deadly[run.JobID] {
+			s.after(s.delays.processing+crashDelay, func() {
+				if a.life == life {
+					s.taskCrashes[spec.Task]++
+					a.crash()
+				}
+			})
+			continue
+		}
+		s.after(s.delays.processing+duration, func() {
+			if a.life == life {
+				a.endRun(&spec, duration)
+			}
+		})
 	}
 	a.sendLoads(nil)
 }
 
+// crash ends the worker and all its runs. Another one is in its place after restartTime.
+func (a *simulatedAgent) crash() {
+	s := a.sim
+	s.crashes++
+	running := a.running
+	a.running, a.used, a.down = nil, vwresource.Amount{}, true
+	a.life++
+	for _, spec := range running {
+		a.sendRunEnd(spec, crashOutcome, crashDelay)
+	}
+	a.sendLoads(nil)
+	s.after(restartTime, func() {
+		a.down = false
+		a.sendLoads(nil)
+	})
+}
+
 func (a *simulatedAgent) endRun(spec *vwrun.Spec, duration time.Duration) {
+	a.running = slices.DeleteFunc(a.running, func(other *vwrun.Spec) bool { return other == spec })
 	a.used = a.used.Minus(spec.Needs)
 	a.sim.busyCoreSeconds += duration.Seconds() * float64(spec.Needs.CPU) / 1000
 	outcome := vwrun.OutcomeDone
@@ -430,14 +505,17 @@
 func (a *simulatedAgent) sendLoads(reserved []vwid.Incarnation) {
 	s := a.sim
 	notify := map[vwid.Incarnation]bool{}
-	for _, id := range append(reserved, a.reservations.Reserve(s.at(), a.free())...) {
+	if !a.down {
+		reserved = append(reserved, a.reservations.Reserve(s.at(), a.free())...)
+	}
+	for _, id := range reserved {
 		notify[id] = true
 	}
 	for index, e := range s.entries {
 		load := a.load(index)
 		change := load.Free.CPU - a.lastLoad[index].Free.CPU
 		step := a.capacity.CPU / 16
-		if notify[e.id] || s.now-a.lastLoadAt[index] >= simulatedLoadInterval && (change >= step || change <= -step) {
+		if notify[e.id] || load.Accepting != a.lastLoad[index].Accepting || s.now-a.lastLoadAt[index] >= simulatedLoadInterval && (change >= step || change <= -step) {
 			a.lastLoad[index], a.lastLoadAt[index] = load, s.now
 			s.messages++
 			s.send(e, a, func() {
