--- a/internal/process/vwagent/counters.go
+++ b/internal/process/vwagent/counters.go
@@ -22,6 +22,8 @@
 	// worker denied.
 	Invalid atomic.Uint64
 	Denied  atomic.Uint64
+	// WorkerCrashes counts the crashes of a worker that grants leases.
+	WorkerCrashes atomic.Uint64
 	// Unexpected counts messages that an agent does not serve.
 	Unexpected atomic.Uint64
 }
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -119,7 +119,7 @@
 		r.offer.Draining = r.offer.Draining || offer.Draining
 		return
 	}
-	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity})
+	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity, Draining: offer.Draining})
 	if r.tracker.IsPending() && r.tracker.Life() != offer.Life {
 		r.pendingOffer = &offer
 		return
@@ -358,6 +358,7 @@
 	for _, order := range orders {
 		r.agent.group.Run(func(ctx context.Context) { r.callWorker(ctx, order) })
 	}
+	r.agent.counters.WorkerCrashes.Add(uint64(r.tracker.TakeCrashes()))
 	results := r.tracker.TakeResults()
 	for i := range results {
 		r.health.recordResult(now, &results[i])
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -316,7 +316,8 @@
 				// The hold in flight may last for its wait and its timeout.
 				settings := vwrun.DefaultSettings()
 				time.Sleep(settings.RenewInterval + settings.AnswerTimeout + 10*time.Millisecond)
-				require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeLost, 1: vwrun.OutcomeLost}, e.ends("j"))
+				require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeCrashed, 1: vwrun.OutcomeCrashed}, e.ends("j"))
+				require.EqualValues(t, 1, f.agent.Counters().WorkerCrashes.Load())
 				require.Equal(t, f.worker.Life(), f.agent.runner.offer.Life)
 				e.run("k", 4, 2*time.Second)
 				require.Equal(t, 4, f.worker.Running())
--- a/internal/process/vwplace/simulation_test.go
+++ b/internal/process/vwplace/simulation_test.go
@@ -152,7 +152,7 @@
 	crashDelay  = 10 * time.Millisecond
 	restartTime = 2 * time.Second
 	// crashOutcome is the outcome that an agent reports for runs at a worker that has crashed.
-	crashOutcome = vwrun.OutcomeLost
+	crashOutcome = vwrun.OutcomeCrashed
 	// runTimeSpread is the largest relative deviation of a task's run time from that of its job.
 	runTimeSpread = 0.15
 )
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -54,10 +54,12 @@
 	OutcomeStopped
 	// OutcomeLost means that the run has ended in an unknown way.
 	OutcomeLost
+	// OutcomeCrashed means that the run was, or may have been, at a worker that crashed.
+	OutcomeCrashed
 )
 
 var outcomeNames = map[Outcome]string{
-	OutcomeDone: "Done", OutcomeFailed: "Failed", OutcomeRefused: "Refused", OutcomeStopped: "Stopped", OutcomeLost: "Lost",
+	OutcomeDone: "Done", OutcomeFailed: "Failed", OutcomeRefused: "Refused", OutcomeStopped: "Stopped", OutcomeLost: "Lost", OutcomeCrashed: "Crashed",
 }
 
 // String returns the name for logs.
@@ -80,7 +82,9 @@
 	// startRetries counts the retries with a higher run number or fencing token.
 	startRetries int
 	overdue      bool
-	stop         *stopRequest
+	// workerCrashed is set when the worker crashed after the last start order.
+	workerCrashed bool
+	stop          *stopRequest
 }
 
 // stopRequest is the request to end a run.
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -7,7 +7,9 @@
 package vwrun
 
 import (
+	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
@@ -54,6 +56,8 @@
 type Announcement struct {
 	Life     vwworker.Life
 	Capacity vwresource.Amount
+	// Draining is set if the worker is leaving. Its end is then no crash.
+	Draining bool
 }
 
 // Tracker tracks the runs of one worker. It is not safe for concurrent use.
@@ -64,6 +68,7 @@
 	phase    phase
 	life     vwworker.Life
 	capacity vwresource.Amount
+	draining bool
 	clock    workerClock
 	// lifeToken is the fencing token with which the tracking of life began.
 	lifeToken uint64
@@ -101,6 +106,8 @@
 	// reportClock is the worker's clock in the newest report.
 	reportClock vwworker.Clock
 
+	// crashes is the count that the next TakeCrashes returns.
+	crashes int
 	// overdueJobs is the count that the next TakeOverdueJobs returns. lastOwnEnd is when the worker last reported a run
 	// that ended by itself, done or failed.
 	overdueJobs int
@@ -146,7 +153,7 @@
 		if t.phase == phaseAbsent {
 			t.sync(now)
 		}
-		t.capacity = announcement.Capacity
+		t.capacity, t.draining = announcement.Capacity, announcement.Draining
 	case t.phase == phaseAbsent:
 		t.track(now, &announcement)
 	default:
@@ -158,7 +165,7 @@
 // track switches to the incarnation of an announcement.
 func (t *Tracker) track(now time.Time, announcement *Announcement) {
 	t.resetForLife(now, announcement.Life)
-	t.capacity = announcement.Capacity
+	t.capacity, t.draining = announcement.Capacity, announcement.Draining
 }
 
 // IsPending reports whether an announced incarnation may replace the tracked one.
@@ -181,7 +188,7 @@
 	switch {
 	case pending == nil:
 	case pending.Life == t.life:
-		t.pending, t.capacity = nil, pending.Capacity
+		t.pending, t.capacity, t.draining = nil, pending.Capacity, pending.Draining
 	case t.phase == phaseAbsent:
 		t.pending = nil
 		t.track(now, pending)
@@ -207,11 +214,34 @@
 	clear(t.foreignRuns)
 	for _, r := range t.runs {
 		if r.confirmed {
-			t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, reason)
+			t.settleLost(now, r, reason)
 		}
 	}
 }
 
+// recordCrash records that the worker has ended without a notice, if the tracked incarnation has reported before. Its runs,
+// and those whose start order was not answered, may have caused it.
+func (t *Tracker) recordCrash(reason string) {
+	if t.phase == phaseAbsent || t.draining || t.reportOrdered.IsZero() {
+		return
+	}
+	t.crashes++
+	runs := make([]string, 0, len(t.runs))
+	for _, r := range t.runs {
+		r.workerCrashed = true
+		runs = append(runs, fmt.Sprintf("%v#%d", r.spec.Task, r.spec.Attempt))
+	}
+	slices.Sort(runs)
+	t.logger.Warn("worker has crashed", "worker", string(t.life.ID), "runs", runs, "reason", reason)
+}
+
+// TakeCrashes returns the number of crashes of the worker since the last call.
+func (t *Tracker) TakeCrashes() int {
+	count := t.crashes
+	t.crashes = 0
+	return count
+}
+
 // IsReady reports whether runs can be started: the worker answers, and it has no runs that are not tracked.
 func (t *Tracker) IsReady() bool {
 	return t.phase == phaseReady && t.unansweredHolds == 0 && len(t.foreignRuns) == 0
@@ -369,7 +399,7 @@
 	t.logger.Info("tracking another worker incarnation", "worker", string(life.ID), "born", life.Born, "previous", string(t.life.ID), "runs", len(t.runs))
 	t.life, t.reportOrdered = life, time.Time{}
 	// The new incarnation may be of another kind.
-	t.capacity = vwresource.Amount{}
+	t.capacity, t.draining = vwresource.Amount{}, false
 	t.clock = workerClock{maxDrift: t.settings.MaxClockDrift}
 	t.leaseEnd, t.reportClock, t.lastEndSeen, t.lastEndAcknowledged, t.unansweredHolds = 0, 0, 0, 0, 0
 	clear(t.foreignRuns)
@@ -407,8 +437,17 @@
 	}
 	clear(t.foreignRuns)
 	for _, r := range t.runs {
-		t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, reason)
+		t.settleLost(now, r, reason)
+	}
+}
+
+// settleLost settles a run that has ended in an unknown way or with its worker.
+func (t *Tracker) settleLost(now time.Time, r *run, reason string) {
+	outcome := OutcomeLost
+	if r.workerCrashed {
+		outcome = OutcomeCrashed
 	}
+	t.settle(now, r, outcome, vwverdict.MayHaveRun, reason)
 }
 
 // settle removes a run and adds its result.
--- a/internal/request/vwrun/tracker_test.go
+++ b/internal/request/vwrun/tracker_test.go
@@ -212,7 +212,7 @@
 	})
 }
 
-// The runs of a worker whose process has ended must be settled as lost at once, and a new incarnation must not be
+// The runs of a worker whose process has ended must be settled as crashed at once, and a new incarnation must not be
 // credited with the runs of the previous one.
 func TestNewIncarnation(t *testing.T) {
 	cases := map[string]func(w *vwworkertest.Worker, d *driver){
@@ -230,7 +230,7 @@
 				time.Sleep(time.Second)
 				end(w, d)
 				time.Sleep(200 * time.Millisecond)
-				require.Equal(t, []Outcome{OutcomeLost}, d.outcomes("a"))
+				require.Equal(t, []Outcome{OutcomeCrashed}, d.outcomes("a"))
 				if name == "gone" {
 					w.Restart("w3")
 				}
