--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -40,6 +40,10 @@
 	if known && isRejected && rejected.Reason == vwworker.OtherLife {
 		t.settle(now, r, OutcomeRefused, vwverdict.NotRun, rejected.Error())
 	}
+	if known && vwworker.IsGone(err) {
+		t.settle(now, r, OutcomeRefused, vwverdict.NotRun, err.Error())
+		known = false
+	}
 	if !t.observeAnswer(now, sent.Sent, answer.Now, err) || !known {
 		return
 	}
--- a/internal/request/vwrun/crash_test.go
+++ b/internal/request/vwrun/crash_test.go
@@ -61,3 +61,13 @@
 		})
 	}
 }
+
+// A task whose start order found no worker must be free to run elsewhere at once, and must not count as crashed.
+func TestStartThatFindsNoWorkerIsRefused(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.Crash()
+		require.NoError(t, d.start("a", small))
+		time.Sleep(10 * time.Millisecond)
+		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("a"))
+	})
+}
