--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -221,6 +221,9 @@
 			b.send(session, &stop.Stop)
 		}
 	}
+	for _, suspicion := range b.queue.TakeSuspicions() {
+		b.logSuspicion(&suspicion)
+	}
 	for _, answer := range b.queue.TakeAnswers() {
 		b.answer(now, answer)
 	}
@@ -246,6 +249,24 @@
 	}
 }
 
+// logSuspicion logs and counts a change of what is assumed of a task under which a worker has crashed.
+func (b *bestEffortJobs) logSuspicion(suspicion *vwplace.Suspicion) {
+	fields := []any{
+		"job", string(suspicion.JobID), "task", suspicion.Index, "attempt", suspicion.Attempt, "team", string(suspicion.Team),
+		"crashes", suspicion.Crashes, "agent", string(suspicion.Agent),
+	}
+	switch suspicion.Change {
+	case vwplace.SuspicionRaised:
+		b.entry.counters.Suspected.Add(1)
+		b.entry.log.Warn("task is suspected of crashes", fields...)
+	case vwplace.SuspicionCleared:
+		b.entry.log.Info("task is cleared of suspicion", fields...)
+	case vwplace.SuspicionConfirmed:
+		b.entry.counters.GivenUp.Add(1)
+		b.entry.log.Warn("task is given up", fields...)
+	}
+}
+
 func (b *bestEffortJobs) answer(now time.Time, answer vwplace.Answer) {
 	calls := b.calls[answer.JobID]
 	delete(b.calls, answer.JobID)
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -30,6 +30,10 @@
 	// end before that.
 	EndedByStop   atomic.Int64
 	RefusedByStop atomic.Int64
+	// Suspected are tasks that may have crashed a worker and run again apart from each other, and GivenUp those under which
+	// so many workers have crashed that their job has failed.
+	Suspected atomic.Int64
+	GivenUp   atomic.Int64
 	// Takeovers are jobs taken over from another entry.
 	Takeovers atomic.Int64
 	// Retries are repeated attempts of idempotent requests.
--- a/internal/process/vwmetrics/description.go
+++ b/internal/process/vwmetrics/description.go
@@ -63,6 +63,8 @@
 	TasksSent      = describe("tasks_sent_total", KindCounter, UnitCount, "Tasks sent to agents.")
 	TasksRefused   = describe("tasks_refused_total", KindCounter, UnitCount, "Tasks that an agent sent back as not run.")
 	TasksWaiting   = describe("tasks_waiting", KindGauge, UnitCount, "Tasks in the entry's queue.")
+	TasksSuspected = describe("tasks_suspected_total", KindCounter, UnitCount, "Times that a task became suspect because a worker crashed under it.")
+	TasksGivenUp   = describe("tasks_given_up_total", KindCounter, UnitCount, "Tasks that were given up because workers crashed under them.")
 	Takeovers      = describe("takeovers_total", KindCounter, UnitCount, "Jobs taken over from another entry.")
 	Retries        = describe("retries_total", KindCounter, UnitCount, "Repeated attempts of idempotent requests.")
 	DemandsSent    = describe("demands_sent_total", KindCounter, UnitCount, "Reports of demand to agents.")
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -20,6 +20,8 @@
 	Watch(m, JobsRefused, counters.JobsRefused.Load)
 	Watch(m, TasksSent, counters.Starts.Load)
 	Watch(m, TasksRefused, counters.Refused.Load)
+	Watch(m, TasksSuspected, counters.Suspected.Load)
+	Watch(m, TasksGivenUp, counters.GivenUp.Load)
 	Watch(m, Takeovers, counters.Takeovers.Load)
 	Watch(m, Retries, counters.Retries.Load)
 	Watch(m, DemandsSent, counters.Demands.Load)
--- a/internal/process/vwplace/crash_test.go
+++ b/internal/process/vwplace/crash_test.go
@@ -7,8 +7,11 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
+	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
 const (
@@ -93,6 +96,7 @@
 			}
 			for i := range s.reports {
 				r := &s.reports[i]
+				t.Logf("%s: failed sound jobs %d of %d", s.kinds[i].name, r.failed-r.deadlyFailed, r.submitted-r.deadly)
 				deadly, failed, deadlyFailed, submitted = deadly+r.deadly, failed+r.failed, deadlyFailed+r.deadlyFailed, submitted+r.submitted
 			}
 			soundFailed := float64(failed-deadlyFailed) / float64(submitted-deadly)
@@ -103,3 +107,85 @@
 		})
 	}
 }
+
+// A task that crashes its worker long after its start is easily taken for one of those beside it; it must be given up before
+// a sixth worker has crashed all the same.
+func TestTaskThatCrashesLateIsGivenUp(t *testing.T) {
+	const maxLateCrashes = 5
+	f := makeFixture(t)
+	for i := range 8 {
+		f.open(at(0), fmt.Sprintf("w%d", i), 4)
+	}
+	f.submit(at(0), "j1", 1, func(j *Job) { j.Deadline, j.Slowdown = at(time.Minute), 100 })
+	now := time.Duration(0)
+	for crashes := 1; crashes <= maxLateCrashes; crashes++ {
+		sent := f.dispatch(at(now))
+		require.Len(t, sent, 1)
+		now += 5 * earlyCrash
+		require.True(t, f.crash(at(now), string(f.sent[len(f.sent)-1].Worker), "j1", 0, crashes, 5*earlyCrash))
+		if answers := f.queue.TakeAnswers(); len(answers) > 0 {
+			require.Equal(t, OutcomeFailed, answers[0].Outcome)
+			require.Equal(t, vwverdict.MayHaveRun, answers[0].Verdict)
+			return
+		}
+	}
+	require.Fail(t, "the task is not given up")
+}
+
+// crash passes the queue the crash of a worker under an attempt of a task that has run for the given time.
+func (f *fixture) crash(now time.Time, worker, job string, index, attempt int, ran time.Duration) bool {
+	f.Helper()
+	return f.queue.EndRun(now, vwid.Incarnation(worker), &vwmessage.RunEnd{
+		Ref:     vwmessage.RunRef{JobID: vwid.SubmissionID(job), Index: index, Attempt: attempt},
+		Outcome: uint8(vwrun.OutcomeCrashed), RunMicroseconds: ran.Microseconds(), Load: vwmessage.Load{Received: uint64(len(f.sent))},
+	})
+}
+
+// Two suspects at one worker would both be given up when one of them crashes it, and tasks that share the payload of a
+// suspect would crash further workers beside it.
+func TestSuspectsRunApart(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 4)
+	f.submit(at(0), "j1", 3)
+	f.submit(at(0), "j2", 1)
+	require.Len(t, f.dispatch(at(0)), 4)
+	for i := range 3 {
+		require.True(t, f.crash(at(time.Millisecond), "w1", "j1", i, 1, time.Millisecond))
+	}
+	require.True(t, f.crash(at(time.Millisecond), "w1", "j2", 0, 1, time.Millisecond))
+	f.open(at(2*time.Millisecond), "w2", 8)
+	require.Equal(t, []string{"w2:j1/0#2"}, f.dispatch(at(2*time.Millisecond)), "one suspect at a worker")
+	f.open(at(3*time.Millisecond), "w3", 1)
+	f.submit(at(3*time.Millisecond), "j3", 1, func(j *Job) { j.Team = "toinen" })
+	require.Equal(t, []string{"w3:j2/0#2", "w2:j3/0#1"}, f.dispatch(at(3*time.Millisecond)), "one suspect of a job, and others go on")
+	require.True(t, f.finish(at(5*time.Millisecond), "w2", "j1", 0, 2, vwrun.OutcomeDone))
+	require.Equal(t, []string{"w2:j1/1#2"}, f.dispatch(at(5*time.Millisecond)))
+	require.True(t, f.finish(at(6*time.Millisecond), "w3", "j2", 0, 2, vwrun.OutcomeDone))
+	require.Equal(t, OutcomeCompleted, f.answer().Outcome)
+	require.Equal(t, []string{"w3:j1/2#2"}, f.dispatch(at(6*time.Millisecond)))
+	require.True(t, f.crash(at(7*time.Millisecond), "w3", "j1", 2, 2, time.Millisecond))
+	answer := f.answer()
+	require.Equal(t, OutcomeFailed, answer.Outcome)
+	require.Equal(t, vwverdict.Ran, answer.Verdict, "one of its tasks is done")
+	changes := map[SuspicionChange]int{}
+	for _, suspicion := range f.queue.TakeSuspicions() {
+		changes[suspicion.Change]++
+	}
+	require.Equal(t, map[SuspicionChange]int{SuspicionRaised: 4, SuspicionCleared: 2, SuspicionConfirmed: 1}, changes)
+}
+
+// A caller that sends a job again after it was answered as given up must not get two more workers crashed.
+func TestResubmittedJobKeepsItsCrashes(t *testing.T) {
+	f := makeFixture(t)
+	f.open(at(0), "w1", 4)
+	f.submit(at(0), "j1", 1)
+	f.dispatch(at(0))
+	require.True(t, f.crash(at(time.Millisecond), "w1", "j1", 0, 1, time.Millisecond))
+	f.queue.Tick(at(time.Minute / 2))
+	require.Equal(t, OutcomeGivenUp, f.answer().Outcome)
+	f.open(at(time.Minute/2), "w2", 4)
+	f.submit(at(time.Minute/2), "j1", 1)
+	require.Equal(t, []string{"w2:j1/0#1"}, f.dispatch(at(time.Minute/2)))
+	require.True(t, f.crash(at(time.Minute/2+time.Millisecond), "w2", "j1", 0, 1, time.Millisecond))
+	require.Equal(t, OutcomeFailed, f.answer().Outcome)
+}
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -126,6 +126,10 @@
 	sentAt   time.Time
 	// avoidWorker is the worker at which the task last failed, was refused or was lost.
 	avoidWorker vwid.Incarnation
+	// blame is what the crashes of workers under the task count, until it has ended without a crash. suspect is set from
+	// suspectBlame on.
+	blame   blame
+	suspect bool
 }
 
 // job is a job in the queue.
@@ -138,11 +142,15 @@
 	tasks        []task
 	waitingTasks int
 	doneTasks    int
+	// suspects is the number of tasks that are suspects, clearedSuspects that of those that no longer are.
+	suspects, clearedSuspects int
 	// firstSentAt is when the first task was sent; zero before that.
 	firstSentAt time.Time
 	// mayHaveRun is set once a task has run or may have run.
 	mayHaveRun bool
-	ended      bool
+	// hasRun is set once a task is done or has failed.
+	hasRun bool
+	ended  bool
 	// endsWithQueue is set once Deadline is the time by which all jobs of the queue must be answered.
 	endsWithQueue bool
 	endedByStop   bool
--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -54,15 +54,25 @@
 	cost float64
 	// score ranks workers of similar cost; the highest comes first.
 	score float64
+	// hasSuspect is set for a worker with a suspect, which comes after all others.
+	hasSuspect bool
 }
 
 // place sends as many waiting tasks of a job as fit. It packs them onto few workers, so that fewer of them end up on a
 // worker that is worse than its reports say.
 func (q *Queue) place(now time.Time, j *job) {
+	q.placeSuspects(now, j)
+	if j.waitingTasks == 0 || j.holdsOthers() {
+		return
+	}
+	risky := q.isRisky(now, j.Team)
 	for _, c := range q.candidates(now, j) {
 		if j.waitingTasks == 0 {
 			return
 		}
+		if risky && c.hasSuspect {
+			continue
+		}
 		q.sendTasks(now, c.worker, j, min(c.maxTasks, j.waitingTasks))
 	}
 }
@@ -92,7 +102,7 @@
 		if !j.canFinishInTime(now, cost) {
 			continue
 		}
-		found = append(found, candidate{worker: w, maxTasks: maxTasks, cost: cost, score: q.score(w)})
+		found = append(found, candidate{worker: w, maxTasks: maxTasks, cost: cost, score: q.score(w), hasSuspect: w.suspect != nil})
 	}
 	slices.SortFunc(found, func(a, b candidate) int { return compareCandidates(&a, &b) })
 	return found
@@ -101,9 +111,14 @@
 // costTolerance is the relative difference up to which the costs of two workers count as equal.
 const costTolerance = 0.3
 
-// compareCandidates orders candidates by cost, and those of similar cost by score.
+// compareCandidates orders candidates by cost, and those of similar cost by score. Those with a suspect come last.
 func compareCandidates(a, b *candidate) int {
 	switch {
+	case a.hasSuspect != b.hasSuspect:
+		if b.hasSuspect {
+			return -1
+		}
+		return 1
 	case a.cost < b.cost*(1-costTolerance):
 		return -1
 	case b.cost < a.cost*(1-costTolerance):
@@ -144,30 +159,40 @@
 	return slices.ContainsFunc(q.workerOrder, func(w *worker) bool { return q.isEligible(w, j) && w.hasLabel(j.PreferredLabel) })
 }
 
-// sendTasks sends up to count waiting tasks of a job to a worker in one message. It passes over a task whose last run
-// there failed, was refused or was lost if another worker is eligible.
+// sendTasks sends up to count waiting tasks of a job that are no suspects to a worker in one message. It passes over a task
+// whose last run there failed, was refused or was lost if another worker is eligible.
 func (q *Queue) sendTasks(now time.Time, w *worker, j *job, count int) {
-	run := vwmessage.Run{
-		JobID: j.ID, Team: j.Team, Payload: j.Payload, Needs: j.Needs,
-		ExpectedMicroseconds:  q.expectedRunAt(w, j).Microseconds(),
-		EndWithinMilliseconds: max(j.answerDeadline().Sub(now).Milliseconds(), 1),
-	}
+	indexes := make([]int, 0, count)
 	for i := range j.tasks {
 		t := &j.tasks[i]
-		if len(run.Tasks) == count {
+		if len(indexes) == count {
 			break
 		}
-		if t.state != taskWaiting || t.avoidWorker == w.Incarnation && q.hasOtherEligible(w, j) {
+		if t.state != taskWaiting || t.suspect || t.avoidWorker == w.Incarnation && q.hasOtherEligible(w, j) {
 			continue
 		}
+		indexes = append(indexes, i)
+	}
+	q.send(now, w, j, indexes)
+}
+
+// send sends waiting tasks of a job to a worker in one message.
+func (q *Queue) send(now time.Time, w *worker, j *job, indexes []int) {
+	if len(indexes) == 0 {
+		return
+	}
+	run := vwmessage.Run{
+		JobID: j.ID, Team: j.Team, Payload: j.Payload, Needs: j.Needs,
+		ExpectedMicroseconds:  q.expectedRunAt(w, j).Microseconds(),
+		EndWithinMilliseconds: max(j.answerDeadline().Sub(now).Milliseconds(), 1),
+	}
+	for _, i := range indexes {
+		t := &j.tasks[i]
 		t.state, t.worker, t.sentAt = taskSent, w, now
 		t.attempt++
 		w.addTask(j)
 		run.Tasks = append(run.Tasks, vwmessage.RunTask{Index: i, Attempt: t.attempt})
 	}
-	if len(run.Tasks) == 0 {
-		return
-	}
 	j.waitingTasks -= len(run.Tasks)
 	if !j.isDispatched() {
 		j.firstSentAt = now
@@ -233,6 +258,7 @@
 				continue
 			}
 			w.removeTask(j)
+			w.releaseSuspect(t)
 			t.worker = nil
 			j.mayHaveRun = true
 			q.requeue(j, t)
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -55,7 +55,12 @@
 	answers             []Answer
 	sends               []Send
 	stops               []Stop
-	wants               []Demand
+	suspicions          []Suspicion
+	// teamCrashes holds when a worker last crashed under a task of a team, crashRecords the crashes under jobs that have
+	// ended without a final answer.
+	teamCrashes  map[vwid.Team]time.Time
+	crashRecords map[vwid.SubmissionID]crashRecord
+	wants        []Demand
 	// lastLinkedAt is when a worker was last linked.
 	lastLinkedAt time.Time
 	// answerBy is the time by which all jobs must be answered; zero while there is none.
@@ -83,6 +88,8 @@
 		workers:             map[vwid.Incarnation]*worker{},
 		excludedDataCentres: map[vwid.DataCentre]bool{},
 		runTimes:            map[vwid.Team]*runTimeEstimate{},
+		teamCrashes:         map[vwid.Team]time.Time{},
+		crashRecords:        map[vwid.SubmissionID]crashRecord{},
 	}
 }
 
@@ -106,6 +113,7 @@
 	if q.limitDeadline(j); j.endsWithQueue && !j.canFinishInTime(now, 1) {
 		return vwverdict.Wrap(vwverdict.NotRun, ErrStopping{RetryAfter: retryAfter})
 	}
+	q.restoreBlame(j)
 	q.jobs[spec.ID] = j
 	q.waiting = append(q.waiting, j)
 	return nil
@@ -201,6 +209,7 @@
 	for _, j := range q.jobs {
 		q.checkTime(now, j)
 	}
+	q.expireCrashes(now)
 }
 
 // checkTime ends a job that is past its deadline, can no longer end in time, or has waited too long for its first task.
@@ -236,8 +245,14 @@
 // endJob removes a job from the queue, adds its answer, and stops its runs at the agents that are linked.
 func (q *Queue) endJob(now time.Time, j *job, outcome Outcome, reason string) {
 	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt), EndedByStop: j.endedByStop}
-	if outcome == OutcomeRefused {
+	switch {
+	case outcome == OutcomeRefused:
 		answer.RetryAfter = retryAfter
+	case outcome == OutcomeFailed && !j.hasRun:
+		answer.Verdict = vwverdict.MayHaveRun
+	}
+	if outcome != OutcomeCompleted && outcome != OutcomeFailed {
+		q.keepBlame(now, j)
 	}
 	if j.isDispatched() {
 		answer.QueueTime = j.firstSentAt.Sub(j.arrivedAt)
@@ -250,6 +265,11 @@
 	j.ended = true
 	delete(q.jobs, j.ID)
 	q.waiting = slices.DeleteFunc(q.waiting, func(other *job) bool { return other == j })
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.worker != nil {
+			t.worker.releaseSuspect(t)
+		}
+	}
 	for _, w := range q.workerOrder {
 		if w.running[j] == 0 {
 			continue
@@ -315,12 +335,17 @@
 		return false
 	}
 	w.removeTask(j)
+	w.releaseSuspect(t)
 	t.worker = nil
 	switch vwrun.Outcome(end.Outcome) {
 	case vwrun.OutcomeDone:
+		q.clearBlame(j, end.Ref.Index, w)
 		q.completeTask(now, j, t, time.Duration(end.RunMicroseconds)*time.Microsecond, w)
 	case vwrun.OutcomeFailed:
+		q.clearBlame(j, end.Ref.Index, w)
 		q.failTask(now, j, t, w)
+	case vwrun.OutcomeCrashed:
+		q.crashTask(now, j, end.Ref.Index, time.Duration(end.RunMicroseconds)*time.Microsecond, w)
 	case vwrun.OutcomeRefused:
 		t.avoidWorker = w.Incarnation
 		q.requeue(j, t)
@@ -333,7 +358,7 @@
 }
 
 func (q *Queue) completeTask(now time.Time, j *job, t *task, ran time.Duration, w *worker) {
-	j.mayHaveRun = true
+	j.mayHaveRun, j.hasRun = true, true
 	t.state = taskDone
 	j.doneTasks++
 	q.observeRunTime(j, ran, w)
@@ -343,7 +368,7 @@
 }
 
 func (q *Queue) failTask(now time.Time, j *job, t *task, w *worker) {
-	j.mayHaveRun = true
+	j.mayHaveRun, j.hasRun = true, true
 	t.failures++
 	t.avoidWorker = w.Incarnation
 	if t.failures >= max(j.MaxFailures, 1) {
--- a/internal/process/vwplace/simulation_test.go
+++ b/internal/process/vwplace/simulation_test.go
@@ -97,11 +97,17 @@
 	stopped      map[vwid.SubmissionID]bool
 	slowdown     float64
 	// running lists the runs in the order of their starts; life counts the crashes of the worker.
-	running []*vwrun.Spec
+	running []simulatedRun
 	life    int
 	down    bool
 }
 
+// simulatedRun is a run at a worker.
+type simulatedRun struct {
+	spec      *vwrun.Spec
+	startedAt time.Duration
+}
+
 type event struct {
 	at       time.Duration
 	sequence int
@@ -183,6 +189,7 @@
 		}
 		s.entries = append(s.entries, e)
 		for _, a := range s.agents {
+			a.lastLoad[i] = vwmessage.Load{Accepting: true}
 			e.queue.LinkUp(s.at(), Worker{
 				Incarnation: a.id, Process: vwid.Process(a.id), DataCentre: a.centre, Service: testService, Capacity: a.capacity, SettleTime: settleTime,
 			}, &vwmessage.Resume{Load: a.load(i)})
@@ -421,7 +428,7 @@
 		a.used = a.used.Plus(run.Needs)
 		a.reservations.Deduct(e.id, run.Needs)
 		duration := time.Duration(float64(decodeDuration(run.Payload, task.Index)) * a.slowdown / a.speed)
-		a.running = append(a.running, &spec)
+		a.running = append(a.running, simulatedRun{&spec, s.now})
 		life := a.life
 		if task.Index < s.deadly[run.JobID] {
 			s.after(s.delays.processing+crashDelay, func() {
@@ -448,8 +455,8 @@
 	running := a.running
 	a.running, a.used, a.down = nil, vwresource.Amount{}, true
 	a.life++
-	for _, spec := range running {
-		a.sendRunEnd(spec, crashOutcome, crashDelay)
+	for _, run := range running {
+		a.sendRunEnd(run.spec, crashOutcome, s.now-run.startedAt)
 	}
 	a.sendLoads(nil)
 	s.after(restartTime, func() {
@@ -459,7 +466,7 @@
 }
 
 func (a *simulatedAgent) endRun(spec *vwrun.Spec, duration time.Duration) {
-	a.running = slices.DeleteFunc(a.running, func(other *vwrun.Spec) bool { return other == spec })
+	a.running = slices.DeleteFunc(a.running, func(run simulatedRun) bool { return run.spec == spec })
 	a.used = a.used.Minus(spec.Needs)
 	a.sim.busyCoreSeconds += duration.Seconds() * float64(spec.Needs.CPU) / 1000
 	outcome := vwrun.OutcomeDone
--- a/internal/process/vwplace/want.go
+++ b/internal/process/vwplace/want.go
@@ -58,7 +58,11 @@
 		if !q.isEligible(w, j) || j.PreferredLabel != "" && !w.hasLabel(j.PreferredLabel) && now.Before(j.remoteAllowedAt) && q.hasPreferredWorker(j) {
 			continue
 		}
-		found.tasks += j.waitingTasks
+		tasks := j.placeableTasks()
+		if tasks == 0 {
+			continue
+		}
+		found.tasks += tasks
 		found.needs = maxAmount(found.needs, j.Needs)
 		if found.startBefore.IsZero() || j.dueTime().Before(found.startBefore) {
 			found.startBefore = j.dueTime()
--- a/internal/process/vwplace/worker.go
+++ b/internal/process/vwplace/worker.go
@@ -43,6 +43,10 @@
 	unconfirmedTasks []sentTask
 	// running counts the tasks sent to the worker that have not ended, by job.
 	running map[*job]int
+	// suspect is the suspect that was sent to the worker and has not ended; nil if there is none. suspectCrashedAt is when
+	// the worker last crashed under one.
+	suspect          *task
+	suspectCrashedAt time.Time
 	// lastDemand is the demand last sent to the agent, and lastDemandAt when it was sent.
 	lastDemand   workerDemand
 	lastDemandAt time.Time
--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -15,13 +15,13 @@
 	case err == nil || isRejected && rejected.Reason != vwworker.OtherLife:
 		t.answeredAt, t.unansweredHolds = now, 0
 	case isRejected:
-		t.recordCrash("another worker answers at its address")
+		t.recordCrash(now, "another worker answers at its address")
 		t.MarkGone(now, "another worker answers at its address")
 		return false
 	case vwworker.IsGone(err) && t.answeredAt.Before(sent):
 		// If the worker has answered since the order was sent, a new incarnation is listening, and its reports show
 		// what it runs.
-		t.recordCrash(err.Error())
+		t.recordCrash(now, err.Error())
 		t.MarkGone(now, err.Error())
 		return false
 	}
@@ -143,7 +143,7 @@
 	case err != nil:
 		t.countUnanswered(now, err)
 	case report.Born > t.life.Born:
-		t.recordCrash("a later incarnation answers at its address")
+		t.recordCrash(now, "a later incarnation answers at its address")
 		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
 	case report.Born != 0 && report.Born < t.life.Born && order.Token < t.lifeToken:
 		t.logger.Warn("ignored the report of an earlier incarnation", "worker", string(t.life.ID), "born", report.Born, "current", t.life.Born)
@@ -278,7 +278,7 @@
 	switch {
 	case listed:
 		r.confirm(reportTime)
-		r.workerCrashed = false
+		r.crashedAt = time.Time{}
 		t.checkOverdue(r, reportTime)
 	case r.confirmed && reportTime > r.confirmedAt:
 		t.settleLost(now, r, "the worker no longer lists the run and tells no end")
@@ -296,7 +296,7 @@
 // it before.
 func (t *Tracker) settleNotRun(now time.Time, r *run, reason string) {
 	t.recentlyEnded[r.id] = now
-	if r.workerCrashed {
+	if !r.crashedAt.IsZero() {
 		t.settleLost(now, r, "the worker crashed before it answered the start order")
 		return
 	}
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -39,7 +39,7 @@
 
 // orderStart enqueues a start order, which also extends the lease.
 func (t *Tracker) orderStart(now time.Time, r *run) {
-	r.startSent, r.startDeadline, r.workerCrashed = now, t.extendLease(now), false
+	r.startSent, r.startDeadline, r.crashedAt = now, t.extendLease(now), time.Time{}
 	t.orders = append(t.orders, Order{Sent: now, Timeout: t.settings.AnswerTimeout, Start: &vwworker.StartOrder{
 		Worker: t.life.ID, Run: r.id, Payload: r.spec.Payload, Until: r.startDeadline, Token: t.token,
 	}})
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -33,7 +33,7 @@
 	// Verdict states whether the task may have run.
 	Verdict vwverdict.Verdict
 	Reason  string
-	// RunTime is the time from the last start order to the recording of the end.
+	// RunTime is the time from the last start order to the recording of the end, or of the worker's crash.
 	RunTime time.Duration
 	// Overdue is set when the run exceeded its expected time as set by OverdueFactor and OverdueMargin.
 	Overdue bool
@@ -82,9 +82,9 @@
 	// startRetries counts the retries with a higher run number or fencing token.
 	startRetries int
 	overdue      bool
-	// workerCrashed is set when the worker crashed after the last start order.
-	workerCrashed bool
-	stop          *stopRequest
+	// crashedAt is when the worker crashed after the last start order; zero if it did not.
+	crashedAt time.Time
+	stop      *stopRequest
 }
 
 // stopRequest is the request to end a run.
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -221,14 +221,14 @@
 
 // recordCrash records that the worker has ended without a notice, if the tracked incarnation has reported before. Its runs,
 // and those whose start order was not answered, may have caused it.
-func (t *Tracker) recordCrash(reason string) {
+func (t *Tracker) recordCrash(now time.Time, reason string) {
 	if t.phase == phaseAbsent || t.draining || t.reportOrdered.IsZero() {
 		return
 	}
 	t.crashes++
 	runs := make([]string, 0, len(t.runs))
 	for _, r := range t.runs {
-		r.workerCrashed = true
+		r.crashedAt = now
 		runs = append(runs, fmt.Sprintf("%v#%d", r.spec.Task, r.spec.Attempt))
 	}
 	slices.Sort(runs)
@@ -444,7 +444,7 @@
 // settleLost settles a run that has ended in an unknown way or with its worker.
 func (t *Tracker) settleLost(now time.Time, r *run, reason string) {
 	outcome := OutcomeLost
-	if r.workerCrashed {
+	if !r.crashedAt.IsZero() {
 		outcome = OutcomeCrashed
 	}
 	t.settle(now, r, outcome, vwverdict.MayHaveRun, reason)
@@ -454,5 +454,9 @@
 func (t *Tracker) settle(now time.Time, r *run, outcome Outcome, verdict vwverdict.Verdict, reason string) {
 	delete(t.runs, r.spec.Task)
 	t.usedCapacity = t.usedCapacity.Minus(r.spec.Needs)
-	t.results = append(t.results, Result{Spec: r.spec, Outcome: outcome, Verdict: verdict, Reason: reason, RunTime: now.Sub(r.startSent), Overdue: r.overdue})
+	ended := now
+	if !r.crashedAt.IsZero() {
+		ended = r.crashedAt
+	}
+	t.results = append(t.results, Result{Spec: r.spec, Outcome: outcome, Verdict: verdict, Reason: reason, RunTime: ended.Sub(r.startSent), Overdue: r.overdue})
 }
