--- a/internal/process/vwentry/request.go
+++ b/internal/process/vwentry/request.go
@@ -14,13 +14,16 @@
 // requestTask is the id of the only task of a single request.
 const requestTask vwid.TaskID = "Request"
 
+// maxRequestLosses is the number of lost workers after which a request is not retried: it may be the cause.
+const maxRequestLosses = 2
+
 // runRequest runs a single request without a record in control. It retries an idempotent one after
-// MayHaveRun, within the team's retry budget, and sends any other at most once.
+// MayHaveRun, within the team's retry budget and up to maxRequestLosses, and sends any other at most once.
 func (e *Entry) runRequest(ctx context.Context, s submission, idempotent bool) (*job, error) {
 	if err := runOnLoopForError(ctx, e, func() error { return e.validate(s) }); err != nil {
 		return nil, err
 	}
-	for {
+	for losses := 1; ; losses++ {
 		j, err := e.attemptRequest(ctx, s)
 		if err != nil {
 			return nil, err
@@ -29,7 +32,7 @@
 			e.post(func() { e.failJob(j, codeCancelled, "the caller went away") })
 			return nil, ctx.Err()
 		}
-		if !idempotent || !isRetryable(j) {
+		if !idempotent || !isRetryable(j) || losses >= maxRequestLosses {
 			return j, nil
 		}
 		permitted, err := runOnLoop(ctx, e, func() bool { return e.budget(s.spec.Service, s.spec.Team).withdraw(time.Now()) })
--- a/internal/process/vwhistory/session_test.go
+++ b/internal/process/vwhistory/session_test.go
@@ -75,6 +75,28 @@
 	return killing
 }
 
+// killEachStart kills the backend server of each start after half a second, until the group that it returns is stopped.
+// Another one is in its place after a second.
+func (s *site) killEachStart() *vwgroup.Group {
+	killing := vwgroup.Make(s.t.Context())
+	killed := len(s.cluster.record.all())
+	killing.Run(func(ctx context.Context) {
+		for vwgroup.Sleep(ctx, 50*time.Millisecond) == nil {
+			for _, start := range s.cluster.record.all()[killed:] {
+				killed++
+				backend := s.cluster.agents[start.worker].backend
+				killing.Run(func(ctx context.Context) {
+					_ = vwgroup.Sleep(ctx, 500*time.Millisecond)
+					backend.kill()
+					_ = vwgroup.Sleep(ctx, time.Second)
+					backend.revive()
+				})
+			}
+		}
+	})
+	return killing
+}
+
 func (s *site) reviveAll() {
 	for _, a := range s.cluster.agents {
 		a.backend.kill()
@@ -208,6 +230,14 @@
 		require.LessOrEqual(s.t, used, 100, "the budget has no end")
 		s.loseWorkerDuring(`{"Service":"pedidos","Team":"Stands","Idempotent":true,"Payload":3000}`, http.StatusBadGateway, 1)
 	},
+	"deadly_request": func(s *site) {
+		killing := s.killEachStart()
+		before := len(s.cluster.record.all())
+		status := s.send("callers", "POST /Requests", `{"Service":"pedidos","Team":"Stands","Idempotent":true,"TimeoutMillis":20000,"Payload":3000}`)
+		_ = killing.Stop()
+		require.Equal(s.t, 2, len(s.cluster.record.all())-before, "a request under which two workers were lost was started again")
+		require.Equal(s.t, http.StatusBadGateway, status)
+	},
 	"lost_entry": func(s *site) {
 		s.send("callers 1", "POST /Jobs?Wait=false", longJob("LONG", "20000"))
 		time.Sleep(time.Second)
