--- a/internal/process/vwplace/crash.go
+++ b/internal/process/vwplace/crash.go
@@ -16,7 +16,7 @@
 	// suspectBlame is the blame from which a task is a suspect, and maxBlame that from which it is given up.
 	suspectBlame = 2
 	maxBlame     = 4
-	// crashMemory is how long the tasks of a team count as risky after a worker has crashed under one.
+	// crashMemory is how long the tasks of a team count as risky after one was given up.
 	crashMemory = 5 * time.Second
 	// crashRetention is how long the crashes under a job that was ended for another reason are kept for a caller that sends
 	// the job again.
@@ -77,15 +77,13 @@
 
 // crashTask handles the crash of a worker under a task that has run for the given time. Any of the tasks that were there may
 // have caused it. Those with enough blame become suspects and run again apart from each other, so that the next crash shows
-// which task causes them. If a suspect has just started there, it is the likely cause, and the others get no blame.
+// which task causes them. If a suspect has just started there, it is the likely cause, and those that have run for longer get
+// no blame.
 func (q *Queue) crashTask(now time.Time, j *job, index int, ran time.Duration, w *worker) {
 	t := &j.tasks[index]
 	j.mayHaveRun = true
 	t.avoidWorker = w.Incarnation
-	// A task of a risky team that has just started may as well be the cause.
-	unlikely := ran >= earlyCrash || !q.isRisky(now, j.Team)
-	q.teamCrashes[j.Team] = now
-	if !t.suspect && unlikely && w.hasBlamedSuspect(now, t) {
+	if !t.suspect && ran >= earlyCrash && w.hasBlamedSuspect(now, t) {
 		q.requeue(j, t)
 		return
 	}
@@ -99,6 +97,7 @@
 		w.suspectCrashedAt = now
 	}
 	if t.blame.points >= maxBlame {
+		q.teamCrashes[j.Team] = now
 		q.reportSuspicion(SuspicionConfirmed, j, index, w)
 		q.endJob(now, j, OutcomeFailed, fmt.Sprintf("%d workers have crashed under a task", t.blame.crashes))
 		return
@@ -134,7 +133,7 @@
 	j.clearedSuspects++
 }
 
-// isRisky reports whether a worker has crashed under a task of the team lately.
+// isRisky reports whether a task of the team was given up lately.
 func (q *Queue) isRisky(now time.Time, team vwid.Team) bool {
 	at, known := q.teamCrashes[team]
 	return known && now.Sub(at) < crashMemory
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -56,8 +56,8 @@
 	sends               []Send
 	stops               []Stop
 	suspicions          []Suspicion
-	// teamCrashes holds when a worker last crashed under a task of a team, crashRecords the crashes under jobs that have
-	// ended without a final answer.
+	// teamCrashes holds when a task of a team was last given up, crashRecords the crashes under jobs that have ended without
+	// a final answer.
 	teamCrashes  map[vwid.Team]time.Time
 	crashRecords map[vwid.SubmissionID]crashRecord
 	wants        []Demand
