--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -133,7 +133,7 @@
 			offer.Capacity = offer.Capacity.Min(r.offer.Capacity)
 		}
 	}
-	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity})
+	r.tracker.Announce(now, vwrun.Announcement{Life: offer.Life, Capacity: offer.Capacity, Draining: offer.Draining})
 	if r.tracker.IsPending() && r.tracker.Life() != offer.Life {
 		r.pendingOffer = &offer
 		return
@@ -153,7 +153,7 @@
 	restricted.Draining = restricted.Draining || late.Draining
 	restricted.Capacity = restricted.Capacity.Min(late.Capacity)
 	if r.tracker.Life() == restricted.Life {
-		r.tracker.Announce(now, vwrun.Announcement{Life: restricted.Life, Capacity: restricted.Capacity})
+		r.tracker.Announce(now, vwrun.Announcement{Life: restricted.Life, Capacity: restricted.Capacity, Draining: restricted.Draining})
 	}
 	r.setOffer(&restricted)
 }
@@ -226,7 +226,7 @@
 	}
 	r.agent.logger.Info("worker leaves", "Worker", string(worker), "Runs", r.tracker.Len())
 	r.offer.Draining = true
-	r.tracker.Poll(now)
+	r.tracker.MarkLeaving(now)
 }
 
 // attach adds a new link to an entry and stops the runs of earlier incarnations of the entry, whose results are
@@ -404,6 +404,7 @@
 	for _, order := range orders {
 		r.agent.group.Run(func(ctx context.Context) { r.callWorker(ctx, order) })
 	}
+	r.agent.counters.WorkerCrashes.Add(uint64(r.tracker.TakeCrashes()))
 	results := r.tracker.TakeResults()
 	for i := range results {
 		r.health.recordResult(now, &results[i])
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -56,7 +56,12 @@
 	answers             []Answer
 	sends               []Send
 	stops               []Stop
-	wants               []Demand
+	suspicions          []Suspicion
+	// teamCrashes holds when a task of a team was last given up, crashRecords the crashes under jobs that have ended without
+	// a final answer.
+	teamCrashes  map[vwid.Team]time.Time
+	crashRecords map[vwid.SubmissionID]crashRecord
+	wants        []Demand
 	// lastLinkedAt is when a worker was last linked.
 	lastLinkedAt time.Time
 	// answerBy is the time by which all jobs must be answered; zero while there is none.
@@ -85,6 +90,8 @@
 		stale:               makeStaleRuns(),
 		excludedDataCentres: map[vwid.DataCentre]bool{},
 		runTimes:            map[vwid.Team]*runTimeEstimate{},
+		teamCrashes:         map[vwid.Team]time.Time{},
+		crashRecords:        map[vwid.SubmissionID]crashRecord{},
 	}
 }
 
@@ -108,6 +115,7 @@
 	if q.limitDeadline(j); j.endsWithQueue && !j.canFinishInTime(now, 1) {
 		return vwverdict.Wrap(vwverdict.NotRun, ErrStopping{RetryAfter: retryAfter})
 	}
+	q.restoreBlame(j)
 	q.jobs[spec.ID] = j
 	q.waiting = append(q.waiting, j)
 	return nil
@@ -203,6 +211,7 @@
 	for _, j := range q.jobs {
 		q.checkTime(now, j)
 	}
+	q.expireCrashes(now)
 }
 
 // checkTime ends a job that is past its deadline, can no longer end in time, or has waited too long for its first task.
@@ -241,8 +250,14 @@
 // submitted again under its id has to wait for the end of these runs.
 func (q *Queue) endJob(now time.Time, j *job, outcome Outcome, reason string) {
 	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt), EndedByStop: j.endedByStop}
-	if outcome == OutcomeRefused {
+	switch {
+	case outcome == OutcomeRefused:
 		answer.RetryAfter = retryAfter
+	case outcome == OutcomeFailed && !j.hasRun:
+		answer.Verdict = vwverdict.MayHaveRun
+	}
+	if outcome != OutcomeCompleted && outcome != OutcomeFailed {
+		q.keepBlame(now, j)
 	}
 	if j.isDispatched() {
 		answer.QueueTime = j.firstSentAt.Sub(j.arrivedAt)
@@ -258,6 +273,7 @@
 	for i := range j.tasks {
 		if t := &j.tasks[i]; t.state == taskSent && t.worker != nil {
 			q.stale.add(t.worker, vwmessage.RunRef{JobID: j.ID, Index: i, Attempt: t.attempt})
+			t.worker.releaseSuspect(t)
 		}
 	}
 	for _, w := range q.workerOrder {
@@ -322,12 +338,17 @@
 	j := q.jobs[end.Ref.JobID]
 	t := &j.tasks[end.Ref.Index]
 	w.removeTask(j)
+	w.releaseSuspect(t)
 	t.worker = nil
 	switch vwrun.Outcome(end.Outcome) {
 	case vwrun.OutcomeDone:
+		q.clearBlame(j, end.Ref.Index, w)
 		q.completeTask(now, j, t, time.Duration(end.RunMicroseconds)*time.Microsecond, w)
 	case vwrun.OutcomeFailed:
+		q.clearBlame(j, end.Ref.Index, w)
 		q.failTask(now, j, t, w)
+	case vwrun.OutcomeCrashed:
+		q.crashTask(now, j, end.Ref.Index, time.Duration(end.RunMicroseconds)*time.Microsecond, w)
 	case vwrun.OutcomeRefused:
 		t.avoidWorker = w.Incarnation
 		q.requeue(j, t)
@@ -340,7 +361,7 @@
 }
 
 func (q *Queue) completeTask(now time.Time, j *job, t *task, ran time.Duration, w *worker) {
-	j.mayHaveRun = true
+	j.mayHaveRun, j.hasRun = true, true
 	t.state = taskDone
 	j.doneTasks++
 	q.observeRunTime(j, ran, w)
@@ -350,7 +371,7 @@
 }
 
 func (q *Queue) failTask(now time.Time, j *job, t *task, w *worker) {
-	j.mayHaveRun = true
+	j.mayHaveRun, j.hasRun = true, true
 	t.failures++
 	t.avoidWorker = w.Incarnation
 	if t.failures >= max(j.MaxFailures, 1) {
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -33,7 +33,7 @@
 	// Verdict states whether the task may have run.
 	Verdict vwverdict.Verdict
 	Reason  string
-	// RunTime is the time from the last start order to the recording of the end.
+	// RunTime is the time from the last start order to the recording of the end, or of the worker's crash.
 	RunTime time.Duration
 	// Overdue is set when the run exceeded its expected time as set by OverdueFactor and OverdueMargin.
 	Overdue bool
@@ -54,10 +54,12 @@
 	OutcomeStopped
 	// OutcomeLost means that the run has ended in an unknown way.
 	OutcomeLost
+	// OutcomeCrashed means that the run was, or may have been, at a worker that crashed.
+	OutcomeCrashed
 )
 
 var outcomeNames = map[Outcome]string{
-	OutcomeDone: "Done", OutcomeFailed: "Failed", OutcomeRefused: "Refused", OutcomeStopped: "Stopped", OutcomeLost: "Lost",
+	OutcomeDone: "Done", OutcomeFailed: "Failed", OutcomeRefused: "Refused", OutcomeStopped: "Stopped", OutcomeLost: "Lost", OutcomeCrashed: "Crashed",
 }
 
 // String returns the name for logs.
@@ -84,7 +86,9 @@
 	// startDeferred is set while a rejected start waits to be retried until no incarnation is pending.
 	startDeferred bool
 	overdue       bool
-	stop          *stopRequest
+	// crashedAt is when the worker crashed after the last start order; zero if it did not.
+	crashedAt time.Time
+	stop      *stopRequest
 }
 
 // stopRequest is the request to end a run.
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -7,7 +7,9 @@
 package vwrun
 
 import (
+	"fmt"
 	"log/slog"
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
@@ -54,6 +56,8 @@
 type Announcement struct {
 	Life     vwworker.Life
 	Capacity vwresource.Amount
+	// Draining is set if the worker is leaving. Its end is then no crash.
+	Draining bool
 }
 
 // Tracker tracks the runs of one worker. It is not safe for concurrent use.
@@ -64,6 +68,7 @@
 	phase    phase
 	life     vwworker.Life
 	capacity vwresource.Amount
+	draining bool
 	clock    workerClock
 	// lifeToken is the fencing token with which the tracking of life began.
 	lifeToken uint64
@@ -101,6 +106,8 @@
 	// reportClock is the worker's clock in the newest report.
 	reportClock vwworker.Clock
 
+	// crashes is the count that the next TakeCrashes returns.
+	crashes int
 	// overdueJobs is the count that the next TakeOverdueJobs returns. lastOwnEnd is when the worker last reported a run
 	// that ended by itself, done or failed.
 	overdueJobs int
@@ -150,7 +157,7 @@
 		if t.phase == phaseAbsent {
 			t.sync(now)
 		}
-		t.capacity = announcement.Capacity
+		t.capacity, t.draining = announcement.Capacity, announcement.Draining
 	case t.phase == phaseAbsent:
 		t.track(now, &announcement)
 	default:
@@ -162,7 +169,7 @@
 // track switches to the incarnation of an announcement.
 func (t *Tracker) track(now time.Time, announcement *Announcement) {
 	t.resetForLife(now, announcement.Life)
-	t.capacity = announcement.Capacity
+	t.capacity, t.draining = announcement.Capacity, announcement.Draining
 }
 
 // IsPending reports whether an announced incarnation may replace the tracked one.
@@ -185,7 +192,7 @@
 	switch {
 	case pending == nil:
 	case pending.Life == t.life:
-		t.pending, t.capacity = nil, pending.Capacity
+		t.pending, t.capacity, t.draining = nil, pending.Capacity, pending.Draining
 	case t.phase == phaseAbsent:
 		t.pending = nil
 		t.track(now, pending)
@@ -196,9 +203,9 @@
 	}
 }
 
-// Poll asks the worker for a report at once, beside a hold in flight.
-func (t *Tracker) Poll(now time.Time) {
-	t.pollNow, t.nextSync = true, now
+// MarkLeaving records that the worker leaves, so that its end is no crash, and asks it for a report at once.
+func (t *Tracker) MarkLeaving(now time.Time) {
+	t.draining, t.pollNow, t.nextSync = true, true, now
 }
 
 // MarkGone marks the worker as gone and settles its confirmed runs as lost. Unconfirmed runs are kept, because a start
@@ -216,11 +223,34 @@
 	clear(t.foreignRuns)
 	for _, r := range t.runs {
 		if r.confirmed {
-			t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, reason)
+			t.settleLost(now, r, reason)
 		}
 	}
 }
 
+// recordCrash records that the worker has ended without a notice, if the tracked incarnation has reported before. Its runs,
+// and those whose start order was not answered, may have caused it.
+func (t *Tracker) recordCrash(now time.Time, reason string) {
+	if t.phase == phaseAbsent || t.draining || t.reportOrdered.IsZero() {
+		return
+	}
+	t.crashes++
+	runs := make([]string, 0, len(t.runs))
+	for _, r := range t.runs {
+		r.crashedAt = now
+		runs = append(runs, fmt.Sprintf("%v#%d", r.spec.Task, r.spec.Attempt))
+	}
+	slices.Sort(runs)
+	t.logger.Warn("worker has crashed", "worker", string(t.life.ID), "runs", runs, "reason", reason)
+}
+
+// TakeCrashes returns the number of crashes of the worker since the last call.
+func (t *Tracker) TakeCrashes() int {
+	count := t.crashes
+	t.crashes = 0
+	return count
+}
+
 // IsReady reports whether the worker answers and has no runs that are not tracked.
 func (t *Tracker) IsReady() bool {
 	return t.phase == phaseReady && t.unansweredHolds == 0 && len(t.foreignRuns) == 0
@@ -392,7 +422,7 @@
 func (t *Tracker) settleOldStarts(now time.Time) {
 	for _, r := range t.runs {
 		if !r.confirmed && now.Sub(r.startSent) > maxOrderDelay {
-			t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, "the worker has not answered the start order, which can no longer reach it")
+			t.settleLost(now, r, "the worker has not answered the start order, which can no longer reach it")
 		}
 	}
 }
@@ -410,7 +440,7 @@
 	t.logger.Info("tracking another worker incarnation", "worker", string(life.ID), "born", life.Born, "previous", string(t.life.ID), "runs", len(t.runs))
 	t.life, t.reportOrdered = life, time.Time{}
 	// The new incarnation may be of another kind.
-	t.capacity = vwresource.Amount{}
+	t.capacity, t.draining = vwresource.Amount{}, false
 	t.clock = workerClock{maxDrift: t.settings.MaxClockDrift}
 	t.leaseEnd, t.reportClock, t.lastEndSeen, t.lastEndAcknowledged, t.unansweredHolds = 0, 0, 0, 0, 0
 	clear(t.foreignRuns)
@@ -448,13 +478,26 @@
 	}
 	clear(t.foreignRuns)
 	for _, r := range t.runs {
-		t.settle(now, r, OutcomeLost, vwverdict.MayHaveRun, reason)
+		t.settleLost(now, r, reason)
+	}
+}
+
+// settleLost settles a run that has ended in an unknown way or with its worker.
+func (t *Tracker) settleLost(now time.Time, r *run, reason string) {
+	outcome := OutcomeLost
+	if !r.crashedAt.IsZero() {
+		outcome = OutcomeCrashed
 	}
+	t.settle(now, r, outcome, vwverdict.MayHaveRun, reason)
 }
 
 // settle removes a run and adds its result.
 func (t *Tracker) settle(now time.Time, r *run, outcome Outcome, verdict vwverdict.Verdict, reason string) {
 	delete(t.runs, r.spec.Task)
 	t.usedCapacity = t.usedCapacity.Minus(r.spec.Needs)
-	t.results = append(t.results, Result{Spec: r.spec, Outcome: outcome, Verdict: verdict, Reason: reason, RunTime: now.Sub(r.startSent), Overdue: r.overdue})
+	ended := now
+	if !r.crashedAt.IsZero() {
+		ended = r.crashedAt
+	}
+	t.results = append(t.results, Result{Spec: r.spec, Outcome: outcome, Verdict: verdict, Reason: reason, RunTime: ended.Sub(r.startSent), Overdue: r.overdue})
 }
