--- a/internal/process/vwhistory/cluster_test.go
+++ b/internal/process/vwhistory/cluster_test.go
@@ -203,9 +203,12 @@
 	return c
 }
 
+// linkDelay is how long a message takes on a link without faults.
+const linkDelay = 1500 * time.Microsecond
+
 func makeCluster(log *slog.Logger) *cluster {
 	return &cluster{
-		network: vwlinktest.MakeNetwork(1500 * time.Microsecond),
+		network: vwlinktest.MakeNetwork(linkDelay),
 		control: vwcontroltest.Make(5 * time.Millisecond),
 		record:  &record{},
 		log:     log,
--- a/internal/process/vwhistory/effort_test.go
+++ b/internal/process/vwhistory/effort_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"vanillawind.example/vanillawind/internal/connection/vwlinktest"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
@@ -32,6 +33,8 @@
 	// patience is how long callers wait for an answer, and answerSlack by how much it may be late.
 	patience    = 4500 * time.Millisecond
 	answerSlack = 100 * time.Millisecond
+	// maxSlowDelay is the most that a slow link delays a message.
+	maxSlowDelay = 150 * time.Millisecond
 	// recovery is how long after the last fault all jobs must be served again.
 	recovery = 12 * time.Second
 )
@@ -49,6 +52,8 @@
 	mu     sync.Mutex
 	failed int
 	found  []string
+	// faulty holds the pairs of addresses with a fault of their links.
+	faulty map[[2]string]bool
 }
 
 func (h *effortHistory) violate(format string, args ...any) {
@@ -63,6 +68,7 @@
 		var buffer bytes.Buffer
 		h := &effortHistory{
 			t: t, random: rand.New(rand.NewPCG(seed, 1)), callers: vwgroup.Make(context.Background()), faults: vwgroup.Make(context.Background()),
+			faulty:  map[[2]string]bool{},
 			cluster: makeEffortCluster(slog.New(slog.NewTextHandler(&buffer, nil)), effortEntries, effortWorkers),
 		}
 		h.cluster.changeRules(t, effortRules)
@@ -184,7 +190,7 @@
 	// lasts until both ends have given the link up.
 	cut := duration + 2*effortTiming.Silence
 	same, seed := h.random.IntN(2) == 0, h.random.Uint64()
-	kind := h.random.IntN(12)
+	kind := h.random.IntN(14)
 	c.log.Info("fault", "kind", kind, "entry", e.index, "worker", w.index, "duration", duration.String(), "same", same)
 	switch kind {
 	case 0:
@@ -244,7 +250,43 @@
 		if !same {
 			h.later(duration, func() { w.restartWorker(false) })
 		}
+	case 12:
+		from, to := e.address, w.address
+		if same {
+			from, to = to, from
+		}
+		h.linkFault(e.address, w.address, cut, func() { c.network.SetFault(from, to, vwlinktest.Fault{Silent: true}) })
+	case 13:
+		slow := vwlinktest.Fault{Delay: linkDelay + time.Duration(seed%uint64(maxSlowDelay))}
+		h.linkFault(e.address, w.address, duration, func() {
+			c.network.SetFault(e.address, w.address, slow)
+			c.network.SetFault(w.address, e.address, slow)
+		})
+	}
+}
+
+// linkFault sets a fault of the links between two addresses and removes it after a while. It does nothing while another one
+// lasts, because the end of that would cut this one short.
+func (h *effortHistory) linkFault(a, b string, lasts time.Duration, set func()) {
+	pair := [2]string{a, b}
+	if h.isFaulty(pair, true) {
+		return
 	}
+	set()
+	h.later(lasts, func() {
+		h.cluster.network.SetFault(a, b, vwlinktest.Fault{Delay: linkDelay})
+		h.cluster.network.SetFault(b, a, vwlinktest.Fault{Delay: linkDelay})
+		h.isFaulty(pair, false)
+	})
+}
+
+// isFaulty reports whether a fault of the links between two addresses lasts, and records whether one does from now on.
+func (h *effortHistory) isFaulty(pair [2]string, next bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last := h.faulty[pair]
+	h.faulty[pair] = next
+	return last
 }
 
 // setLeaving makes a worker say that it is draining, or not any more.
