--- a/internal/process/vwplace/forecast.go
+++ b/internal/process/vwplace/forecast.go
@@ -9,9 +9,9 @@
 // the whole system all workers are linked within that time, each with its whole capacity free.
 const forecastWarmUp = 100 * time.Millisecond
 
-// refuseByForecast refuses new jobs that would wait too long for capacity. After an immediate refusal the caller can
-// still go elsewhere; one that follows a wait is of no use to it. The first job in the queue is never refused by
-// forecast: an entry without running tasks cannot forecast the wait. Neither is a dispatched job, as its work would be
+// refuseByForecast refuses new jobs that would wait too long for capacity, or whose tasks fit no worker. After an immediate refusal the caller can
+// still go elsewhere; one that follows a wait is of no use to it. The first job in the queue is refused only if it fits no
+// worker: an entry without running tasks cannot forecast the wait. Neither is a dispatched job, as its work would be
 // lost.
 func (q *Queue) refuseByForecast(now time.Time) {
 	if now.Before(q.lastLinkedAt.Add(forecastWarmUp)) || !slices.ContainsFunc(q.waiting, func(j *job) bool { return !j.admitted }) {
@@ -20,6 +20,10 @@
 	rate := q.releaseRate()
 	ahead := 0.0
 	for _, j := range slices.Clone(q.waiting) {
+		if !j.admitted && !j.isDispatched() && q.fitsNoWorker(j) {
+			q.refuseOrGiveUp(now, j, "no worker has the capacity for a task")
+			continue
+		}
 		cpu := float64(j.waitingTasks) * float64(j.Needs.CPU)
 		if !j.admitted && !j.isDispatched() && ahead > 0 && ahead+cpu > rate*j.maxQueueTime().Seconds() {
 			q.refuseOrGiveUp(now, j, "more waits than can start in time")
@@ -42,3 +46,19 @@
 	}
 	return sum
 }
+
+// fitsNoWorker reports whether some worker is eligible for a job, but none that is or may become eligible has the capacity
+// for one of its tasks, even if nothing else ran there.
+func (q *Queue) fitsNoWorker(j *job) bool {
+	eligible := false
+	for _, w := range q.workerOrder {
+		if w.Service != j.Service || q.excludedDataCentres[w.DataCentre] || !w.hasLabel(j.RequiredLabel) {
+			continue
+		}
+		if j.Needs.Fits(w.Capacity) {
+			return false
+		}
+		eligible = eligible || w.usable()
+	}
+	return eligible
+}
