--- a/internal/request/vwrun/driver_test.go
+++ b/internal/request/vwrun/driver_test.go
@@ -30,6 +30,9 @@
 	group  *vwgroup.Group
 	// onResult is called with each result; nil for none.
 	onResult func(Result)
+	// onAnnounce is called with each announcement of announce, and onOrders with the orders of each update; nil for none.
+	onAnnounce func(Announcement)
+	onOrders   func([]Order)
 
 	mu      sync.Mutex
 	tracker *Tracker
@@ -77,7 +80,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	f(time.Now())
-	for _, order := range d.tracker.TakeOrders(time.Now()) {
+	orders := d.tracker.TakeOrders(time.Now())
+	if d.onOrders != nil {
+		d.onOrders(orders)
+	}
+	for _, order := range orders {
 		d.tracef("order %s", describe(order))
 		d.group.Run(func(ctx context.Context) { d.call(ctx, order) })
 	}
@@ -121,7 +128,11 @@
 
 func (d *driver) announce() {
 	d.update(func(now time.Time) {
-		d.tracker.Announce(now, Announcement{Life: d.worker.Life(), Capacity: capacity})
+		announcement := Announcement{Life: d.worker.Life(), Capacity: capacity}
+		if d.onAnnounce != nil {
+			d.onAnnounce(announcement)
+		}
+		d.tracker.Announce(now, announcement)
 	})
 }
 
--- a/internal/request/vwrun/history_test.go
+++ b/internal/request/vwrun/history_test.go
@@ -38,6 +38,10 @@
 	faulty     bool
 	violations []string
 	starts     map[vwworker.Task]int
+
+	// onAnnounce and onOrders are those of each agent.
+	onAnnounce func(Announcement)
+	onOrders   func([]Order)
 }
 
 // lockedRandom is a random source that the steps and the concurrent calls share.
@@ -110,6 +114,7 @@
 		h.token = 1 + h.random.IntN(h.token)
 	}
 	h.agent = startDriver(h.t, h.worker, uint64(h.token), h.takeResult)
+	h.agent.update(func(time.Time) { h.agent.onAnnounce, h.agent.onOrders = h.onAnnounce, h.onOrders })
 	h.agent.announce()
 	for !h.agent.ready() {
 		time.Sleep(10 * time.Millisecond)
@@ -161,7 +166,12 @@
 		life.ID = "other"
 	}
 	life.Born += []int64{-1, 1, 1 << 50}[h.random.IntN(3)]
-	h.agent.update(func(now time.Time) { h.agent.tracker.Announce(now, Announcement{Life: life, Capacity: capacity}) })
+	h.agent.update(func(now time.Time) {
+		if h.onAnnounce != nil {
+			h.onAnnounce(Announcement{Life: life, Capacity: capacity})
+		}
+		h.agent.tracker.Announce(now, Announcement{Life: life, Capacity: capacity})
+	})
 }
 
 // startTask starts a new task or, in one of four cases, an earlier task that is not running.
@@ -190,6 +200,11 @@
 
 // runHistory runs one history with a worker that grants leases of at most lease, and returns the violated invariants.
 func runHistory(t *testing.T, seed uint64, lease time.Duration) []string {
+	h := makeHistory(t, seed, lease)
+	return h.run(h.step)
+}
+
+func makeHistory(t *testing.T, seed uint64, lease time.Duration) *history {
 	h := &history{
 		t: t, random: &lockedRandom{random: rand.New(rand.NewPCG(seed, 1))}, worker: vwworkertest.Make("w0"), token: 1000,
 		settled: map[vwworker.Task]bool{}, starts: map[vwworker.Task]int{},
@@ -215,10 +230,15 @@
 			h.recordViolation("the worker's runs use %v of its capacity %v", used, capacity)
 		}
 	}
+	return h
+}
+
+// run takes the steps of a history and returns the violated invariants.
+func (h *history) run(step func()) []string {
 	h.restartAgent()
 	h.setFaulty(true)
 	for range 150 {
-		h.step()
+		step()
 	}
 	h.setFaulty(false)
 	h.agent.announce()
@@ -227,7 +247,7 @@
 	h.agent.stop()
 	if path := os.Getenv("HISTORY_TRACE"); path != "" && len(h.violations) > 0 {
 		text := strings.Join(append(h.trace, h.agent.trace...), "\n")
-		require.NoError(t, os.WriteFile(path, []byte(text+"\n"), 0o600))
+		require.NoError(h.t, os.WriteFile(path, []byte(text+"\n"), 0o600))
 	}
 	h.worker.Crash()
 	time.Sleep(time.Minute)
