--- a/internal/process/vwagent/capacity_test.go
+++ b/internal/process/vwagent/capacity_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// Guards against late announcements that restore a capacity one after the other, each in order after the one before, while
+// the worker is silent.
+func TestLateAnnouncementsRestoreNoCapacity(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		f.announceCapacity(5, smallCapacity)
+		for sequence := range uint64(3) {
+			time.Sleep(lateAnnouncementLimit + time.Second)
+			f.announceCapacity(2+sequence, fullCapacity)
+			require.Equal(t, smallCapacity, f.agent.runner.tracker.Capacity())
+		}
+		f.announceCapacity(6, fullCapacity)
+		require.Equal(t, fullCapacity, f.agent.runner.tracker.Capacity())
+	})
+}
+
 // Guards against a false announcement with the worker's own id and start time, but a sequence number so large that all
 // later ones counted as late: a capacity that has shrunk must be used at once.
 func TestLargeSequenceHidesNoShrink(t *testing.T) {
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -56,6 +56,8 @@
 	pendingOffer *WorkerOffer
 	// announcedAt is the time of the last accepted announcement.
 	announcedAt time.Time
+	// highestSequence is the highest sequence of an accepted announcement of the current incarnation.
+	highestSequence uint64
 	// growthAllowedAt is when the capacity may grow again after an out-of-order announcement was accepted, which may be late.
 	growthAllowedAt time.Time
 	// oldRunsEnded is set once the worker runs nothing of earlier incarnations of this agent.
@@ -122,11 +124,16 @@
 		return
 	}
 	if offer.Life == r.offer.Life {
-		if late := offer.Sequence < r.offer.Sequence; late && now.Sub(r.announcedAt) < lateAnnouncementLimit {
+		silent := now.Sub(r.announcedAt) >= lateAnnouncementLimit
+		late := offer.Sequence < r.offer.Sequence
+		switch {
+		case late && !silent:
 			r.logOutOfOrder(&offer, &r.offer)
 			r.restrictOffer(now, &offer)
 			return
-		} else if late {
+		case offer.Sequence > r.highestSequence:
+			r.growthAllowedAt = time.Time{}
+		case late || silent:
 			r.growthAllowedAt = now.Add(lateAnnouncementLimit)
 		}
 		if now.Before(r.growthAllowedAt) {
@@ -178,8 +185,9 @@
 func (r *runner) acceptOffer(now time.Time, offer *WorkerOffer) {
 	if offer.Life != r.offer.Life {
 		r.health = health{}
-		r.growthAllowedAt = time.Time{}
+		r.growthAllowedAt, r.highestSequence = time.Time{}, 0
 	}
+	r.highestSequence = max(r.highestSequence, offer.Sequence)
 	if r.pendingOffer != nil && r.pendingOffer.Life == offer.Life {
 		r.pendingOffer = nil
 	}
