--- a/internal/process/vwplace/doc.go
+++ b/internal/process/vwplace/doc.go
@@ -6,6 +6,9 @@
 // refuses a task that does not fit. A task that fits therefore starts without a message before it. An entry sends its
 // demand to the agents only while tasks wait, and they reserve freed capacity for it.
 //
+// A task may crash the workers that start it. The tasks that were at a worker that crashed are run again apart from each
+// other, and one under which workers crash again is given up.
+//
 // Both types are plain state without goroutines, locks or a clock. They are not safe for concurrent use; the owner
 // passes in the current time.
 package vwplace
