--- a/internal/process/vwhistory/effortcluster_test.go
+++ b/internal/process/vwhistory/effortcluster_test.go
@@ -206,10 +206,13 @@
 
 // restartWorker begins another life of a worker, under the same id or another one.
 func (w *effortWorker) restartWorker(sameID bool) {
+	w.mu.Lock()
 	if !sameID {
 		w.lives++
 	}
-	w.worker.Restart(vwid.Worker(fmt.Sprintf("worker-%d-%d", w.index, w.lives)))
+	lives := w.lives
+	w.mu.Unlock()
+	w.worker.Restart(vwid.Worker(fmt.Sprintf("worker-%d-%d", w.index, lives)))
 }
 
 func (c *effortCluster) stopAll() {
