--- a/internal/process/vwplace/forecast.go
+++ b/internal/process/vwplace/forecast.go
@@ -9,10 +9,10 @@
 // the whole system all workers are linked within that time, each with its whole capacity free.
 const forecastWarmUp = 100 * time.Millisecond
 
-// refuseByForecast refuses new jobs that would wait too long for capacity, or whose tasks fit no worker. After an immediate refusal the caller can
-// still go elsewhere; one that follows a wait is of no use to it. The first job in the queue is refused only if it fits no
-// worker: an entry without running tasks cannot forecast the wait. Neither is a dispatched job, as its work would be
-// lost.
+// refuseByForecast refuses new jobs that would wait too long for capacity, or whose tasks fit no worker. After an immediate
+// refusal the caller can still go elsewhere; one that follows a wait is of no use to it. The first job in the queue is
+// refused only if it fits no worker: an entry without running tasks cannot forecast the wait. A dispatched job is never
+// refused, as its work would be lost.
 func (q *Queue) refuseByForecast(now time.Time) {
 	if now.Before(q.lastLinkedAt.Add(forecastWarmUp)) || !slices.ContainsFunc(q.waiting, func(j *job) bool { return !j.admitted }) {
 		return
