--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -7,10 +7,13 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
-// observeAnswer handles what the answers to all orders have in common. It returns false when the worker is gone.
-func (t *Tracker) observeAnswer(now, sent time.Time, clock vwworker.Clock, err error) bool {
+// observeAnswer handles what the answers to all orders have in common. It returns false when the worker is gone. An answer to
+// an order with a token from before the current incarnation may show the clock of an earlier one.
+func (t *Tracker) observeAnswer(now, sent time.Time, token uint64, clock vwworker.Clock, err error) bool {
 	rejected, isRejected := vwworker.RejectionOf(err)
-	t.clock.observe(now, max(clock, rejected.Now))
+	if token >= t.lifeToken {
+		t.clock.observe(now, max(clock, rejected.Now))
+	}
 	switch {
 	case err == nil || isRejected && rejected.Reason != vwworker.OtherLife:
 		t.answeredAt, t.unansweredHolds = now, 0
@@ -44,10 +47,12 @@
 		t.settle(now, r, OutcomeRefused, vwverdict.NotRun, err.Error())
 		known = false
 	}
-	if !t.observeAnswer(now, sent.Sent, answer.Now, err) || !known {
+	if !t.observeAnswer(now, sent.Sent, order.Token, answer.Now, err) || !known {
 		return
 	}
 	switch {
+	case err == nil && order.Token < t.lifeToken:
+		t.logger.Info("ignored the answer of an earlier incarnation to a start", "run", r.spec.Task.String(), "number", r.id.Number)
 	case err == nil:
 		r.confirm(answer.Now)
 	case isRejected:
@@ -118,10 +123,13 @@
 	if s != nil {
 		s.inFlight = false
 	}
-	if !t.observeAnswer(now, sent.Sent, answer.Now, err) || s == nil {
+	if !t.observeAnswer(now, sent.Sent, order.Token, answer.Now, err) || s == nil {
 		return
 	}
 	switch {
+	case err == nil && order.Token < t.lifeToken:
+		// An earlier incarnation has answered.
+		t.pollNow = true
 	case err == nil:
 		s.acknowledged, s.acknowledgedAt = true, answer.Now
 		t.pollNow = true
@@ -143,7 +151,7 @@
 	order := sent.Hold
 	t.clearInFlight(order)
 	unanswered := t.unansweredHolds
-	if order.Worker != t.life.ID || !t.observeAnswer(now, sent.Sent, report.Now, err) {
+	if order.Worker != t.life.ID || !t.observeAnswer(now, sent.Sent, order.Token, report.Now, err) {
 		return
 	}
 	_, isRejected := vwworker.RejectionOf(err)
