--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -74,22 +74,26 @@
 	switch {
 	case rejected.Reason == vwworker.Superseded && again:
 		r.id.Number += 1 << r.startRetries
-		r.startRetries++
 		t.numbers.next(now, r.spec.Task, r.id.Number)
-		t.orderStart(now, r)
+		t.retryStart(now, r)
 		return
 	case rejected.Reason == vwworker.Fenced && again:
-		r.startRetries++
 		t.raiseToken(token)
-		// The rejection may come from the pending incarnation, whose capacity may be smaller.
-		if r.startDeferred = t.pending != nil; !r.startDeferred {
-			t.orderStart(now, r)
-		}
+		t.retryStart(now, r)
 		return
 	}
 	t.settle(now, r, OutcomeRefused, vwverdict.NotRun, rejected.Error())
 }
 
+// retryStart orders the start of a rejected run again, or defers it while an incarnation is pending: the order may reach that
+// one, whose capacity may be smaller.
+func (t *Tracker) retryStart(now time.Time, r *run) {
+	r.startRetries++
+	if r.startDeferred = t.pending != nil; !r.startDeferred {
+		t.orderStart(now, r)
+	}
+}
+
 // retryDeferredStarts orders the starts that were deferred while an incarnation was pending, and refuses those that no
 // longer fit.
 func (t *Tracker) retryDeferredStarts(now time.Time) {
--- a/internal/request/vwrun/capacity_test.go
+++ b/internal/request/vwrun/capacity_test.go
@@ -127,3 +127,31 @@
 		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("a"))
 	})
 }
+
+// Guards against a start that is rejected by its number and retried while another incarnation is announced: it extended the
+// lease, and reached the next incarnation, whose capacity may be smaller.
+func TestSupersededStartIsNotRetriedWhileAnIncarnationIsPending(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		d.update(func(now time.Time) {
+			require.NoError(t, d.tracker.Start(now, Spec{Task: vwworker.Task{Job: "a"}, Attempt: 1, Owner: "e", Needs: small}))
+			sent := d.tracker.TakeOrders(now)
+			var start Order
+			for _, order := range sent {
+				if order.Start != nil {
+					start = order
+				}
+			}
+			rejected := vwworker.ErrRejected{Reason: vwworker.Superseded, Now: w.Now()}
+			w.Restart("w1")
+			d.tracker.Announce(now, Announcement{Life: w.Life(), Capacity: vwresource.Amount{CPU: 1000}})
+			leaseEnd := d.tracker.leaseEnd
+			d.tracker.StartAnswered(now.Add(50*time.Millisecond), start, vwworker.Answer{}, rejected)
+			require.Equal(t, leaseEnd, d.tracker.leaseEnd, "the lease is withheld")
+		})
+		time.Sleep(time.Second)
+		require.Equal(t, w.Life(), d.tracker.Life())
+		require.Zero(t, w.Starts(vwworker.Task{Job: "a"}))
+		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("a"))
+	})
+}
