--- a/internal/request/vwrun/crash_test.go
+++ b/internal/request/vwrun/crash_test.go
@@ -71,3 +71,24 @@
 		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("a"))
 	})
 }
+
+// Guards against confirmed runs without a result: a worker that has restarted answers once and then no more.
+func TestRunsEndWithARestartThatTurnsSilent(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		require.NoError(t, d.start("a", small))
+		time.Sleep(time.Second)
+		w.Restart("w1")
+		restarted := false
+		w.SetFaults(func(string) vwworkertest.Fault {
+			if !restarted {
+				restarted = true
+				return vwworkertest.Fault{}
+			}
+			return vwworkertest.Fault{Dropped: true}
+		})
+		time.Sleep(10 * time.Second)
+		require.Equal(t, w.Life(), d.tracker.Life())
+		require.Equal(t, []Outcome{OutcomeCrashed}, d.outcomes("a"))
+	})
+}
