--- a/internal/process/vwplace/crash.go
+++ b/internal/process/vwplace/crash.go
@@ -18,8 +18,8 @@
 	maxBlame     = 4
 	// crashMemory is how long the tasks of a team count as risky after one was given up.
 	crashMemory = 5 * time.Second
-	// crashRetention is how long the crashes under a job that was ended for another reason are kept for a caller that sends
-	// the job again.
+	// crashRetention is how long the crashes under a job that was not completed are kept for a caller that sends the job
+	// again.
 	crashRetention = time.Minute
 )
 
@@ -99,7 +99,7 @@
 	if t.blame.points >= maxBlame {
 		q.teamCrashes[j.Team] = now
 		q.reportSuspicion(SuspicionConfirmed, j, index, w)
-		q.endJob(now, j, OutcomeFailed, fmt.Sprintf("%d workers have crashed under a task", t.blame.crashes))
+		q.failDeadly(now, j, t)
 		return
 	}
 	if t.blame.points >= suspectBlame {
@@ -112,6 +112,10 @@
 	q.requeue(j, t)
 }
 
+func (q *Queue) failDeadly(now time.Time, j *job, t *task) {
+	q.endJob(now, j, OutcomeFailed, fmt.Sprintf("%d workers have crashed under a task", t.blame.crashes))
+}
+
 // hasBlamedSuspect reports whether a suspect is the likely cause of the crash of the worker under another task.
 func (w *worker) hasBlamedSuspect(now time.Time, other *task) bool {
 	if w.suspect != nil {
@@ -224,7 +228,7 @@
 	}
 }
 
-// keepBlame keeps the blame of the tasks of a job that has ended without a final answer.
+// keepBlame keeps the blame of the tasks of a job that was not completed.
 func (q *Queue) keepBlame(now time.Time, j *job) {
 	blames := map[int]blame{}
 	for i := range j.tasks {
@@ -237,8 +241,8 @@
 	}
 }
 
-// restoreBlame restores the blame of an earlier submission of a job.
-func (q *Queue) restoreBlame(j *job) {
+// restoreBlame restores the blame of an earlier submission of a job, and fails the job if a task of it was given up.
+func (q *Queue) restoreBlame(now time.Time, j *job) {
 	record := q.crashRecords[j.ID]
 	delete(q.crashRecords, j.ID)
 	for i, kept := range record.blames {
@@ -251,6 +255,12 @@
 			j.suspects++
 		}
 	}
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.blame.points >= maxBlame {
+			q.failDeadly(now, j, t)
+			return
+		}
+	}
 }
 
 // expireCrashes drops the crashes that are no longer of use.
--- a/internal/process/vwplace/crash_test.go
+++ b/internal/process/vwplace/crash_test.go
@@ -189,3 +189,23 @@
 	require.True(t, f.crash(at(time.Minute/2+time.Millisecond), "w2", "j1", 0, 1, time.Millisecond))
 	require.Equal(t, OutcomeFailed, f.answer().Outcome)
 }
+
+// A caller that lost the answer of a failed job and sends the job again must not get as many workers crashed once more.
+func TestResubmittedFailedJobKeepsItsCrashes(t *testing.T) {
+	const maxLateCrashes = 5
+	f := makeFixture(t)
+	for i := range 16 {
+		f.open(at(0), fmt.Sprintf("w%d", i), 4)
+	}
+	now, crashes := time.Duration(0), 0
+	for range 2 {
+		f.submit(at(now), "j1", 1, func(j *Job) { j.Deadline, j.Slowdown = at(time.Minute), 100 })
+		for attempt := 1; len(f.dispatch(at(now))) > 0; attempt++ {
+			now += 5 * earlyCrash
+			crashes++
+			require.True(t, f.crash(at(now), string(f.sent[len(f.sent)-1].Worker), "j1", 0, attempt, 5*earlyCrash))
+		}
+		require.Equal(t, OutcomeFailed, f.answer().Outcome)
+	}
+	require.LessOrEqual(t, crashes, maxLateCrashes)
+}
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -57,8 +57,7 @@
 	sends               []Send
 	stops               []Stop
 	suspicions          []Suspicion
-	// teamCrashes holds when a task of a team was last given up, crashRecords the crashes under jobs that have ended without
-	// a final answer.
+	// teamCrashes holds when a task of a team was last given up, crashRecords the crashes under jobs that were not completed.
 	teamCrashes  map[vwid.Team]time.Time
 	crashRecords map[vwid.SubmissionID]crashRecord
 	wants        []Demand
@@ -115,9 +114,9 @@
 	if q.limitDeadline(j); j.endsWithQueue && !j.canFinishInTime(now, 1) {
 		return vwverdict.Wrap(vwverdict.NotRun, ErrStopping{RetryAfter: retryAfter})
 	}
-	q.restoreBlame(j)
 	q.jobs[spec.ID] = j
 	q.waiting = append(q.waiting, j)
+	q.restoreBlame(now, j)
 	return nil
 }
 
@@ -256,7 +255,7 @@
 	case outcome == OutcomeFailed && !j.hasRun:
 		answer.Verdict = vwverdict.MayHaveRun
 	}
-	if outcome != OutcomeCompleted && outcome != OutcomeFailed {
+	if outcome != OutcomeCompleted {
 		q.keepBlame(now, j)
 	}
 	if j.isDispatched() {
