--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -434,8 +434,7 @@
 }
 
 // resetForLife switches to another incarnation of the worker, or to another worker, without capacity until it is announced.
-// Runs are kept until its first report,
-// because an order in flight may have reached it if it has the same id.
+// Runs are kept until its first report, because an order in flight may have reached it if it has the same id.
 func (t *Tracker) resetForLife(now time.Time, life vwworker.Life) {
 	t.logger.Info("tracking another worker incarnation", "worker", string(life.ID), "born", life.Born, "previous", string(t.life.ID), "runs", len(t.runs))
 	t.life, t.reportOrdered = life, time.Time{}
