--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -7,10 +7,14 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
-// observeAnswer handles what the answers to all orders have in common. It returns false when the worker is gone.
-func (t *Tracker) observeAnswer(now, sent time.Time, clock vwworker.Clock, err error) bool {
+// observeAnswer handles what the answers to all orders have in common. token is that of the order. It returns false when the
+// worker is gone.
+func (t *Tracker) observeAnswer(now, sent time.Time, token uint64, clock vwworker.Clock, err error) bool {
 	rejected, isRejected := vwworker.RejectionOf(err)
-	t.clock.observe(now, max(clock, rejected.Now))
+	if token >= t.lifeToken {
+		// An earlier incarnation may have answered an order with a lower token, and its clock is another one.
+		t.clock.observe(now, max(clock, rejected.Now))
+	}
 	switch {
 	case err == nil || isRejected && rejected.Reason != vwworker.OtherLife:
 		t.answeredAt, t.unansweredHolds = now, 0
@@ -44,10 +48,12 @@
 		t.settle(now, r, OutcomeRefused, vwverdict.NotRun, err.Error())
 		known = false
 	}
-	if !t.observeAnswer(now, sent.Sent, answer.Now, err) || !known {
+	if !t.observeAnswer(now, sent.Sent, order.Token, answer.Now, err) || !known {
 		return
 	}
 	switch {
+	case err == nil && order.Token < t.lifeToken:
+		// The first report shows whether the tracked incarnation has the run.
 	case err == nil:
 		r.confirm(answer.Now)
 	case isRejected:
@@ -122,10 +128,12 @@
 	if s != nil {
 		s.inFlight = false
 	}
-	if !t.observeAnswer(now, sent.Sent, answer.Now, err) || s == nil {
+	if !t.observeAnswer(now, sent.Sent, order.Token, answer.Now, err) || s == nil {
 		return
 	}
 	switch {
+	case err == nil && order.Token < t.lifeToken:
+		// An earlier incarnation may have answered.
 	case err == nil:
 		s.acknowledged, s.acknowledgedAt = true, answer.Now
 		t.pollNow = true
@@ -147,7 +155,7 @@
 	order := sent.Hold
 	t.clearInFlight(order)
 	unanswered := t.unansweredHolds
-	if order.Worker != t.life.ID || !t.observeAnswer(now, sent.Sent, report.Now, err) {
+	if order.Worker != t.life.ID || !t.observeAnswer(now, sent.Sent, order.Token, report.Now, err) {
 		return
 	}
 	_, isRejected := vwworker.RejectionOf(err)
--- a/internal/request/vwrun/clock_test.go
+++ b/internal/request/vwrun/clock_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
+	"vanillawind.example/vanillawind/internal/connection/vwworkertest"
 )
 
 // Guards against leases that get longer the longer a worker with a slow clock is tracked: the end of a run that cannot be
@@ -40,3 +41,28 @@
 		})
 	}
 }
+
+// Guards against a clock of an earlier incarnation that is taken for that of the tracked one: leases that are requested by it
+// are granted for longer than the tracker assumes, so runs outlast MaxTimeToEnd.
+func TestLateAnswerOfEarlierIncarnationSetsNoClock(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		old := w.Life()
+		var hold, start Order
+		d.update(func(now time.Time) {
+			hold = Order{Sent: now, Hold: &vwworker.HoldOrder{Worker: "w1", Token: d.tracker.token}}
+			start = Order{Sent: now, Start: &vwworker.StartOrder{Worker: "w1", Token: d.tracker.token}}
+		})
+		w.Restart("w1")
+		d.announce()
+		time.Sleep(200 * time.Millisecond)
+		require.Equal(t, w.Life(), d.tracker.Life())
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		require.NoError(t, d.start("a", small))
+		const hour = vwworker.Clock(3_600_000)
+		d.update(func(now time.Time) {
+			d.tracker.HoldAnswered(now, hold, vwworker.Report{Answer: vwworker.Answer{Now: hour}, Born: old.Born}, nil)
+			d.tracker.StartAnswered(now, start, vwworker.Answer{Now: hour}, nil)
+		})
+		d.update(func(now time.Time) { require.Less(t, d.tracker.clock.estimate(now), hour/2) })
+	})
+}
