--- a/internal/request/vwrun/clock_test.go
+++ b/internal/request/vwrun/clock_test.go
@@ -55,7 +55,7 @@
 		w.Restart("w1")
 		d.announce()
 		time.Sleep(200 * time.Millisecond)
-		require.Equal(t, w.Life(), d.tracker.Life())
+		d.update(func(time.Time) { require.Equal(t, w.Life(), d.tracker.Life()) })
 		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
 		require.NoError(t, d.start("a", small))
 		const hour = vwworker.Clock(3_600_000)
--- a/internal/request/vwrun/crash_test.go
+++ b/internal/request/vwrun/crash_test.go
@@ -1,6 +1,7 @@
 package vwrun
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -79,16 +80,12 @@
 		require.NoError(t, d.start("a", small))
 		time.Sleep(time.Second)
 		w.Restart("w1")
-		restarted := false
+		var answered atomic.Bool
 		w.SetFaults(func(string) vwworkertest.Fault {
-			if !restarted {
-				restarted = true
-				return vwworkertest.Fault{}
-			}
-			return vwworkertest.Fault{Dropped: true}
+			return vwworkertest.Fault{Dropped: answered.Swap(true)}
 		})
 		time.Sleep(10 * time.Second)
-		require.Equal(t, w.Life(), d.tracker.Life())
+		d.update(func(time.Time) { require.Equal(t, w.Life(), d.tracker.Life()) })
 		require.Equal(t, []Outcome{OutcomeCrashed}, d.outcomes("a"))
 	})
 }
