--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -75,8 +75,7 @@
 // handleStartRejection retries a rejected start with a higher run number or fencing token where that may help, and
 // settles the run otherwise. The worker does not have the run.
 func (t *Tracker) handleStartRejection(now time.Time, r *run, token uint64, rejected vwworker.ErrRejected) {
-	// The capacity may have shrunk since the start was admitted.
-	again := r.stop == nil && r.startRetries < maxStartRetries && t.usedCapacity.Fits(t.capacity) && !t.hasOverdueStop(now)
+	again := r.startRetries < maxStartRetries && t.mayRetryStart(now, r)
 	switch {
 	case rejected.Reason == vwworker.Superseded && again:
 		r.id.Number += 1 << r.startRetries
@@ -100,6 +99,12 @@
 	}
 }
 
+// mayRetryStart reports whether a rejected start may be ordered again: the capacity may have shrunk since it was admitted, and a
+// run that is not tracked may have been found.
+func (t *Tracker) mayRetryStart(now time.Time, r *run) bool {
+	return r.stop == nil && t.phase == phaseReady && len(t.foreignRuns) == 0 && t.usedCapacity.Fits(t.capacity) && !t.hasOverdueStop(now)
+}
+
 // retryDeferredStarts orders the starts that were deferred while an incarnation was pending, and refuses those that no
 // longer fit.
 func (t *Tracker) retryDeferredStarts(now time.Time) {
@@ -109,7 +114,7 @@
 	for _, r := range t.runs {
 		switch {
 		case !r.startDeferred:
-		case r.stop == nil && t.phase == phaseReady && t.usedCapacity.Fits(t.capacity) && !t.hasOverdueStop(now):
+		case t.mayRetryStart(now, r):
 			r.startDeferred = false
 			t.orderStart(now, r)
 		default:
--- a/internal/request/vwrun/capacity_test.go
+++ b/internal/request/vwrun/capacity_test.go
@@ -1,6 +1,7 @@
 package vwrun
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -150,8 +151,29 @@
 			require.Equal(t, leaseEnd, d.tracker.leaseEnd, "the lease is withheld")
 		})
 		time.Sleep(time.Second)
-		require.Equal(t, w.Life(), d.tracker.Life())
+		d.update(func(time.Time) { require.Equal(t, w.Life(), d.tracker.Life()) })
 		require.Zero(t, w.Starts(vwworker.Task{Job: "a"}))
 		require.Equal(t, []Outcome{OutcomeRefused}, d.outcomes("a"))
 	})
 }
+
+// Guards against a rejected start that is retried beside a run that is not tracked: its size is unknown, so the worker's capacity
+// may be exceeded.
+func TestRejectedStartIsNotRetriedBesideAForeignRun(t *testing.T) {
+	runScenario(t, func(t *testing.T, w *vwworkertest.Worker, d *driver) {
+		w.RunTime = func(vwworker.Task) time.Duration { return time.Hour }
+		w.StopTime = 50 * time.Millisecond
+		faultOnce(w, "start", vwworkertest.Fault{Delay: 30 * time.Millisecond, Reject: vwworker.Superseded})
+		require.NoError(t, d.start("b", capacity))
+		time.Sleep(5 * time.Millisecond)
+		d.mu.Lock()
+		foreign := vwworker.StartOrder{Worker: "w1", Run: vwworker.Run{Task: vwworker.Task{Job: "f"}, Number: 1}, Token: d.tracker.token, Until: w.Now() + 500}
+		d.mu.Unlock()
+		w.Needs(foreign.Run.Task, small)
+		d.group.Run(func(ctx context.Context) { _, _ = w.Start(ctx, foreign) })
+		time.Sleep(10 * time.Millisecond)
+		d.update(func(time.Time) { d.tracker.pollNow = true })
+		time.Sleep(time.Second)
+		require.LessOrEqual(t, w.Peak().CPU, capacity.CPU)
+	})
+}
