--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -18,14 +18,12 @@
 	case err == nil || isRejected && rejected.Reason != vwworker.OtherLife:
 		t.answeredAt, t.unansweredHolds = now, 0
 	case isRejected:
-		t.recordCrash(now, "another worker answers at its address")
-		t.MarkGone(now, "another worker answers at its address")
+		t.markCrashed(now, "another worker answers at its address")
 		return false
 	case vwworker.IsGone(err) && t.answeredAt.Before(sent):
 		// If the worker has answered since the order was sent, a new incarnation is listening, and its reports show
 		// what it runs.
-		t.recordCrash(now, err.Error())
-		t.MarkGone(now, err.Error())
+		t.markCrashed(now, err.Error())
 		return false
 	}
 	return true
@@ -182,8 +180,7 @@
 	case err != nil:
 		t.countUnanswered(now, err)
 	case report.Born > t.life.Born:
-		t.recordCrash(now, "a later incarnation answers at its address")
-		t.MarkGone(now, "a later incarnation answers at its address")
+		t.markCrashed(now, "a later incarnation answers at its address")
 		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
 	case report.Born != 0 && report.Born < t.life.Born && order.Token < t.lifeToken:
 		t.logger.Warn("ignored the report of an earlier incarnation", "worker", string(t.life.ID), "born", report.Born, "current", t.life.Born)
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -40,7 +40,8 @@
 
 // orderStart enqueues a start order, which also extends the lease.
 func (t *Tracker) orderStart(now time.Time, r *run) {
-	r.startSent, r.startDeadline, r.startToken, r.crashedAt = now, t.extendLease(now), t.token, time.Time{}
+	r.startDeadline = t.extendLease(now)
+	r.startSent, r.startToken, r.crashedAt = now, t.token, time.Time{}
 	t.orders = append(t.orders, Order{Sent: now, Timeout: t.settings.AnswerTimeout, Start: &vwworker.StartOrder{
 		Worker: t.life.ID, Run: r.id, Payload: r.spec.Payload, Until: r.startDeadline, Token: t.token,
 	}})
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -228,6 +228,12 @@
 	}
 }
 
+// markCrashed marks the worker as gone, and records a crash unless it was leaving.
+func (t *Tracker) markCrashed(now time.Time, reason string) {
+	t.recordCrash(now, reason)
+	t.MarkGone(now, reason)
+}
+
 // recordCrash records that the worker has ended without a notice, if the tracked incarnation has reported before. Its runs,
 // and those whose start order was not answered, may have caused it.
 func (t *Tracker) recordCrash(now time.Time, reason string) {
