--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -183,7 +183,6 @@
 		t.countUnanswered(now, err)
 	case report.Born > t.life.Born:
 		t.recordCrash(now, "a later incarnation answers at its address")
-		t.MarkGone(now, "a later incarnation answers at its address")
 		t.resetForLife(now, vwworker.Life{ID: t.life.ID, Born: report.Born})
 	case report.Born != 0 && report.Born < t.life.Born && order.Token < t.lifeToken:
 		t.logger.Warn("ignored the report of an earlier incarnation", "worker", string(t.life.ID), "born", report.Born, "current", t.life.Born)
