Order waiting jobs by level, and forecast what higher levels take

Cause: waiting jobs were ordered by the time until which they may wait, so the level decided only between equals. The kind with the highest level has the shortest objective and the widest jobs, so under overload it was refused first: its forecast asks that an entry releases capacity for eight tasks within 96 ms, while a job of the lowest value may wait longer and gets what is freed.

Change: a job that was not dispatched is ordered by level first. The forecast takes off 0.6 of the work that arrives at higher levels (mean over 0.5 s), counts on 0.9 of the rest, and a job that it lets wait may wait for a third of its objective (a quarter before).

TestForecastRefusesImmediately had the divisor as a number and names the constant now.

--- a/internal/process/vwplace/forecast.go
+++ b/internal/process/vwplace/forecast.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// forecastMargin is the part of the forecast capacity that jobs may wait for. A job that waits in vain is refused late.
+const forecastMargin = 0.9
+
 // forecastWarmUp is the time after the most recent LinkUp in which no job is refused by forecast. After a restart of
 // the whole system all workers are linked within that time, each with its whole capacity free.
 const forecastWarmUp = 100 * time.Millisecond
@@ -12,7 +15,8 @@
 // refuseByForecast refuses new jobs that would wait too long for capacity, or whose tasks fit no worker. After an immediate
 // refusal the caller can still go elsewhere; one that follows a wait is of no use to it. The first job in the queue is
 // refused only if it fits no worker: an entry without running tasks cannot forecast the wait. A dispatched job is never
-// refused, as its work would be lost.
+// refused, as its work would be lost. What jobs of higher levels are expected to take meanwhile is not counted as available
+// to a job: they come first, and it would be refused late.
 func (q *Queue) refuseByForecast(now time.Time) {
 	if now.Before(q.lastLinkedAt.Add(forecastWarmUp)) || !slices.ContainsFunc(q.waiting, func(j *job) bool { return !j.admitted }) {
 		return
@@ -25,7 +29,7 @@
 			continue
 		}
 		cpu := float64(j.waitingTasks) * float64(j.Needs.CPU)
-		if !j.admitted && !j.isDispatched() && ahead > 0 && ahead+cpu > rate*j.maxQueueTime().Seconds() {
+		if !j.admitted && !j.isDispatched() && ahead > 0 && ahead+cpu > q.expectedRelease(now, rate, j) {
 			q.refuseOrGiveUp(now, j, "more waits than can start in time")
 			continue
 		}
@@ -34,6 +38,11 @@
 	}
 }
 
+// expectedRelease returns the capacity that a job can count on within its longest useful wait, in thousandths of a core.
+func (q *Queue) expectedRelease(now time.Time, rate float64, j *job) float64 {
+	return forecastMargin * (rate - q.arrivals.reservedAbove(now, j.Level)) * j.maxQueueTime().Seconds()
+}
+
 // releaseRate returns the CPU that the running tasks of this entry are expected to release per second, in thousandths
 // of a core. Freed capacity goes to the most urgent tasks of all entries; under overload each entry gets about as much
 // as its own tasks release.
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -14,7 +14,7 @@
 	ID      vwid.SubmissionID
 	Service vwid.Service
 	Team    vwid.Team
-	// Level orders jobs of equal urgency; a higher level comes first.
+	// Level orders the jobs that wait for their first task; a higher level comes first.
 	Level   int
 	Payload []byte
 	// Count is the number of tasks.
@@ -167,7 +167,7 @@
 
 // refusalDivisor is the divisor of the objective that gives how long a job may wait for capacity before its first task
 // is sent. About half of the jobs that wait longer miss their objective.
-const refusalDivisor = 4
+const refusalDivisor = 3
 
 // refusalTime returns when a job is refused if none of its tasks was sent.
 func (j *job) refusalTime() time.Time {
@@ -219,15 +219,16 @@
 }
 
 // before reports whether the job comes before another in the queue. Dispatched jobs come before all others: the capacity
-// that they have used is wasted if their last tasks end too late.
+// that they have used is wasted if their last tasks end too late. The others are ordered by level: where the objective of a
+// higher level is short, its jobs are refused first if they have to wait for less urgent ones.
 func (j *job) before(other *job) bool {
 	switch {
 	case j.isDispatched() != other.isDispatched():
 		return j.isDispatched()
+	case !j.isDispatched() && j.Level != other.Level:
+		return j.Level > other.Level
 	case !j.dueTime().Equal(other.dueTime()):
 		return j.dueTime().Before(other.dueTime())
-	case j.Level != other.Level:
-		return j.Level > other.Level
 	}
 	return j.sequence < other.sequence
 }
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -50,6 +50,7 @@
 	// workerOrder lists the workers by when they were added, so that placement does not depend on map iteration order.
 	workerOrder []*worker
 	stale       staleRuns
+	arrivals    arrivalRates
 	// excludedDataCentres get no tasks.
 	excludedDataCentres map[vwid.DataCentre]bool
 	runTimes            map[vwid.Team]*runTimeEstimate
@@ -87,6 +88,7 @@
 		jobs:                map[vwid.SubmissionID]*job{},
 		workers:             map[vwid.Incarnation]*worker{},
 		stale:               makeStaleRuns(),
+		arrivals:            arrivalRates{},
 		excludedDataCentres: map[vwid.DataCentre]bool{},
 		runTimes:            map[vwid.Team]*runTimeEstimate{},
 		teamCrashes:         map[vwid.Team]time.Time{},
@@ -115,6 +117,7 @@
 		return vwverdict.Wrap(vwverdict.NotRun, ErrStopping{RetryAfter: retryAfter})
 	}
 	q.jobs[spec.ID] = j
+	q.arrivals.record(now, j)
 	q.waiting = append(q.waiting, j)
 	q.restoreBlame(now, j)
 	return nil
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -235,9 +235,9 @@
 	require.Equal(t, vwid.SubmissionID("j2"), answers[0].JobID)
 	require.Equal(t, OutcomeRefused, answers[0].Outcome)
 	require.Positive(t, answers[0].RetryAfter)
-	f.queue.Tick(at(220 * time.Millisecond / 4))
+	f.queue.Tick(at(220 * time.Millisecond / refusalDivisor))
 	require.Empty(t, f.queue.TakeAnswers(), "capacity may still become free")
-	f.queue.Tick(at(220*time.Millisecond/4 + time.Millisecond))
+	f.queue.Tick(at(220*time.Millisecond/refusalDivisor + time.Millisecond))
 	require.Equal(t, OutcomeRefused, f.answer().Outcome)
 }
 
--- a/internal/process/vwplace/simulation_test.go
+++ b/internal/process/vwplace/simulation_test.go
@@ -26,7 +26,10 @@
 	sequence int
 	entries  []*simulatedEntry
 	agents   []*simulatedAgent
-	kinds    []simulatedKind
+	// agentsByID and entriesByID find the processes that messages name.
+	agentsByID  map[vwid.Incarnation]*simulatedAgent
+	entriesByID map[vwid.Incarnation]*simulatedEntry
+	kinds       []simulatedKind
 	// reports holds the outcomes by kind of job.
 	reports []kindReport
 	// busyCoreSeconds sums the core time of all started runs that have ended, refusals the tasks that agents refused.
@@ -66,6 +69,7 @@
 
 type simulatedEntry struct {
 	sim    *simulation
+	index  int
 	id     vwid.Incarnation
 	centre vwid.DataCentre
 	queue  *Queue
@@ -91,11 +95,13 @@
 	capacity     vwresource.Amount
 	used         vwresource.Amount
 	reservations Reservations
-	received     map[int]uint64
-	lastLoad     map[int]vwmessage.Load
-	lastLoadAt   map[int]time.Duration
-	stopped      map[vwid.SubmissionID]bool
-	slowdown     float64
+	// links are the entries that the agent is linked to.
+	links      []*simulatedEntry
+	received   map[int]uint64
+	lastLoad   map[int]vwmessage.Load
+	lastLoadAt map[int]time.Duration
+	stopped    map[vwid.SubmissionID]bool
+	slowdown   float64
 	// running lists the runs in the order of their starts; life counts the crashes of the worker.
 	running []simulatedRun
 	life    int
@@ -173,26 +179,48 @@
 	}
 }
 
+// makeSimulation returns a simulation in which each agent is linked to every entry.
 func makeSimulation(seed uint64, entries, agents, coresEach int, kinds []simulatedKind, delays delays) *simulation {
-	s := &simulation{delays: delays, random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds, reports: make([]kindReport, len(kinds)), deadly: map[vwid.SubmissionID]int{}, taskCrashes: map[vwworker.Task]int{}}
-	speeds := []float64{0.8, 1, 1.25}
-	for i := range agents {
-		s.agents = append(s.agents, &simulatedAgent{
-			sim: s, id: vwid.Incarnation(fmt.Sprintf("agent-%d", i)), centre: dataCentreOf(i), speed: speeds[i%len(speeds)], slowdown: 1,
-			capacity: vwresource.Amount{CPU: vwresource.MilliCPU(1000 * coresEach), Memory: 64 * vwunit.GiB}, received: map[int]uint64{}, lastLoad: map[int]vwmessage.Load{}, lastLoadAt: map[int]time.Duration{}, stopped: map[vwid.SubmissionID]bool{},
-		})
+	return makeLinkedSimulation(seed, entries, agents, coresEach, usualCentres, kinds, delays, func(*simulatedAgent, []*simulatedEntry) []*simulatedEntry { return nil })
+}
+
+// makeLinkedSimulation returns a simulation in which choose picks the entries that an agent is linked to; nil stands for all.
+func makeLinkedSimulation(seed uint64, entries, agents, coresEach, centres int, kinds []simulatedKind, delays delays, choose func(*simulatedAgent, []*simulatedEntry) []*simulatedEntry) *simulation {
+	s := &simulation{
+		delays: delays, random: rand.New(rand.NewPCG(seed, 7)), kinds: kinds, reports: make([]kindReport, len(kinds)),
+		deadly: map[vwid.SubmissionID]int{}, taskCrashes: map[vwworker.Task]int{},
+		agentsByID: map[vwid.Incarnation]*simulatedAgent{}, entriesByID: map[vwid.Incarnation]*simulatedEntry{},
 	}
 	for i := range entries {
+		centre := dataCentreOf(i, centres)
 		e := &simulatedEntry{
-			sim: s, id: vwid.Incarnation(fmt.Sprintf("entry-%d", i)), centre: dataCentreOf(i), jobs: map[vwid.SubmissionID]simulatedJob{},
-			queue: MakeQueue(Settings{DataCentre: dataCentreOf(i), RemoteFactor: 1.5, MaxWaiting: 2000, Random: rand.NewPCG(seed, uint64(i))}),
+			sim: s, index: i, id: vwid.Incarnation(fmt.Sprintf("entry-%d", i)), centre: centre, jobs: map[vwid.SubmissionID]simulatedJob{},
+			queue: MakeQueue(Settings{DataCentre: centre, RemoteFactor: 1.5, MaxWaiting: 2000, Random: rand.NewPCG(seed, uint64(i))}),
 		}
 		s.entries = append(s.entries, e)
+		s.entriesByID[e.id] = e
+	}
+	speeds := []float64{0.8, 1, 1.25}
+	for i := range agents {
+		a := &simulatedAgent{
+			sim: s, id: vwid.Incarnation(fmt.Sprintf("agent-%d", i)), centre: dataCentreOf(i, centres), speed: speeds[i%len(speeds)], slowdown: 1,
+			capacity: vwresource.Amount{CPU: vwresource.MilliCPU(1000 * coresEach), Memory: 64 * vwunit.GiB}, received: map[int]uint64{}, lastLoad: map[int]vwmessage.Load{}, lastLoadAt: map[int]time.Duration{}, stopped: map[vwid.SubmissionID]bool{},
+		}
+		s.agents = append(s.agents, a)
+		s.agentsByID[a.id] = a
+		if a.links = choose(a, s.entries); a.links == nil {
+			a.links = s.entries
+		}
+	}
+	for _, e := range s.entries {
 		for _, a := range s.agents {
-			a.lastLoad[i] = vwmessage.Load{Accepting: true}
+			if !slices.Contains(a.links, e) {
+				continue
+			}
+			a.lastLoad[e.index] = vwmessage.Load{Accepting: true}
 			e.queue.LinkUp(s.at(), Worker{
 				Incarnation: a.id, Process: vwid.Process(a.id), DataCentre: a.centre, Service: testService, Capacity: a.capacity, SettleTime: settleTime,
-			}, &vwmessage.Resume{Load: a.load(i)})
+			}, &vwmessage.Resume{Load: a.load(e)})
 		}
 		s.after(0, e.tick)
 		s.after(0, e.generateJob)
@@ -200,8 +228,11 @@
 	return s
 }
 
-func dataCentreOf(i int) vwid.DataCentre {
-	return vwid.DataCentre(fmt.Sprintf("centre-%d", i%3))
+// usualCentres is the number of data centres of the users' small installations.
+const usualCentres = 3
+
+func dataCentreOf(i, centres int) vwid.DataCentre {
+	return vwid.DataCentre(fmt.Sprintf("centre-%d", i%centres))
 }
 
 func (s *simulation) at() time.Time {
@@ -379,42 +410,26 @@
 }
 
 func (s *simulation) agentOf(id vwid.Incarnation) *simulatedAgent {
-	for _, a := range s.agents {
-		if a.id == id {
-			return a
-		}
-	}
-	return nil
+	return s.agentsByID[id]
 }
 
 func (a *simulatedAgent) free() vwresource.Amount {
 	return a.capacity.Minus(a.used)
 }
 
-func (a *simulatedAgent) load(entry int) vwmessage.Load {
-	id := vwid.Incarnation(fmt.Sprintf("entry-%d", entry))
+func (a *simulatedAgent) load(e *simulatedEntry) vwmessage.Load {
 	if a.down {
-		return vwmessage.Load{Received: a.received[entry], Slowdown: a.slowdown}
+		return vwmessage.Load{Received: a.received[e.index], Slowdown: a.slowdown}
 	}
 	return vwmessage.Load{
-		Accepting: true, Received: a.received[entry], Slowdown: a.slowdown,
-		Free: a.reservations.FreeFor(a.sim.at(), id, a.free()), Kept: a.reservations.ReservedFor(a.sim.at(), id),
-	}
-}
-
-func (s *simulation) indexOf(e *simulatedEntry) int {
-	for i, other := range s.entries {
-		if other == e {
-			return i
-		}
+		Accepting: true, Received: a.received[e.index], Slowdown: a.slowdown,
+		Free: a.reservations.FreeFor(a.sim.at(), e.id, a.free()), Kept: a.reservations.ReservedFor(a.sim.at(), e.id),
 	}
-	return -1
 }
 
 func (a *simulatedAgent) onRun(e *simulatedEntry, run *vwmessage.Run) {
 	s := a.sim
-	index := s.indexOf(e)
-	a.received[index] += uint64(len(run.Tasks))
+	a.received[e.index] += uint64(len(run.Tasks))
 	for _, task := range run.Tasks {
 		spec := vwrun.Spec{
 			Task: vwworker.Task{Job: run.JobID, Index: task.Index}, Attempt: task.Attempt, Owner: e.id, Needs: run.Needs, Payload: run.Payload,
@@ -485,28 +500,18 @@
 
 func (a *simulatedAgent) sendRunEnd(spec *vwrun.Spec, outcome vwrun.Outcome, duration time.Duration) {
 	s := a.sim
-	e := s.entryOf(spec.Owner)
-	index := s.indexOf(e)
+	e := s.entriesByID[spec.Owner]
 	end := &vwmessage.RunEnd{
 		Ref: vwmessage.RunRef{JobID: spec.Task.Job, Index: spec.Task.Index, Attempt: spec.Attempt}, Outcome: uint8(outcome),
-		RunMicroseconds: duration.Microseconds(), Load: a.load(index),
+		RunMicroseconds: duration.Microseconds(), Load: a.load(e),
 	}
-	a.lastLoad[index], a.lastLoadAt[index] = end.Load, s.now
+	a.lastLoad[e.index], a.lastLoadAt[e.index] = end.Load, s.now
 	s.send(e, a, func() {
 		e.queue.EndRun(s.at(), a.id, end)
 		e.schedulePass()
 	})
 }
 
-func (s *simulation) entryOf(id vwid.Incarnation) *simulatedEntry {
-	for _, e := range s.entries {
-		if e.id == id {
-			return e
-		}
-	}
-	return nil
-}
-
 // sendLoads reserves free capacity and sends load reports as the agent does: at once to the entries that have been
 // granted a reservation, and to others if the change is large enough and the interval has passed.
 func (a *simulatedAgent) sendLoads(reserved []vwid.Incarnation) {
@@ -518,12 +523,12 @@
 	for _, id := range reserved {
 		notify[id] = true
 	}
-	for index, e := range s.entries {
-		load := a.load(index)
-		change := load.Free.CPU - a.lastLoad[index].Free.CPU
+	for _, e := range a.links {
+		load, last := a.load(e), a.lastLoad[e.index]
+		change := load.Free.CPU - last.Free.CPU
 		step := a.capacity.CPU / 16
-		if notify[e.id] || load.Accepting != a.lastLoad[index].Accepting || s.now-a.lastLoadAt[index] >= simulatedLoadInterval && (change >= step || change <= -step) {
-			a.lastLoad[index], a.lastLoadAt[index] = load, s.now
+		if notify[e.id] || load.Accepting != last.Accepting || s.now-a.lastLoadAt[e.index] >= simulatedLoadInterval && (change >= step || change <= -step) {
+			a.lastLoad[e.index], a.lastLoadAt[e.index] = load, s.now
 			s.messages++
 			s.send(e, a, func() {
 				e.queue.UpdateLoad(a.id, &load)
