Send demand to some workers only, with its level

Cause: as soon as one task found no room, its entry sent a demand to each linked worker, and took it back from each once the task was placed a few milliseconds later. Agents also went by urgency alone when they reserved what became free.

Load reports that are not urgent are 100 ms apart (50 ms before).

--- a/internal/connection/vwmessage/run.go
+++ b/internal/connection/vwmessage/run.go
@@ -106,4 +106,6 @@
 	Needs vwresource.Amount
 	// WithinMilliseconds is when the most urgent one has to start.
 	WithinMilliseconds int64
+	// Level is the highest level of the waiting tasks. Among the demands of entries a higher level comes first.
+	Level int `msg:",omitempty"`
 }
--- a/internal/connection/vwmessage/run_gen.go
+++ b/internal/connection/vwmessage/run_gen.go
@@ -634,8 +634,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Want) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 3
-	o = append(o, 0x93)
+	// array header, size 4
+	o = append(o, 0x94)
 	o = msgp.AppendInt(o, z.Tasks)
 	o, err = z.Needs.MarshalMsg(o)
 	if err != nil {
@@ -643,6 +643,7 @@
 		return
 	}
 	o = msgp.AppendInt64(o, z.WithinMilliseconds)
+	o = msgp.AppendInt(o, z.Level)
 	return
 }
 
@@ -654,8 +655,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 3 {
-		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	z.Tasks, bts, err = msgp.ReadIntBytes(bts)
@@ -673,12 +674,17 @@
 		err = msgp.WrapError(err, "WithinMilliseconds")
 		return
 	}
+	z.Level, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Want) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + z.Needs.Msgsize() + msgp.Int64Size
+	s = 1 + msgp.IntSize + z.Needs.Msgsize() + msgp.Int64Size + msgp.IntSize
 	return
 }
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -28,7 +28,7 @@
 	// lateAnnouncementLimit is how late an announcement may arrive. It spans three announcements of a worker.
 	lateAnnouncementLimit = 5 * time.Second
 	// loadInterval is the minimum interval between load messages to an entry that are not urgent.
-	loadInterval = 50 * time.Millisecond
+	loadInterval = 100 * time.Millisecond
 	// loadStepDivisor divides the CPU capacity to give the smallest change of free CPU that is sent.
 	loadStepDivisor = 16
 )
--- a/internal/process/vwplace/fleet_test.go
+++ b/internal/process/vwplace/fleet_test.go
@@ -129,3 +129,14 @@
 		}
 	}
 }
+
+// A task that waited for a moment made its entry send a demand to every linked worker and take it back at once. With hundreds
+// of workers, most of the messages between entries and agents were such demands, and the agents' processors handled little
+// else.
+func TestMessagesOfALargeFleet(t *testing.T) {
+	// maxMessagesPerStart is the number of links of an agent: more messages than that for each start mean that entries are
+	// told of changes more than once.
+	const maxMessagesPerStart = entriesPerAgent
+	report := largeFleet.report(t, 1)
+	require.LessOrEqual(t, report.messagesPerStart, float64(maxMessagesPerStart))
+}
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -62,6 +62,8 @@
 	teamCrashes  map[vwid.Team]time.Time
 	crashRecords map[vwid.SubmissionID]crashRecord
 	wants        []Demand
+	// nextAsked is the place in workerOrder of the worker that is asked next for capacity.
+	nextAsked int
 	// lastLinkedAt is when a worker was last linked.
 	lastLinkedAt time.Time
 	// answerBy is the time by which all jobs must be answered; zero while there is none.
--- a/internal/process/vwplace/share.go
+++ b/internal/process/vwplace/share.go
@@ -24,6 +24,9 @@
 	tasks       int
 	needs       vwresource.Amount
 	startBefore time.Time
+	level       int
+	// expiresAt is when the demand ends unless the entry sends it again.
+	expiresAt time.Time
 	// reservation is capacity that only this entry may use until reservedUntil.
 	reservation   vwresource.Amount
 	reservedUntil time.Time
@@ -36,8 +39,9 @@
 		d = &entryDemand{entry: entry}
 		r.demands = append(r.demands, d)
 	}
-	d.tasks, d.needs = want.Tasks, want.Needs
+	d.tasks, d.needs, d.level = want.Tasks, want.Needs, want.Level
 	d.startBefore = now.Add(time.Duration(want.WithinMilliseconds) * time.Millisecond)
+	d.expiresAt = now.Add(demandValidity)
 	if d.tasks == 0 {
 		d.reservation = vwresource.Amount{}
 	}
@@ -102,15 +106,15 @@
 	}
 }
 
-// mostUrgent returns the most urgent demand of which a task fits in free, or nil. It skips entries whose last reservation
-// has not expired.
+// mostUrgent returns the demand of the highest level, and among those the most urgent one, of which a task fits in free, or
+// nil. It skips entries whose last reservation has not expired.
 func (r *Reservations) mostUrgent(now time.Time, free vwresource.Amount) *entryDemand {
 	var best *entryDemand
 	for _, d := range r.demands {
-		if d.tasks == 0 || now.Before(d.reservedUntil) || !d.needs.Fits(free) {
+		if d.tasks == 0 || !now.Before(d.expiresAt) || now.Before(d.reservedUntil) || !d.needs.Fits(free) {
 			continue
 		}
-		if best == nil || d.startBefore.Before(best.startBefore) {
+		if best == nil || d.level > best.level || d.level == best.level && d.startBefore.Before(best.startBefore) {
 			best = d
 		}
 	}
