Keep the link to an entry that is no longer chosen until its runs have ended

What callers saw: with more entries than an agent has links (8), a change of the list of entries changes which ones an agent chooses. The link to one that is no longer chosen was closed at once if no task with a record ran; the runs of best-effort jobs were not looked at. Their entry lost the link, waited 1.4 s and started the tasks again elsewhere, while the agent stopped them after 240 ms.

Cause: drainTarget looked only at the tasks of the plain agent. A link also drops what is queued when it closes, so a result sent right before was lost as well; TestUnchosenEntryIsDrained met that once the tick of the agent fell on the end of the task.

Change: an agent whose link drains says that it accepts nothing for this entry, refuses what still comes, and closes the link once no task or run of the entry is left and the entry has answered a message sent after the last result.

TestRunsGoOnWhenTheirEntryIsNoLongerChosen failed before: the agent still accepted tasks over the link, and closed it with the run in progress.

--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -37,8 +37,11 @@
 	retired bool
 	// timedOut is set if the link ended because nothing was received from the entry.
 	timedOut bool
-	// draining is set once the address is no longer chosen. The link closes after its last running task.
-	draining bool
+	// draining is set once the address is no longer chosen. The link closes after its last running task, once drained is
+	// set: the entry has confirmed that it has handled all results. confirming is set while it is asked.
+	draining, confirming, drained bool
+	// handledWork counts the messages with tasks that were received and the results that were sent.
+	handledWork uint64
 	credits  int
 	// renewNow requests a renewal over this link, because its entry has announced a newer configuration.
 	renewNow bool
@@ -244,6 +247,7 @@
 	r.dirty = true
 	switch body := m.body.(type) {
 	case *vwmessage.Start:
+		m.link.handledWork++
 		r.onStart(now, m.link, body)
 	case *vwmessage.Demand:
 		r.granter.SetDemand(m.link.entry, *body)
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -330,10 +330,31 @@
 	return r.agent.current.lease.RecentRules(now)
 }
 
+// refusalReasonFor returns why no run of an entry may start now. The entry may have no link.
+func (r *runner) refusalReasonFor(now time.Time, l *link) string {
+	if l != nil && l.draining {
+		return "the agent ends its link to the entry"
+	}
+	return r.refusalReason(now)
+}
+
+// onDraining tells the entry of a link that is to end to send no more tasks. Its runs go on.
+func (r *runner) onDraining(l *link) {
+	r.reservations.RemoveEntry(l.entry)
+	if o := r.owners[l.entry]; o != nil && o.link == l {
+		o.loadDue = true
+	}
+}
+
+// hasRunsOf reports whether runs of an entry have not ended.
+func (r *runner) hasRunsOf(entry vwid.Incarnation) bool {
+	return len(r.tracker.OwnedBy(entry)) > 0
+}
+
 // load returns the load report for an entry.
 func (r *runner) load(now time.Time, o *owner, entry vwid.Incarnation) vwmessage.Load {
 	load := vwmessage.Load{Received: o.tasksReceived, Slowdown: r.health.slowdown(now)}
-	load.Reason = r.refusalReason(now)
+	load.Reason = r.refusalReasonFor(now, o.link)
 	load.Accepting = load.Reason == ""
 	if load.Accepting {
 		load.Free = r.reservations.FreeFor(now, entry, r.free())
@@ -357,7 +378,8 @@
 		return
 	}
 	o.tasksReceived += uint64(len(message.Tasks))
-	reason := r.refusalReason(now)
+	l.handledWork++
+	reason := r.refusalReasonFor(now, l)
 	for _, task := range message.Tasks {
 		spec := vwrun.Spec{
 			Task:    vwworker.Task{Job: message.JobID, Step: message.Step, Index: task.Index},
@@ -395,6 +417,9 @@
 }
 
 func (r *runner) onWant(now time.Time, l *link, message *vwmessage.Want) {
+	if l.draining {
+		return
+	}
 	r.reservations.SetDemand(now, l.entry, message)
 }
 
@@ -472,6 +497,7 @@
 	if o.link != nil && o.resumeSent {
 		o.lastLoad, o.lastLoadAt = end.Load, now
 		r.sentEnds++
+		o.link.handledWork++
 		o.link.send(&end)
 	}
 }
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -51,18 +51,21 @@
 	}
 }
 
-// drainTarget drains the link to an address, and removes the address once no task of the link is running.
+// drainTarget drains the link to an address, and removes the address once nothing of the entry is left here and the entry
+// has handled all results.
 func (r *registration) drainTarget(t *target) {
 	if l := t.link; l != nil {
 		if !l.draining {
 			l.draining = true
 			r.sendLeaving(l)
-		}
-		for _, running := range r.running {
-			if running.entry == l.entry {
-				return
+			if r.agent.runner != nil {
+				r.agent.runner.onDraining(l)
 			}
 		}
+		if r.hasWorkOf(l) || !l.drained {
+			r.confirmDrained(l)
+			return
+		}
 	}
 	delete(r.targets, t.address)
 	delete(r.incarnationByAddress, t.address)
@@ -70,6 +73,35 @@
 	t.stop()
 }
 
+// hasWorkOf reports whether a task or run of the entry of a link has not ended.
+func (r *registration) hasWorkOf(l *link) bool {
+	for _, running := range r.running {
+		if running.entry == l.entry {
+			return true
+		}
+	}
+	return r.agent.runner != nil && r.agent.runner.hasRunsOf(l.entry)
+}
+
+// confirmDrained asks the entry of a draining link without work whether it has handled all messages. Closing the link drops
+// those that are queued, and an entry that misses a result may start the task again elsewhere.
+func (r *registration) confirmDrained(l *link) {
+	if l.confirming || r.hasWorkOf(l) {
+		return
+	}
+	l.confirming = true
+	before := l.handledWork
+	request := vwmessage.LeaseRequest{Incarnation: r.incarnation, Held: r.lease.Held()}
+	r.agent.group.Run(func(ctx context.Context) {
+		limited, cancel := context.WithTimeout(ctx, r.agent.timing.Silence)
+		defer cancel()
+		l.confirm(limited, request)
+		r.agent.post(eventFunc(func(time.Time) {
+			l.confirming, l.drained = false, l.handledWork == before
+		}))
+	})
+}
+
 // wanted returns the addresses to link to: those that ChooseEntries picks from the listed entries, and
 // then addresses from the settings up to MaxEntries.
 func (r *registration) wanted() map[string]bool {
--- a/internal/process/vwagent/work.go
+++ b/internal/process/vwagent/work.go
@@ -165,7 +165,11 @@
 
 // deliver sends a result to an entry. Without a link the result stays in the records until a fence asks for it.
 func (r *registration) deliver(entry vwid.Incarnation, result *vwmessage.Result) {
-	if l := r.links[entry]; l == nil || !l.send(result) {
+	l := r.links[entry]
+	if l != nil {
+		l.handledWork++
+	}
+	if l == nil || !l.send(result) {
 		r.agent.counters.Undelivered.Add(1)
 	}
 }
