Send the pings of all links together, and answer them at the other end

Cause: each link had a timer of its own at both ends, two more for registration and lease, and the agent ticks every 40 ms: about 120 timers a second wake an agent with 8 links, and pings of 8 entries come at 8 different times. With 240 agents that is most of what an agent does without work.

Change: regular events of a process fall on common times (Timing.UntilNext, with a phase by machine, so that agents do not ping an entry all at once). The end that has dialled a link sends the pings; the other one answers them at once and sends its own only if they do not come. Silence is found when it is due and not with the next tick, up to 125 ms later.

--- a/internal/connection/vwlink/quic.go
+++ b/internal/connection/vwlink/quic.go
@@ -126,7 +126,7 @@
 	if err := writeHello(stream, e.hello); err != nil {
 		return nil, refuseConnection(connection, err)
 	}
-	return e.greet(ctx, connection, stream)
+	return e.greet(ctx, connection, stream, true)
 }
 
 // Accept implements Listener. A peer that fails the handshake is refused without an error here.
@@ -172,7 +172,7 @@
 	if err != nil {
 		return nil, refuseConnection(connection, err)
 	}
-	conn, err := e.greet(ctx, connection, stream)
+	conn, err := e.greet(ctx, connection, stream, false)
 	if err != nil {
 		return nil, err
 	}
@@ -183,13 +183,13 @@
 }
 
 // greet reads the peer's hello and makes the link.
-func (e *QUICEndpoint) greet(ctx context.Context, connection *quic.Conn, stream *quic.Stream) (Conn, error) {
+func (e *QUICEndpoint) greet(ctx context.Context, connection *quic.Conn, stream *quic.Stream, dialled bool) (Conn, error) {
 	reader := bufio.NewReaderSize(stream, quicReadBuffer)
 	peer, err := readPeer(ctx, e.hello, stream, reader, connection.ConnectionState().TLS)
 	if err != nil {
 		return nil, refuseConnection(connection, err)
 	}
-	conn := makeStreamConn(peer, DefaultTiming, stream, reader, func() error {
+	conn := makeStreamConn(peer, DefaultTiming, dialled, stream, reader, func() error {
 		return connection.CloseWithError(closeNormal, "")
 	})
 	if !e.group.Run(conn.write) {
--- a/internal/connection/vwlink/session.go
+++ b/internal/connection/vwlink/session.go
@@ -62,6 +62,10 @@
 	conn    Conn
 	handler Handler
 	timing  Timing
+	// pingAfter is how long nothing was sent when a ping is due. answersPings is set at the end that answers the pings of
+	// its peer, and sends its own only if those do not come.
+	pingAfter    time.Duration
+	answersPings bool
 
 	lastCall atomic.Uint64
 	// opened is when the session was made. The times of messages are kept as durations since then, on the
@@ -85,10 +89,18 @@
 
 // MakeSession returns a session over conn. Run must be called for it to receive anything.
 func MakeSession(conn Conn, handler Handler) *Session {
-	return &Session{
+	s := &Session{
 		conn: conn, handler: handler, timing: timingOf(conn), opened: time.Now(),
 		pending: map[uint64]chan callResult{}, done: make(chan struct{}),
 	}
+	s.pingAfter = s.timing.Ping
+	if end, known := conn.(Dialled); known && end.IsDialled() {
+		// A ping that is due must not be put off because the last one was sent a moment late.
+		s.pingAfter = s.timing.Ping * 3 / 4
+	} else if known {
+		s.pingAfter, s.answersPings = s.timing.Ping*3/2, true
+	}
+	return s
 }
 
 // PreviousHeard returns when the message before the present one came, or when the session was made. The present
@@ -127,29 +139,45 @@
 
 // watch sends pings on an idle link and ends the session when the peer is silent.
 func (s *Session) watch(ctx context.Context) error {
-	ticker := time.NewTicker(s.timing.Ping)
-	defer ticker.Stop()
+	timer := time.NewTimer(s.untilNextCheck())
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-s.done:
 			return ErrClosed
-		case <-ticker.C:
-			age := int64(time.Since(s.opened))
-			if age-s.heard.Load() >= int64(s.timing.Silence) {
+		case <-timer.C:
+			age := time.Since(s.opened)
+			if age-time.Duration(s.heard.Load()) >= s.timing.Silence {
 				return ErrSilent
 			}
-			if age-s.sent.Load() < int64(s.timing.Ping) {
-				continue
-			}
-			if err := s.Send(ctx, &vwmessage.Ping{}); err != nil {
-				return err
+			if age-time.Duration(s.sent.Load()) >= s.pingAfter {
+				if err := s.Send(ctx, &vwmessage.Ping{}); err != nil {
+					return err
+				}
 			}
+			timer.Reset(s.untilNextCheck())
 		}
 	}
 }
 
+// untilNextCheck returns the time until the next ping may be due or, if that is sooner, the peer counts as silent.
+func (s *Session) untilNextCheck() time.Duration {
+	now := time.Now()
+	silentIn := time.Duration(s.heard.Load()) + s.timing.Silence - now.Sub(s.opened)
+	return min(s.timing.UntilNext(now, s.timing.Ping), silentIn)
+}
+
+// answerPing sends a ping in return for a one-way message if nothing was sent lately, at the end that leaves the pings to
+// its peer. The answers to all pings of the peer then arrive there together.
+func (s *Session) answerPing(ctx context.Context, envelope vwmessage.Envelope) error {
+	if !s.answersPings || envelope.Call != 0 || time.Since(s.opened)-time.Duration(s.sent.Load()) < s.timing.Ping/2 {
+		return nil
+	}
+	return s.Send(ctx, &vwmessage.Ping{})
+}
+
 func (s *Session) receive(ctx context.Context) error {
 	for {
 		envelope, err := s.conn.Receive(ctx)
@@ -165,6 +193,9 @@
 			return err
 		}
 		s.dispatch(ctx, envelope, body)
+		if err := s.answerPing(ctx, envelope); err != nil {
+			return err
+		}
 	}
 }
 
--- a/internal/connection/vwlink/stream.go
+++ b/internal/connection/vwlink/stream.go
@@ -82,8 +82,10 @@
 type streamConn struct {
 	peer   Peer
 	timing Timing
-	out    io.Writer
-	reader *bufio.Reader
+	// dialled is set if this end has dialled the link.
+	dialled bool
+	out     io.Writer
+	reader  *bufio.Reader
 	// end closes the connection below the stream.
 	end  func() error
 	done chan struct{}
@@ -94,8 +96,8 @@
 	closed bool
 }
 
-func makeStreamConn(peer Peer, timing Timing, out io.Writer, reader *bufio.Reader, end func() error) *streamConn {
-	return &streamConn{peer: peer, timing: timing, out: out, reader: reader, end: end, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+func makeStreamConn(peer Peer, timing Timing, dialled bool, out io.Writer, reader *bufio.Reader, end func() error) *streamConn {
+	return &streamConn{peer: peer, timing: timing, dialled: dialled, out: out, reader: reader, end: end, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Peer implements Conn.
@@ -108,6 +110,11 @@
 	return c.timing
 }
 
+// IsDialled implements Dialled.
+func (c *streamConn) IsDialled() bool {
+	return c.dialled
+}
+
 // Send implements Conn. It never waits for the peer.
 func (c *streamConn) Send(_ context.Context, envelope vwmessage.Envelope) error {
 	c.mu.Lock()
--- a/internal/connection/vwlink/tcp.go
+++ b/internal/connection/vwlink/tcp.go
@@ -170,7 +170,7 @@
 		}
 	}
 	// The end of a link closes the socket without a TLS alert, which would wait behind a blocked write.
-	conn := makeStreamConn(peer, e.timing, secure, reader, raw.Close)
+	conn := makeStreamConn(peer, e.timing, dialled, secure, reader, raw.Close)
 	if !e.group.Run(conn.write) {
 		return nil, trace.Wrap(ErrClosed)
 	}
--- a/internal/connection/vwlink/timing.go
+++ b/internal/connection/vwlink/timing.go
@@ -13,6 +13,17 @@
 	// Silence ends a session whose peer has sent nothing for so long. Devices between the two ends can
 	// forget a connection without a word, so an open socket proves nothing.
 	Silence time.Duration
+	// Phase shifts the times of pings. The pings of all links of a process go out at the same times, so that they wake it
+	// once, and processes with different phases do not ping their common peers all at the same time. The two ends may differ
+	// in it.
+	Phase time.Duration
+}
+
+// UntilNext returns the time until the next regular event with the given interval. All regular events with the same
+// interval and phase coincide.
+func (t Timing) UntilNext(now time.Time, interval time.Duration) time.Duration {
+	passed := time.Duration(now.UnixNano()%int64(interval)) - t.Phase%interval
+	return interval - (passed+interval)%interval
 }
 
 // DefaultTiming tolerates three lost pings.
@@ -26,6 +37,12 @@
 	return nil
 }
 
+// Dialled is a Conn that knows whether this end has dialled it. The end that has sends the pings, and the other one answers
+// them. Where it is not known, both ends send pings.
+type Dialled interface {
+	IsDialled() bool
+}
+
 // Timed is a Conn whose link has a timing of its own. Others have the DefaultTiming.
 type Timed interface {
 	Timing() Timing
--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -208,13 +208,13 @@
 	}
 	forth, reverse := n.makePipe(e.address, address), n.makePipe(address, e.address)
 	select {
-	case target.accepts <- makeConn(accepted, forth, reverse):
+	case target.accepts <- makeConn(accepted, forth, reverse, false):
 	case <-target.done:
 		return nil, trace.ConnectionProblem(nil, "%s is closing", address)
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
-	return makeConn(dialled, reverse, forth), nil
+	return makeConn(dialled, reverse, forth, true), nil
 }
 
 type delivery struct {
@@ -281,12 +281,18 @@
 type conn struct {
 	peer    vwlink.Peer
 	in, out *pipe
+	dialled bool
 	done    chan struct{}
 	once    sync.Once
 }
 
-func makeConn(peer vwlink.Peer, in, out *pipe) *conn {
-	return &conn{peer: peer, in: in, out: out, done: make(chan struct{})}
+func makeConn(peer vwlink.Peer, in, out *pipe, dialled bool) *conn {
+	return &conn{peer: peer, in: in, out: out, dialled: dialled, done: make(chan struct{})}
+}
+
+// IsDialled implements vwlink.Dialled.
+func (c *conn) IsDialled() bool {
+	return c.dialled
 }
 
 // Peer implements vwlink.Conn.
--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -25,7 +25,8 @@
 )
 
 const (
-	// tickInterval is the interval at which the agent checks timeouts.
+	// tickInterval is the interval at which the agent checks timeouts. Ticks coincide with the pings of links where the
+	// intervals are multiples of each other.
 	tickInterval = 100 * time.Millisecond
 	// runnerTickInterval is the same for an agent with a worker that grants leases. Each tick repeats
 	// unanswered stops and checks orphanGrace.
@@ -185,8 +186,8 @@
 	if a.runner != nil {
 		interval = runnerTickInterval
 	}
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
+	tick := time.NewTimer(a.timing.UntilNext(time.Now(), interval))
+	defer tick.Stop()
 	a.retryTimer = time.NewTimer(tickInterval)
 	defer a.retryTimer.Stop()
 	for !a.stopped {
@@ -196,8 +197,9 @@
 		case e := <-a.events:
 			e.apply(a, time.Now())
 			a.drainEvents()
-		case now := <-ticker.C:
+		case now := <-tick.C:
 			a.onTick(now)
+			tick.Reset(a.timing.UntilNext(time.Now(), interval))
 		case <-a.retryTimer.C:
 			if a.current != nil {
 				a.current.dirty = true
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -110,8 +110,9 @@
 // repeat calls act every renewInterval, and at once after a signal on wake, until the link ends. Registration
 // and renewal each have a goroutine, so that a slow registration does not let the lease expire.
 func (l *link) repeat(ctx context.Context, wake <-chan struct{}, act func(ctx context.Context) bool) error {
-	ticker := time.NewTicker(renewInterval)
-	defer ticker.Stop()
+	timing := l.registration.agent.timing
+	timer := time.NewTimer(timing.UntilNext(time.Now(), renewInterval))
+	defer timer.Stop()
 	for {
 		if !act(ctx) {
 			return vwlink.ErrClosed
@@ -122,7 +123,8 @@
 		case <-l.session.Done():
 			return vwlink.ErrClosed
 		case <-wake:
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(timing.UntilNext(time.Now(), renewInterval))
 		}
 	}
 }
