Choose entries when their list changes, not with each tick

Cause: an agent ranked all entries that it knows with each tick of 40 ms.

Change: the tick chooses again after 500 ms, and with each tick only while a link drains. Lists of entries are applied when they come, as before.

--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -263,7 +263,7 @@
 		r.lastExpiry = now
 		r.records.Expire(now)
 	}
-	r.refreshTargets()
+	r.refreshTargetsIfDue(now)
 	a.updateGauges(now)
 }
 
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -42,7 +42,7 @@
 	draining, confirming, drained bool
 	// handledWork counts the messages with tasks that were received and the results that were sent.
 	handledWork uint64
-	credits  int
+	credits     int
 	// renewNow requests a renewal over this link, because its entry has announced a newer configuration.
 	renewNow bool
 	// pendingRegister is the next registration to send over this link; nil if nothing changed.
--- a/internal/process/vwagent/registration.go
+++ b/internal/process/vwagent/registration.go
@@ -39,6 +39,8 @@
 	// were last listed.
 	entriesByAddress map[string]listedEntry
 	lastListedAt     time.Time
+	// refreshedAt is when the entries to link to were last chosen.
+	refreshedAt time.Time
 	// incarnationByAddress holds the incarnation of the entry that each address last led to.
 	incarnationByAddress map[string]vwid.Incarnation
 	// links holds the newest link to each entry incarnation.
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -17,6 +17,9 @@
 	unlistedTimeout = 5 * time.Second
 	// stableLinkTime is how long a link must last to reset the backoff of the next dial.
 	stableLinkTime = 2 * time.Second
+	// refreshInterval is how often the entries are chosen again while no list has come. The choice ranks all known entries,
+	// which takes longer than the rest of a tick in a large fleet.
+	refreshInterval = 500 * time.Millisecond
 )
 
 // target is an entry's address to which the agent keeps one link.
@@ -33,8 +36,25 @@
 	listedAt time.Time
 }
 
+// refreshTargetsIfDue refreshes the targets after refreshInterval, and at once while a link drains.
+func (r *registration) refreshTargetsIfDue(now time.Time) {
+	if now.Sub(r.refreshedAt) >= refreshInterval || r.hasDrainingLink() {
+		r.refreshTargets()
+	}
+}
+
+func (r *registration) hasDrainingLink() bool {
+	for _, l := range r.links {
+		if l.draining {
+			return true
+		}
+	}
+	return false
+}
+
 // refreshTargets starts and stops links to match the known entries.
 func (r *registration) refreshTargets() {
+	r.refreshedAt = time.Now()
 	wanted := r.wanted()
 	for address, t := range r.targets {
 		if !wanted[address] {
