Compress payloads on links, and send newer messages only to peers that know them

Cause: under load a job's payload goes out once for nearly each task (4.1 times a job), and it is most of what an entry sends.

Hello names the newest revision of the messages that a process understands, and both new kinds go only to peers that name it.

--- a/internal/connection/vwlink/link.go
+++ b/internal/connection/vwlink/link.go
@@ -19,6 +19,8 @@
 	Role        string
 	DataCentre  vwid.DataCentre
 	Rack        vwid.Rack
+	// Revision is the newest revision of the messages that the peer understands.
+	Revision int
 }
 
 // Conn is one link. Send and Receive may be called by different goroutines; each by one at a time
@@ -79,5 +81,6 @@
 		Role:        hello.Role,
 		DataCentre:  hello.DataCentre,
 		Rack:        hello.Rack,
+		Revision:    hello.Revision,
 	}, nil
 }
--- a/internal/connection/vwlink/stream.go
+++ b/internal/connection/vwlink/stream.go
@@ -29,6 +29,7 @@
 
 // writeHello sends the first message of a link.
 func writeHello(out io.Writer, hello vwmessage.Hello) error {
+	hello.Revision = vwmessage.CurrentRevision
 	envelope, err := vwmessage.Seal(&hello, 0, false)
 	if err != nil {
 		return err
--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -148,8 +148,9 @@
 	once    sync.Once
 }
 
-// MakeEndpoint adds a process to the network. An address may be used again after Kill.
+// MakeEndpoint adds a process of the current revision to the network. An address may be used again after Kill.
 func (n *Network) MakeEndpoint(address string, hello vwmessage.Hello) *Endpoint {
+	hello.Revision = vwmessage.CurrentRevision
 	e := &Endpoint{network: n, address: address, hello: hello, accepts: make(chan vwlink.Conn, 64), done: make(chan struct{})}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/connection/vwmessage/fuzz_test.go
+++ b/internal/connection/vwmessage/fuzz_test.go
@@ -21,7 +21,7 @@
 // A message from another process must not crash this one, make it allocate much more than the message
 // is long, or mean something else after it is passed on.
 func FuzzOpen(f *testing.F) {
-	for kind := vwmessage.KindHello; kind <= vwmessage.KindOffer; kind++ {
+	for kind := vwmessage.KindHello; kind <= vwmessage.KindPackedRun; kind++ {
 		f.Add(uint16(kind), []byte{0x80})
 	}
 	// An array that claims 4 billion elements.
--- a/internal/connection/vwmessage/kind.go
+++ b/internal/connection/vwmessage/kind.go
@@ -95,3 +95,9 @@
 
 // MessageKind implements Body.
 func (*Offer) MessageKind() Kind { return KindOffer }
+
+// MessageKind implements Body.
+func (*RankedWant) MessageKind() Kind { return KindRankedWant }
+
+// MessageKind implements Body.
+func (*PackedRun) MessageKind() Kind { return KindPackedRun }
--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -54,6 +54,8 @@
 	KindStopRuns       Kind = 30
 	KindWant           Kind = 31
 	KindOffer          Kind = 32
+	KindRankedWant     Kind = 33
+	KindPackedRun      Kind = 34
 )
 
 var constructors = map[Kind]func() Body{
@@ -89,8 +91,19 @@
 	KindStopRuns:       func() Body { return new(StopRuns) },
 	KindWant:           func() Body { return new(Want) },
 	KindOffer:          func() Body { return new(Offer) },
+	KindRankedWant:     func() Body { return new(RankedWant) },
+	KindPackedRun:      func() Body { return new(PackedRun) },
 }
 
+// The revisions of the messages. A process closes a link over which it gets a kind that it does not know, so a newer kind is
+// sent only to peers whose Hello names its revision or a later one. Processes that name none have revision zero.
+const (
+	// RevisionPackedRun adds RankedWant and PackedRun.
+	RevisionPackedRun = 1
+	// CurrentRevision is the newest revision.
+	CurrentRevision = RevisionPackedRun
+)
+
 // Hello is the first message on a link, sent by both ends.
 type Hello struct {
 	Cluster     vwid.Cluster
@@ -99,6 +112,8 @@
 	Role        string
 	DataCentre  vwid.DataCentre
 	Rack        vwid.Rack
+	// Revision is the newest revision of the messages that the process understands.
+	Revision int `msg:",omitempty"`
 }
 
 // Failure answers a request that could not be served.
--- a/internal/connection/vwmessage/message_gen.go
+++ b/internal/connection/vwmessage/message_gen.go
@@ -1074,25 +1074,43 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Hello) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// map header, size 6
-	// string "Cluster"
-	o = append(o, 0x86, 0xa7, 0x43, 0x6c, 0x75, 0x73, 0x74, 0x65, 0x72)
-	o = msgp.AppendString(o, string(z.Cluster))
-	// string "Process"
-	o = append(o, 0xa7, 0x50, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
-	o = msgp.AppendString(o, string(z.Process))
-	// string "Incarnation"
-	o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
-	o = msgp.AppendString(o, string(z.Incarnation))
-	// string "Role"
-	o = append(o, 0xa4, 0x52, 0x6f, 0x6c, 0x65)
-	o = msgp.AppendString(o, z.Role)
-	// string "DataCentre"
-	o = append(o, 0xaa, 0x44, 0x61, 0x74, 0x61, 0x43, 0x65, 0x6e, 0x74, 0x72, 0x65)
-	o = msgp.AppendString(o, string(z.DataCentre))
-	// string "Rack"
-	o = append(o, 0xa4, 0x52, 0x61, 0x63, 0x6b)
-	o = msgp.AppendString(o, string(z.Rack))
+	// check for omitted fields
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
+	_ = zb0001Mask
+	if z.Revision == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
+	// variable map header, size zb0001Len
+	o = append(o, 0x80|uint8(zb0001Len))
+
+	// skip if no fields are to be emitted
+	if zb0001Len != 0 {
+		// string "Cluster"
+		o = append(o, 0xa7, 0x43, 0x6c, 0x75, 0x73, 0x74, 0x65, 0x72)
+		o = msgp.AppendString(o, string(z.Cluster))
+		// string "Process"
+		o = append(o, 0xa7, 0x50, 0x72, 0x6f, 0x63, 0x65, 0x73, 0x73)
+		o = msgp.AppendString(o, string(z.Process))
+		// string "Incarnation"
+		o = append(o, 0xab, 0x49, 0x6e, 0x63, 0x61, 0x72, 0x6e, 0x61, 0x74, 0x69, 0x6f, 0x6e)
+		o = msgp.AppendString(o, string(z.Incarnation))
+		// string "Role"
+		o = append(o, 0xa4, 0x52, 0x6f, 0x6c, 0x65)
+		o = msgp.AppendString(o, z.Role)
+		// string "DataCentre"
+		o = append(o, 0xaa, 0x44, 0x61, 0x74, 0x61, 0x43, 0x65, 0x6e, 0x74, 0x72, 0x65)
+		o = msgp.AppendString(o, string(z.DataCentre))
+		// string "Rack"
+		o = append(o, 0xa4, 0x52, 0x61, 0x63, 0x6b)
+		o = msgp.AppendString(o, string(z.Rack))
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Revision"
+			o = append(o, 0xa8, 0x52, 0x65, 0x76, 0x69, 0x73, 0x69, 0x6f, 0x6e)
+			o = msgp.AppendInt(o, z.Revision)
+		}
+	}
 	return
 }
 
@@ -1170,6 +1188,12 @@
 				}
 				z.Rack = vwid.Rack(zb0006)
 			}
+		case "Revision":
+			z.Revision, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Revision")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1184,7 +1208,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Hello) Msgsize() (s int) {
-	s = 1 + 8 + msgp.StringPrefixSize + len(string(z.Cluster)) + 8 + msgp.StringPrefixSize + len(string(z.Process)) + 12 + msgp.StringPrefixSize + len(string(z.Incarnation)) + 5 + msgp.StringPrefixSize + len(z.Role) + 11 + msgp.StringPrefixSize + len(string(z.DataCentre)) + 5 + msgp.StringPrefixSize + len(string(z.Rack))
+	s = 1 + 8 + msgp.StringPrefixSize + len(string(z.Cluster)) + 8 + msgp.StringPrefixSize + len(string(z.Process)) + 12 + msgp.StringPrefixSize + len(string(z.Incarnation)) + 5 + msgp.StringPrefixSize + len(z.Role) + 11 + msgp.StringPrefixSize + len(string(z.DataCentre)) + 5 + msgp.StringPrefixSize + len(string(z.Rack)) + 9 + msgp.IntSize
 	return
 }
 
--- a/internal/connection/vwmessage/run.go
+++ b/internal/connection/vwmessage/run.go
@@ -16,7 +16,7 @@
 
 // The messages of best-effort jobs are tuples: they are sent for each task, and names would be most of their
 // bytes.
-//msgp:tuple Offer Load Resume RunRef Run RunTask RunEnd StopRuns Want
+//msgp:tuple Offer Load Resume RunRef Run RunTask RunEnd StopRuns Want RankedWant PackedRun
 
 // Offer describes the worker that grants leases beside the sending agent. It is sent alone when it changes.
 type Offer struct {
@@ -106,6 +106,16 @@
 	Needs vwresource.Amount
 	// WithinMilliseconds is when the most urgent one has to start.
 	WithinMilliseconds int64
-	// Level is the highest level of the waiting tasks. Among the demands of entries a higher level comes first.
-	Level int `msg:",omitempty"`
+}
+
+// RankedWant is a Want with the highest level of the waiting tasks. Among the demands of entries a higher level comes first;
+// a Want has level zero. It is sent to peers from RevisionPackedRun on.
+type RankedWant struct {
+	Want  Want
+	Level int
+}
+
+// PackedRun is a Run whose payload is compressed by PackPayload. It is sent to peers from RevisionPackedRun on.
+type PackedRun struct {
+	Run Run
 }
--- a/internal/connection/vwmessage/run_gen.go
+++ b/internal/connection/vwmessage/run_gen.go
@@ -174,6 +174,116 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *PackedRun) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o, err = z.Run.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *PackedRun) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	bts, err = z.Run.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Run")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *PackedRun) Msgsize() (s int) {
+	s = 1 + z.Run.Msgsize()
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *RankedWant) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendInt(o, z.Want.Tasks)
+	o, err = z.Want.Needs.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Want", "Needs")
+		return
+	}
+	o = msgp.AppendInt64(o, z.Want.WithinMilliseconds)
+	o = msgp.AppendInt(o, z.Level)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RankedWant) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Want")
+		return
+	}
+	if zb0002 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0002}
+		return
+	}
+	z.Want.Tasks, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Want", "Tasks")
+		return
+	}
+	bts, err = z.Want.Needs.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Want", "Needs")
+		return
+	}
+	z.Want.WithinMilliseconds, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Want", "WithinMilliseconds")
+		return
+	}
+	z.Level, bts, err = msgp.ReadIntBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Level")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RankedWant) Msgsize() (s int) {
+	s = 1 + 1 + msgp.IntSize + z.Want.Needs.Msgsize() + msgp.Int64Size + msgp.IntSize
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Resume) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -634,8 +744,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Want) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 4
-	o = append(o, 0x94)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendInt(o, z.Tasks)
 	o, err = z.Needs.MarshalMsg(o)
 	if err != nil {
@@ -643,7 +753,6 @@
 		return
 	}
 	o = msgp.AppendInt64(o, z.WithinMilliseconds)
-	o = msgp.AppendInt(o, z.Level)
 	return
 }
 
@@ -655,8 +764,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 4 {
-		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Tasks, bts, err = msgp.ReadIntBytes(bts)
@@ -674,17 +783,12 @@
 		err = msgp.WrapError(err, "WithinMilliseconds")
 		return
 	}
-	z.Level, bts, err = msgp.ReadIntBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Level")
-		return
-	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Want) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + z.Needs.Msgsize() + msgp.Int64Size + msgp.IntSize
+	s = 1 + msgp.IntSize + z.Needs.Msgsize() + msgp.Int64Size
 	return
 }
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -266,7 +266,7 @@
 			m.link.renewNow = true
 			signal(m.link.renewSignal)
 		}
-	case *vwmessage.Run, *vwmessage.StopRuns, *vwmessage.Want:
+	case *vwmessage.Run, *vwmessage.PackedRun, *vwmessage.StopRuns, *vwmessage.Want, *vwmessage.RankedWant:
 		m.applyToRunner(a, now)
 	default:
 		a.counters.Unexpected.Add(1)
@@ -282,16 +282,32 @@
 	}
 	switch body := m.body.(type) {
 	case *vwmessage.Run:
-		if m.isStale(a, now) {
-			a.logger.Warn("stale tasks are not started, because their entry may have sent them elsewhere; closing the link", "Job", string(body.JobID),
-				"Tasks", len(body.Tasks), "Entry", string(m.link.entry), "Milliseconds", now.Sub(m.sentAfter).Milliseconds())
+		m.applyRun(a, now, body)
+	case *vwmessage.PackedRun:
+		payload, err := vwmessage.UnpackPayload(body.Run.Payload)
+		if err != nil {
+			a.logger.Warn("closing the link: the payload of a message cannot be unpacked", "Job", string(body.Run.JobID), "Entry", string(m.link.entry), "Error", err.Error())
 			_ = m.link.session.Close()
 			return
 		}
-		a.runner.onRun(now, m.link, body)
+		body.Run.Payload = payload
+		m.applyRun(a, now, &body.Run)
 	case *vwmessage.StopRuns:
 		a.runner.onStopRuns(now, m.link, body)
 	case *vwmessage.Want:
-		a.runner.onWant(now, m.link, body)
+		a.runner.onWant(now, m.link, body, 0)
+	case *vwmessage.RankedWant:
+		a.runner.onWant(now, m.link, &body.Want, body.Level)
 	}
 }
+
+// applyRun starts the tasks of a message unless it is stale.
+func (m *receivedMessage) applyRun(a *Agent, now time.Time, run *vwmessage.Run) {
+	if m.isStale(a, now) {
+		a.logger.Warn("stale tasks are not started, because their entry may have sent them elsewhere; closing the link", "Job", string(run.JobID),
+			"Tasks", len(run.Tasks), "Entry", string(m.link.entry), "Milliseconds", now.Sub(m.sentAfter).Milliseconds())
+		_ = m.link.session.Close()
+		return
+	}
+	a.runner.onRun(now, m.link, run)
+}
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -416,11 +416,11 @@
 	r.tracker.StopJob(now, l.entry, message.JobID, message.Reason)
 }
 
-func (r *runner) onWant(now time.Time, l *link, message *vwmessage.Want) {
+func (r *runner) onWant(now time.Time, l *link, message *vwmessage.Want, level int) {
 	if l.draining {
 		return
 	}
-	r.reservations.SetDemand(now, l.entry, message)
+	r.reservations.SetDemand(now, l.entry, message, level)
 }
 
 // flush sends pending orders to the worker, and results and loads to the entries. Once the worker runs nothing of
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -38,6 +38,9 @@
 type pendingCalls struct {
 	job     vwplace.Job
 	waiting map[chan vwplace.Answer]bool
+	// packed is the compressed payload of the job once a task was sent; nil if it would not be shorter.
+	packed   []byte
+	isPacked bool
 }
 
 // answeredJob holds the time at which a job was answered.
@@ -240,18 +243,47 @@
 	for i := range sends {
 		if session := b.sessions[sends[i].Worker]; session != nil {
 			b.entry.counters.Starts.Add(int64(len(sends[i].Run.Tasks)))
-			b.send(session, &sends[i].Run)
+			b.send(session, b.runMessage(session.Peer().Revision, &sends[i].Run))
 		}
 	}
 	wants := b.queue.Demands(now)
 	for i := range wants {
 		if session := b.sessions[wants[i].Worker]; session != nil {
 			b.entry.counters.Demands.Add(1)
-			b.send(session, &wants[i].Message)
+			b.send(session, wantMessage(session.Peer().Revision, &wants[i].Message))
 		}
 	}
 }
 
+// runMessage returns the message that carries a Run to a peer of the given revision. The payload is compressed once for all
+// tasks of its job.
+func (b *bestEffortJobs) runMessage(revision int, run *vwmessage.Run) vwmessage.Body {
+	calls := b.calls[run.JobID]
+	if revision < vwmessage.RevisionPackedRun || calls == nil {
+		return run
+	}
+	if !calls.isPacked {
+		calls.isPacked = true
+		if packed, shorter := vwmessage.PackPayload(run.Payload); shorter {
+			calls.packed = packed
+		}
+	}
+	if calls.packed == nil {
+		return run
+	}
+	packed := *run
+	packed.Payload = calls.packed
+	return &vwmessage.PackedRun{Run: packed}
+}
+
+// wantMessage returns the message that carries a demand to a peer of the given revision.
+func wantMessage(revision int, want *vwmessage.RankedWant) vwmessage.Body {
+	if revision < vwmessage.RevisionPackedRun {
+		return &want.Want
+	}
+	return want
+}
+
 // logSuspicion logs and counts a change of what is assumed of a task under which a worker has crashed.
 func (b *bestEffortJobs) logSuspicion(suspicion *vwplace.Suspicion) {
 	fields := []any{
--- a/internal/process/vwplace/capacity_test.go
+++ b/internal/process/vwplace/capacity_test.go
@@ -49,8 +49,8 @@
 	for name, free := range overdrawn {
 		t.Run(name, func(t *testing.T) {
 			r := Reservations{}
-			r.SetDemand(at(0), "e1", &vwmessage.Want{Tasks: 2, Needs: cores(1)})
-			r.SetDemand(at(0), "e2", &vwmessage.Want{Tasks: 2, Needs: cores(1)})
+			r.SetDemand(at(0), "e1", &vwmessage.Want{Tasks: 2, Needs: cores(1)}, 0)
+			r.SetDemand(at(0), "e2", &vwmessage.Want{Tasks: 2, Needs: cores(1)}, 0)
 			require.Empty(t, r.Reserve(at(0), free))
 			require.Len(t, r.Reserve(at(0), cores(4)), 2)
 			require.Empty(t, r.Reserve(at(0), free))
--- a/internal/process/vwplace/share.go
+++ b/internal/process/vwplace/share.go
@@ -32,14 +32,14 @@
 	reservedUntil time.Time
 }
 
-// SetDemand records the demand of an entry. A demand without tasks releases the entry's reservation.
-func (r *Reservations) SetDemand(now time.Time, entry vwid.Incarnation, want *vwmessage.Want) {
+// SetDemand records the demand of an entry, of which level is the highest level. A demand without tasks releases the entry's reservation.
+func (r *Reservations) SetDemand(now time.Time, entry vwid.Incarnation, want *vwmessage.Want, level int) {
 	d := r.find(entry)
 	if d == nil {
 		d = &entryDemand{entry: entry}
 		r.demands = append(r.demands, d)
 	}
-	d.tasks, d.needs, d.level = want.Tasks, want.Needs, want.Level
+	d.tasks, d.needs, d.level = want.Tasks, want.Needs, level
 	d.startBefore = now.Add(time.Duration(want.WithinMilliseconds) * time.Millisecond)
 	d.expiresAt = now.Add(demandValidity)
 	if d.tasks == 0 {
--- a/internal/process/vwplace/simulation_test.go
+++ b/internal/process/vwplace/simulation_test.go
@@ -364,7 +364,7 @@
 		a, message := s.agentOf(want.Worker), want.Message
 		s.messages++
 		s.send(e, a, func() {
-			a.reservations.SetDemand(s.at(), e.id, &message)
+			a.reservations.SetDemand(s.at(), e.id, &message.Want, message.Level)
 			a.sendLoads(nil)
 		})
 	}
--- a/internal/process/vwplace/want.go
+++ b/internal/process/vwplace/want.go
@@ -34,7 +34,7 @@
 // Demand is a message that carries the demand of the entry to an agent.
 type Demand struct {
 	Worker  vwid.Incarnation
-	Message vwmessage.Want
+	Message vwmessage.RankedWant
 }
 
 // Demands returns the demand messages for agents: while Dispatch has left tasks waiting, to some of the workers that may
@@ -86,9 +86,9 @@
 
 func (q *Queue) sendDemand(now time.Time, w *worker, next workerDemand) {
 	w.lastDemand, w.lastDemandAt = next, now
-	message := vwmessage.Want{Tasks: next.tasks, Needs: next.needs, Level: next.level}
+	message := vwmessage.RankedWant{Want: vwmessage.Want{Tasks: next.tasks, Needs: next.needs}, Level: next.level}
 	if next.tasks > 0 {
-		message.WithinMilliseconds = max(next.startBefore.Sub(now).Milliseconds(), 0)
+		message.Want.WithinMilliseconds = max(next.startBefore.Sub(now).Milliseconds(), 0)
 	}
 	q.wants = append(q.wants, Demand{Worker: w.Incarnation, Message: message})
 }
--- a/internal/process/vwplace/want_test.go
+++ b/internal/process/vwplace/want_test.go
@@ -21,7 +21,7 @@
 	f.Helper()
 	f.queue.Dispatch(now)
 	for _, demand := range f.queue.Demands(now) {
-		if demand.Message.Tasks > 0 {
+		if demand.Message.Want.Tasks > 0 {
 			asked = append(asked, demand.Worker)
 		} else {
 			withdrawn = append(withdrawn, demand.Worker)
@@ -71,16 +71,16 @@
 // An entry that has turned to other workers, or is cut off, must not keep capacity reserved.
 func TestDemandExpiresAtTheAgent(t *testing.T) {
 	r := Reservations{}
-	r.SetDemand(at(0), "e1", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 500})
+	r.SetDemand(at(0), "e1", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 500}, 0)
 	require.Empty(t, r.Reserve(at(demandValidity), cores(4)))
-	r.SetDemand(at(demandValidity), "e1", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 500})
+	r.SetDemand(at(demandValidity), "e1", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 500}, 0)
 	require.Equal(t, []vwid.Incarnation{"e1"}, r.Reserve(at(2*demandValidity-time.Millisecond), cores(4)))
 }
 
 // Freed capacity goes to the demand of the highest level, even if one of a lower level must start sooner.
 func TestHigherLevelIsReservedFirst(t *testing.T) {
 	r := Reservations{}
-	r.SetDemand(at(0), "low", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 5, Level: 1})
-	r.SetDemand(at(0), "high", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 50, Level: 2})
+	r.SetDemand(at(0), "low", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 5}, 1)
+	r.SetDemand(at(0), "high", &vwmessage.Want{Tasks: 1, Needs: cores(1), WithinMilliseconds: 50}, 2)
 	require.Equal(t, []vwid.Incarnation{"high"}, r.Reserve(at(0), cores(1)))
 }
