Count the time for which a machine was suspended

What can happen: a virtual machine is suspended for seconds. Its monotonic clock, which Go uses for durations, does not count them, so a process that resumes finds messages in its buffers and takes them for fresh.

Change: vwboot.Meter compares the wall clock with the monotonic one, which both come with each time of the runtime, and asks the kernel for the suspended time only after a jump. Links add it to the silence of the peer, agents to the age of a message, entries to the length of a stall.

The kernel's two clocks are stood in for; no machine was suspended.

--- a/internal/connection/vwlink/session.go
+++ b/internal/connection/vwlink/session.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/pkg/vwboot"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
@@ -73,6 +74,10 @@
 	opened time.Time
 	heard  atomic.Int64
 	sent   atomic.Int64
+	// suspended returns for how long the machine has been suspended, which opened and the durations do not count.
+	// heardSuspended is its value when the last message came.
+	suspended      func(now time.Time) time.Duration
+	heardSuspended atomic.Int64
 	// previous is when the message before the one that is handled came. The receiving goroutine owns it.
 	previous time.Duration
 
@@ -87,12 +92,16 @@
 	err  error
 }
 
+// machineClock is shared by all sessions, so that each reads the kernel's clocks only after a jump.
+var machineClock = vwboot.MakeMeter(vwboot.Suspended)
+
 // MakeSession returns a session over conn. Run must be called for it to receive anything.
 func MakeSession(conn Conn, handler Handler) *Session {
 	s := &Session{
 		conn: conn, handler: handler, timing: timingOf(conn), opened: time.Now(),
-		pending: map[uint64]chan callResult{}, done: make(chan struct{}),
+		pending: map[uint64]chan callResult{}, done: make(chan struct{}), suspended: machineClock.Suspended,
 	}
+	s.heardSuspended.Store(int64(s.suspended(s.opened)))
 	s.pingAfter = s.timing.Ping
 	if end, known := conn.(Dialled); known && end.IsDialled() {
 		// A ping that is due must not be put off because the last one was sent a moment late.
@@ -148,8 +157,9 @@
 		case <-s.done:
 			return ErrClosed
 		case <-timer.C:
-			age := time.Since(s.opened)
-			if age-time.Duration(s.heard.Load()) >= s.timing.Silence {
+			now := time.Now()
+			age := now.Sub(s.opened)
+			if s.silentFor(now) >= s.timing.Silence {
 				return ErrSilent
 			}
 			if age-time.Duration(s.sent.Load()) >= s.pingAfter {
@@ -165,8 +175,13 @@
 // untilNextCheck returns the time until the next ping may be due or, if that is sooner, the peer counts as silent.
 func (s *Session) untilNextCheck() time.Duration {
 	now := time.Now()
-	silentIn := time.Duration(s.heard.Load()) + s.timing.Silence - now.Sub(s.opened)
-	return min(s.timing.UntilNext(now, s.timing.Ping), silentIn)
+	return min(s.timing.UntilNext(now, s.timing.Ping), s.timing.Silence-s.silentFor(now))
+}
+
+// silentFor returns how long the peer has sent nothing, with the time for which the machine was suspended.
+func (s *Session) silentFor(now time.Time) time.Duration {
+	suspended := s.suspended(now) - time.Duration(s.heardSuspended.Load())
+	return now.Sub(s.opened) - time.Duration(s.heard.Load()) + suspended
 }
 
 // answerPing sends a ping in return for a one-way message if nothing was sent lately, at the end that leaves the pings to
@@ -184,7 +199,7 @@
 		if err != nil {
 			return err
 		}
-		if !s.noteHeard(time.Since(s.opened)) {
+		if !s.noteHeard(time.Now()) {
 			return ErrSilent
 		}
 		body, err := vwmessage.Open(envelope)
@@ -200,10 +215,13 @@
 }
 
 // noteHeard notes that a message came. It reports false when the peer may have given the link up before: a
-// process that stood still finds messages in its buffers whose sender has long acted as if they were lost.
-func (s *Session) noteHeard(age time.Duration) bool {
-	s.previous = time.Duration(s.heard.Swap(int64(age)))
-	return age-s.previous < s.timing.Silence
+// process that stood still, or whose machine was suspended, finds messages in its buffers whose sender has long acted as if
+// they were lost.
+func (s *Session) noteHeard(now time.Time) bool {
+	silent := s.silentFor(now) >= s.timing.Silence
+	s.heardSuspended.Store(int64(s.suspended(now)))
+	s.previous = time.Duration(s.heard.Swap(int64(now.Sub(s.opened))))
+	return !silent
 }
 
 func (s *Session) refuse(ctx context.Context, envelope vwmessage.Envelope, cause error) {
--- a/internal/connection/vwlink/stall_test.go
+++ b/internal/connection/vwlink/stall_test.go
@@ -32,12 +32,17 @@
 // as after a stall it may come after the receiver.
 func TestMessagesAfterStallAreNotHandled(t *testing.T) {
 	cases := map[string]struct {
-		delays  []time.Duration
-		handled int
+		delays []time.Duration
+		// suspended is for how long the machine is suspended half a second after the session was made. The clock of the
+		// process does not count it.
+		suspended time.Duration
+		handled   int
 	}{
-		"regular":          {[]time.Duration{0, time.Second, time.Second, time.Second}, 4},
-		"after a stall":    {[]time.Duration{time.Second, 2 * time.Second, 0, 0}, 1},
-		"stalled at first": {[]time.Duration{3 * time.Second, 0}, 0},
+		"regular":                  {[]time.Duration{0, time.Second, time.Second, time.Second}, 0, 4},
+		"after a stall":            {[]time.Duration{time.Second, 2 * time.Second, 0, 0}, 0, 1},
+		"stalled at first":         {[]time.Duration{3 * time.Second, 0}, 0, 0},
+		"after a suspension":       {[]time.Duration{0, time.Second, 0}, time.Second, 1},
+		"after a short suspension": {[]time.Duration{0, time.Second, 0}, 900 * time.Millisecond, 3},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -49,6 +54,13 @@
 					handled++
 					after = append(after, s.PreviousHeard().Sub(opened))
 				}))
+				s.heardSuspended.Store(0)
+				s.suspended = func(now time.Time) time.Duration {
+					if now.Sub(opened) < 500*time.Millisecond {
+						return 0
+					}
+					return test.suspended
+				}
 				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 				defer cancel()
 				err := s.receive(ctx)
--- a/internal/process/vwagent/agent.go
+++ b/internal/process/vwagent/agent.go
@@ -20,6 +20,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwboot"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
@@ -86,6 +87,8 @@
 	done       chan struct{}
 	closeDone  sync.Once
 	timing     vwlink.Timing
+	// machineClock tells for how long the machine was suspended.
+	machineClock *vwboot.Meter
 
 	// The control goroutine owns the fields below.
 	runner     *runner
@@ -132,6 +135,8 @@
 		events:   make(chan event, eventQueueSize),
 		done:     make(chan struct{}),
 		timing:   options.Timing,
+
+		machineClock: vwboot.MakeMeter(vwboot.Suspended),
 	}
 	if options.Worker != nil {
 		a.runner = makeRunner(a)
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -222,7 +222,7 @@
 
 // HandleMessage implements vwlink.Handler.
 func (l *link) HandleMessage(session *vwlink.Session, body vwmessage.Body, reply vwlink.Reply) {
-	l.registration.agent.post(&receivedMessage{link: l, body: body, reply: reply, sentAfter: session.PreviousHeard()})
+	l.registration.agent.post(&receivedMessage{link: l, body: body, reply: reply, sentAfter: session.PreviousHeard(), suspended: l.registration.agent.machineClock.Suspended(time.Now())})
 }
 
 // receivedMessage is a message from an entry.
@@ -230,14 +230,16 @@
 	link  *link
 	body  vwmessage.Body
 	reply vwlink.Reply
-	// sentAfter is a lower bound of the time at which the message was sent.
+	// sentAfter is a lower bound of the time at which the message was sent, and suspended is for how long the machine had
+	// been suspended when it came.
 	sentAfter time.Time
+	suspended time.Duration
 }
 
 // isStale reports whether the entry may already treat the message as lost. This happens if the agent stalls
 // between receiving a message and handling it.
 func (m *receivedMessage) isStale(a *Agent, now time.Time) bool {
-	return now.Sub(m.sentAfter) >= a.timing.Silence
+	return now.Sub(m.sentAfter)+a.machineClock.Suspended(now)-m.suspended >= a.timing.Silence
 }
 
 func (m *receivedMessage) apply(a *Agent, now time.Time) {
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -116,7 +116,7 @@
 
 // deliver passes a message from the entry to the agent and waits until it is processed.
 func (e *entryLink) deliver(body vwmessage.Body) {
-	e.fixture.agent.post(&receivedMessage{link: e.link, body: body, sentAfter: time.Now()})
+	e.fixture.agent.post(&receivedMessage{link: e.link, body: body, sentAfter: time.Now(), suspended: e.fixture.agent.machineClock.Suspended(time.Now())})
 	time.Sleep(time.Millisecond)
 	synctest.Wait()
 }
@@ -356,11 +356,15 @@
 // the entry treats them as lost and runs them elsewhere.
 func TestStaleTasksAreNotStarted(t *testing.T) {
 	cases := map[string]struct {
-		stall  time.Duration
-		starts int
+		// suspended is the part of the stall that the clock of the runtime does not count.
+		stall, suspended time.Duration
+		starts           int
 	}{
-		"in time": {stall: runnerTiming.Silence - time.Millisecond, starts: 1},
-		"stale":   {stall: runnerTiming.Silence, starts: 0},
+		"in time":                     {stall: runnerTiming.Silence - time.Millisecond, starts: 1},
+		"stale":                       {stall: runnerTiming.Silence, starts: 0},
+		"in time after a suspension":  {stall: runnerTiming.Silence/2 - time.Millisecond, suspended: runnerTiming.Silence / 2, starts: 1},
+		"stale after a suspension":    {stall: runnerTiming.Silence / 2, suspended: runnerTiming.Silence / 2, starts: 0},
+		"stale by a suspension alone": {suspended: 3 * time.Second, starts: 0},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -368,7 +372,8 @@
 				e := f.attach("e1", "e1-1")
 				sent := time.Now()
 				time.Sleep(test.stall)
-				f.agent.post(&receivedMessage{link: e.link, sentAfter: sent, body: &vwmessage.Run{
+				received := f.agent.machineClock.Suspended(sent) - test.suspended
+				f.agent.post(&receivedMessage{link: e.link, sentAfter: sent, suspended: received, body: &vwmessage.Run{
 					JobID: "j", Needs: oneCore, Tasks: []vwmessage.RunTask{{Index: 0, Attempt: 1}}, EndWithinMilliseconds: 1000,
 				}})
 				time.Sleep(20 * time.Millisecond)
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -13,6 +13,7 @@
 	"vanillawind.example/vanillawind/internal/request/vwrun"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
 	"vanillawind.example/vanillawind/pkg/vwapi"
+	"vanillawind.example/vanillawind/pkg/vwboot"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
@@ -32,6 +33,8 @@
 	answers     map[vwid.SubmissionID]vwplace.Answer
 	answerOrder []answeredJob
 	stall       stallGuard
+	// machineClock tells for how long the machine was suspended.
+	machineClock *vwboot.Meter
 }
 
 // pendingCalls holds the calls that wait for the answer of one job.
@@ -56,9 +59,10 @@
 			DataCentre: e.settings.DataCentre, RemoteFactor: e.settings.RemoteFactor, MaxWaiting: e.settings.MaxWaitingJobs,
 			Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
 		}),
-		sessions: map[vwid.Incarnation]*vwlink.Session{},
-		calls:    map[vwid.SubmissionID]*pendingCalls{},
-		answers:  map[vwid.SubmissionID]vwplace.Answer{},
+		sessions:     map[vwid.Incarnation]*vwlink.Session{},
+		calls:        map[vwid.SubmissionID]*pendingCalls{},
+		answers:      map[vwid.SubmissionID]vwplace.Answer{},
+		machineClock: vwboot.MakeMeter(vwboot.Suspended),
 	}
 }
 
@@ -233,7 +237,7 @@
 	for _, answer := range b.queue.TakeAnswers() {
 		b.answer(now, answer)
 	}
-	if stalled := b.stall.observe(now); stalled > 0 {
+	if stalled := b.stall.observe(now, b.machineClock.Suspended(now)); stalled > 0 {
 		b.entry.log.Warn("event loop stalled; no best-effort tasks are sent until the pause ends", "stall", stalled.String(), "pause", stallPause.String())
 	}
 	if _, recent := b.entry.RulesForBestEffort(); !recent || b.stall.inPause(now) {
--- a/internal/process/vwentry/stall.go
+++ b/internal/process/vwentry/stall.go
@@ -14,13 +14,16 @@
 // stallGuard detects that the process was suspended, for example with its machine, and imposes a pause after it.
 type stallGuard struct {
 	lastIteration, pauseEnd time.Time
+	// suspended is for how long the machine had been suspended at the last iteration, which times do not count.
+	suspended time.Duration
 }
 
-// observe records an iteration of the event loop. It returns the length of a stall that has just ended, else zero.
-func (g *stallGuard) observe(now time.Time) time.Duration {
-	gap := now.Sub(g.lastIteration)
+// observe records an iteration of the event loop, before which the machine has been suspended for the given time in all. It
+// returns the length of a stall that has just ended, else zero.
+func (g *stallGuard) observe(now time.Time, suspended time.Duration) time.Duration {
+	gap := now.Sub(g.lastIteration) + suspended - g.suspended
 	first := g.lastIteration.IsZero()
-	g.lastIteration = now
+	g.lastIteration, g.suspended = now, suspended
 	if first || gap < stallLimit {
 		return 0
 	}
