Add a command that shows which jobs were lost, and why

Change: `vanillawind losses` counts the lines "job has ended" of entries by team, cause, entry and time. The line has the objective that the entry assumed, so late answers can be told from those in time.

--- a/cmd/vanillawind/root.go
+++ b/cmd/vanillawind/root.go
@@ -29,6 +29,7 @@
 	makePlatform,
 	makeTimeline,
 	makeFollow,
+	makeLosses,
 }
 
 const rootHelp = `vanillawind dispatches sub-second tasks where capacity is fixed and demand is bursty.
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -331,7 +331,7 @@
 	fields := []any{
 		"job", string(job.ID), "team", string(job.Team), "tasks", job.Count, "estimate", job.Estimate.String(),
 		"patience", (job.Deadline.Sub(now) + answer.TotalTime).Round(time.Millisecond).String(), "outcome", answer.Outcome.String(), "verdict", answer.Verdict.String(), "reason", answer.Reason,
-		"waited", answer.QueueTime.String(), "took", answer.TotalTime.String(), "version", uint64(b.entry.appliedVersion),
+		"waited", answer.QueueTime.String(), "took", answer.TotalTime.String(), "objective", answer.Objective.Round(time.Millisecond).String(), "version", uint64(b.entry.appliedVersion),
 	}
 	if answer.Outcome != vwplace.OutcomeCompleted {
 		unfinished := make([]string, 0, len(answer.Unfinished))
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -83,6 +83,8 @@
 	// an excluded data centre. Both are zero for a completed job.
 	Workers int
 	MaxFree vwresource.Amount
+	// Objective is the response time objective that the queue has assumed for the job.
+	Objective time.Duration
 }
 
 // Unfinished describes tasks that had not ended when their job did: those that waited, or those at one agent.
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -253,7 +253,7 @@
 // endJob removes a job from the queue, adds its answer, and stops its runs at the agents that are linked. A job that is
 // submitted again under its id has to wait for the end of these runs.
 func (q *Queue) endJob(now time.Time, j *job, outcome Outcome, reason string) {
-	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt), EndedByStop: j.endedByStop}
+	answer := Answer{JobID: j.ID, Outcome: outcome, Reason: reason, Verdict: verdictOf(outcome), TotalTime: now.Sub(j.arrivedAt), EndedByStop: j.endedByStop, Objective: j.objective()}
 	switch {
 	case outcome == OutcomeRefused:
 		answer.RetryAfter = retryAfter
