End the link on malformed tasks and demands

Cause: an agent took what an entry sends as it came. Needs below zero lowered the capacity in use, so that the agent would start more than its worker has room for; an index or an attempt below the first ones went to the worker as a name that it cannot know. A load report without a number as its slowdown made the ranking of workers undefined.

Change: the agent closes a link over which such a message comes, with a log line; the entry settles what it has sent over it. A slowdown that is no number counts as the lowest.

--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -288,8 +289,7 @@
 	case *vwmessage.PackedRun:
 		payload, err := vwmessage.UnpackPayload(body.Run.Payload)
 		if err != nil {
-			a.logger.Warn("closing the link: the payload of a message cannot be unpacked", "Job", string(body.Run.JobID), "Entry", string(m.link.entry), "Error", err.Error())
-			_ = m.link.session.Close()
+			m.closeLink(a, "a payload cannot be unpacked", "Job", string(body.Run.JobID), "Error", err.Error())
 			return
 		}
 		body.Run.Payload = payload
@@ -297,12 +297,27 @@
 	case *vwmessage.StopRuns:
 		a.runner.onStopRuns(now, m.link, body)
 	case *vwmessage.Want:
-		a.runner.onWant(now, m.link, body, 0)
+		m.applyWant(a, now, body, 0)
 	case *vwmessage.RankedWant:
-		a.runner.onWant(now, m.link, &body.Want, body.Level)
+		m.applyWant(a, now, &body.Want, body.Level)
 	}
 }
 
+// applyWant records the demand of a message.
+func (m *receivedMessage) applyWant(a *Agent, now time.Time, want *vwmessage.Want, level int) {
+	if want.Tasks < 0 || !want.Needs.Valid() {
+		m.closeLink(a, "a demand is malformed", "Needs", want.Needs.String(), "Tasks", want.Tasks)
+		return
+	}
+	a.runner.onWant(now, m.link, want, level)
+}
+
+// closeLink ends the link over which a malformed message has come. The entry settles what it has sent over it.
+func (m *receivedMessage) closeLink(a *Agent, cause string, fields ...any) {
+	a.logger.Warn("closing the link: "+cause, append(fields, "Entry", string(m.link.entry))...)
+	_ = m.link.session.Close()
+}
+
 // applyRun starts the tasks of a message unless it is stale.
 func (m *receivedMessage) applyRun(a *Agent, now time.Time, run *vwmessage.Run) {
 	if m.isStale(a, now) {
@@ -311,5 +326,14 @@
 		_ = m.link.session.Close()
 		return
 	}
+	if !isWellFormed(run) {
+		m.closeLink(a, "a message with tasks is malformed", "Job", string(run.JobID), "Needs", run.Needs.String(), "Tasks", len(run.Tasks))
+		return
+	}
 	a.runner.onRun(now, m.link, run)
 }
+
+// isWellFormed reports whether the tasks of a message can be started. Negative needs would add to the capacity of the worker.
+func isWellFormed(run *vwmessage.Run) bool {
+	return run.Needs.Valid() && !slices.ContainsFunc(run.Tasks, func(t vwmessage.RunTask) bool { return t.Index < 0 || t.Attempt < 1 })
+}
--- a/internal/process/vwplace/worker.go
+++ b/internal/process/vwplace/worker.go
@@ -95,7 +95,11 @@
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
-// slowdown returns the factor by which runs at the worker take longer than expected, at least minSlowdown.
+// slowdown returns the factor by which runs at the worker take longer than expected, at least minSlowdown, also if the
+// report has no number.
 func (w *worker) slowdown() float64 {
-	return max(w.load.Slowdown, minSlowdown)
+	if w.load.Slowdown >= minSlowdown {
+		return w.load.Slowdown
+	}
+	return minSlowdown
 }
