Let an agent of the platform link to six entries instead of eight

Cause: each link costs pings at both ends, a report of changed load to its entry, and one more entry that competes for the same worker with older knowledge.

Change: at most six links on the platform. With five zones an agent reaches two entries of its own zone and one of each other. The default of the product stays.

--- a/internal/process/vwplace/fleet_test.go
+++ b/internal/process/vwplace/fleet_test.go
@@ -33,7 +33,7 @@
 )
 
 // entriesPerAgent is the number of entries that an agent has links to.
-const entriesPerAgent = 8
+const entriesPerAgent = 6
 
 // chooseEntries picks the entries of an agent: those of its own data centre first, in turn with those of the others.
 func chooseEntries(a *simulatedAgent, entries []*simulatedEntry) []*simulatedEntry {
