Keep load reports that are not sent off the heap

Cause: with each pass an agent computed a report for each linked entry, and all of them were allocated, as some are sent. In a test of 3,000 runs with six links that was 28 % of all allocated bytes (5.4 of 19.5 MB). The copy that is sent is the only one on the heap now.

--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -539,8 +539,10 @@
 		load := r.load(now, o, entry)
 		urgent := o.loadDue || load.Accepting != o.lastLoad.Accepting || slices.Contains(toNotify, entry)
 		if urgent || now.Sub(o.lastLoadAt) >= loadInterval && r.isSignificantChange(&load, &o.lastLoad) {
+			// A copy is sent, so that a load that is not sent stays off the heap.
+			message := load
 			o.lastLoad, o.lastLoadAt, o.loadDue = load, now, false
-			o.link.send(&load)
+			o.link.send(&message)
 		}
 	}
 }
