Ask all workers while a job waits that needs certain ones

A job that may run only on workers with a label, or should run near its data, could wait several turns until the one worker that suits it is asked.

--- a/internal/process/vwplace/want.go
+++ b/internal/process/vwplace/want.go
@@ -1,6 +1,7 @@
 package vwplace
 
 import (
+	"slices"
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
@@ -45,7 +46,7 @@
 		q.withdrawDemands(now)
 		return q.wants
 	}
-	missing := max(minAskedWorkers, askedWorkersPerTask*q.WaitingTasks())
+	missing := q.workersToAsk()
 	for _, w := range q.workerOrder {
 		if w.holdsDemand(now, demandInterval) {
 			missing--
@@ -70,6 +71,15 @@
 	return q.wants
 }
 
+// workersToAsk returns how many workers should hold the demand. Where a waiting job needs certain workers, all are asked, as
+// those may be few.
+func (q *Queue) workersToAsk() int {
+	if slices.ContainsFunc(q.waiting, func(j *job) bool { return j.RequiredLabel != "" || j.PreferredLabel != "" }) {
+		return len(q.workerOrder)
+	}
+	return max(minAskedWorkers, askedWorkersPerTask*q.WaitingTasks())
+}
+
 // withdrawDemands takes the demand back from the workers that may still hold it.
 func (q *Queue) withdrawDemands(now time.Time) {
 	for _, w := range q.workerOrder {
--- a/internal/process/vwplace/want_test.go
+++ b/internal/process/vwplace/want_test.go
@@ -68,6 +68,19 @@
 	require.Len(t, asked, 8*askedWorkersPerTask)
 }
 
+// A task that may run on a single worker must not wait until the others have been asked in turn.
+func TestDemandForLabelledWorkersGoesToAll(t *testing.T) {
+	const workers = 35
+	f := makeFixture(t)
+	for i := range workers {
+		f.open(at(0), fmt.Sprintf("w%d", i), 4, withFree(0))
+	}
+	f.submit(at(0), "j1", 1)
+	f.submit(at(0), "j2", 1, func(j *Job) { j.RequiredLabel = "rack-w34" })
+	asked, _ := f.asked(at(0))
+	require.Contains(t, asked, vwid.Incarnation("w34"))
+}
+
 // An entry that has turned to other workers, or is cut off, must not keep capacity reserved.
 func TestDemandExpiresAtTheAgent(t *testing.T) {
 	r := Reservations{}
