Warn of no entry that has confirmed the last results of a stopping agent

Cause: finishIfDrained runs once more between the confirmation that ends the stop and the end of the loop, and began another confirmation, which the end of the loop cancelled.

Change: a stopped agent begins none. TestStopWarnsOfNoEntryThatHasConfirmed failed before.

--- a/internal/process/vwagent/stop.go
+++ b/internal/process/vwagent/stop.go
@@ -66,7 +66,7 @@
 		a.stopped = a.stopping
 		return
 	}
-	if (!a.stopping && !r.expired) || !r.isDrained(now) {
+	if a.stopped || (!a.stopping && !r.expired) || !r.isDrained(now) {
 		return
 	}
 	if a.stopping {
--- a/internal/process/vwagent/stop_test.go
+++ b/internal/process/vwagent/stop_test.go
@@ -1,13 +1,16 @@
 package vwagent_test
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/process/vwagent"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
@@ -64,6 +67,17 @@
 	}
 }
 
+// A stop asked the entries once more after they had confirmed, cancelled that at once, and warned of each entry.
+func TestStopWarnsOfNoEntryThatHasConfirmed(t *testing.T) {
+	var log bytes.Buffer
+	withOptions(t, func(options *vwagent.Options) { options.Logger = slog.New(slog.NewTextHandler(&log, nil)) }, func(t *testing.T, f *fixture, _, _ *fakeEntry) {
+		stopped, _ := f.stop(t)
+		require.NoError(t, stopped.Wait())
+		require.NoError(t, <-f.ended)
+	})
+	require.NotContains(t, log.String(), "has not confirmed")
+}
+
 // Guards against a task whose outcome is unknown to its entry because the agent had stopped before the start, which was under
 // way, had reached it.
 func TestStartUnderWayIsAnsweredByStoppingAgent(t *testing.T) {
