Tell an entry that its link drains before asking it to confirm

Cause: since the load report that says "no more tasks" went out at the end of the pass, beside the goroutine that asks the entry to confirm. Had the question come first, a task sent after the answer would be refused over a link that closes, and its entry would wait 1.4 s for it.

Change: the report goes out first. TestEntryLearnsOfADrainBeforeItConfirms guards the order; it passed before as well, since the pass ends before the goroutine runs in the test.

--- a/internal/process/vwagent/drainlink_test.go
+++ b/internal/process/vwagent/drainlink_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/request/vwrun"
 )
@@ -51,3 +52,26 @@
 		require.True(t, e.isRetired())
 	})
 }
+
+// The entry must know that the agent accepts nothing more before it is asked whether it has handled all messages. A task that
+// it sends after its answer would be refused over a link that closes.
+func TestEntryLearnsOfADrainBeforeItConfirms(t *testing.T) {
+	withRunner(t, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e9", "e9-1")
+		e.drain("e9")
+		var order []string
+		e.conn.mu.Lock()
+		defer e.conn.mu.Unlock()
+		for _, body := range e.conn.sent {
+			switch body := body.(type) {
+			case *vwmessage.Load:
+				if !body.Accepting {
+					order = append(order, "not accepting")
+				}
+			case *vwmessage.LeaseRequest:
+				order = append(order, "asked")
+			}
+		}
+		require.Equal(t, []string{"not accepting", "asked"}, order)
+	})
+}
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -338,12 +338,17 @@
 	return r.refusalReason(now)
 }
 
-// onDraining tells the entry of a link that is to end to send no more tasks. Its runs go on.
-func (r *runner) onDraining(l *link) {
+// onDraining tells the entry of a link that is to end to send no more tasks. Its runs go on. The message goes out before the
+// entry is asked whether it has handled all messages.
+func (r *runner) onDraining(now time.Time, l *link) {
 	r.reservations.RemoveEntry(l.entry)
-	if o := r.owners[l.entry]; o != nil && o.link == l {
-		o.loadDue = true
+	o := r.owners[l.entry]
+	if o == nil || o.link != l || !o.resumeSent {
+		return
 	}
+	load := r.load(now, o, l.entry)
+	o.lastLoad, o.lastLoadAt, o.loadDue = load, now, false
+	l.send(&load)
 }
 
 // hasRunsOf reports whether runs of an entry have not ended.
--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -79,7 +79,7 @@
 			l.draining = true
 			r.sendLeaving(l)
 			if r.agent.runner != nil {
-				r.agent.runner.onDraining(l)
+				r.agent.runner.onDraining(time.Now(), l)
 			}
 		}
 		if r.hasWorkOf(l) || !l.drained {
