--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -41,9 +41,9 @@
 type pendingCalls struct {
 	job     vwplace.Job
 	waiting map[chan vwplace.Answer]bool
-	// packed is the compressed payload of the job once a task was sent; nil if it would not be shorter.
-	packed   []byte
-	isPacked bool
+	// packed is the compressed payload of the job; nil before triedPacking is set, or if it would not be shorter.
+	packed       []byte
+	triedPacking bool
 }
 
 // answeredJob holds the time at which a job was answered.
@@ -266,8 +266,8 @@
 	if revision < vwmessage.RevisionPackedRun || calls == nil {
 		return run
 	}
-	if !calls.isPacked {
-		calls.isPacked = true
+	if !calls.triedPacking {
+		calls.triedPacking = true
 		if packed, shorter := vwmessage.PackPayload(run.Payload); shorter {
 			calls.packed = packed
 		}
