--- a/internal/process/vwlog/follow.go
+++ b/internal/process/vwlog/follow.go
@@ -1,13 +1,11 @@
 package vwlog
 
 import (
-	"bufio"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -15,13 +13,9 @@
 	"github.com/gravitational/trace"
 )
 
-const (
-	// maxLine bounds one line of a log. Lines of the product are below 4 KiB.
-	maxLine = 1 << 20
-	// DefaultMargin is how long before the first and after the last line about a request changes of the processes
-	// are shown. It covers the detection of a silent link and a lapsed lease.
-	DefaultMargin = 2 * time.Second
-)
+// DefaultMargin is how long before the first and after the last line about a request changes of the processes
+// are shown. It covers the detection of a silent link and a lapsed lease.
+const DefaultMargin = 2 * time.Second
 
 // requestKeys are the fields of lines that tell of one request.
 var requestKeys = []string{"job", "Job", "submission", "Submission", "SubmissionID"}
@@ -94,36 +88,15 @@
 }
 
 func (f *Follow) readFile(path string) ([]line, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
-	defer func() { _ = file.Close() }()
-	return f.read(path, file)
-}
-
-func (f *Follow) read(name string, in io.Reader) ([]line, error) {
 	var lines []line
-	unread := 0
-	scanner := bufio.NewScanner(in)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		// Collectors put the time and the machine before a line.
-		begin := strings.IndexByte(scanner.Text(), '{')
-		if begin < 0 {
-			continue
+	err := scanFile(path, f.Warnings, func(text []byte) error {
+		parsed, err := f.parse(text)
+		if err == nil {
+			lines = append(lines, parsed)
 		}
-		parsed, err := f.parse([]byte(scanner.Text()[begin:]))
-		if err != nil {
-			unread++
-			continue
-		}
-		lines = append(lines, parsed)
-	}
-	if unread > 0 {
-		fmt.Fprintf(f.Warnings, "%s: %d lines could not be read\n", name, unread)
-	}
-	return lines, trace.Wrap(scanner.Err())
+		return err
+	})
+	return lines, err
 }
 
 // parse reads one line of JSON.
--- a/internal/process/vwlog/losses.go
+++ b/internal/process/vwlog/losses.go
@@ -1,13 +1,12 @@
 package vwlog
 
 import (
-	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
-	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -128,31 +127,21 @@
 }
 
 func (l *Losses) readFile(path string) ([]endedJob, error) {
-	file, err := os.Open(path)
-	if err != nil {
-		return nil, trace.ConvertSystemError(err)
-	}
-	defer func() { _ = file.Close() }()
 	var jobs []endedJob
-	unread := 0
-	scanner := bufio.NewScanner(file)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		begin := strings.IndexByte(scanner.Text(), '{')
-		if begin < 0 || !strings.Contains(scanner.Text(), endedJobMessage) {
-			continue
+	err := scanFile(path, l.Warnings, func(text []byte) error {
+		if !bytes.Contains(text, []byte(endedJobMessage)) {
+			return nil
 		}
 		var job endedJob
-		if err := json.Unmarshal([]byte(scanner.Text()[begin:]), &job); err != nil {
-			unread++
-		} else if job.Message == endedJobMessage {
+		if err := json.Unmarshal(text, &job); err != nil {
+			return err
+		}
+		if job.Message == endedJobMessage {
 			jobs = append(jobs, job)
 		}
-	}
-	if unread > 0 {
-		fmt.Fprintf(l.Warnings, "%s: %d lines could not be read\n", path, unread)
-	}
-	return jobs, trace.Wrap(scanner.Err())
+		return nil
+	})
+	return jobs, err
 }
 
 func (l *Losses) write(jobs []endedJob) error {
