Say that connections close before the port of a service closes

Cause: a stop closed the port first and turned keep-alive off after that. An answer in between told the client that it may use the connection again, which the stop then closed.

--- a/internal/process/vwprocess/httpserver.go
+++ b/internal/process/vwprocess/httpserver.go
@@ -85,9 +85,10 @@
 	if s == nil {
 		return nil
 	}
+	// From the moment at which the port is closed, each answer says that its connection closes.
+	s.server.SetKeepAlivesEnabled(false)
 	_ = s.listener.Close()
 	_ = s.group.Wait()
-	s.server.SetKeepAlivesEnabled(false)
 	newUntil := time.Now().Add(newConnectionWait)
 	for s.connections.areInUse(time.Now().Before(newUntil)) {
 		if err := vwgroup.Sleep(ctx, connectionPollInterval); err != nil {
