--- a/internal/process/vwagent/target.go
+++ b/internal/process/vwagent/target.go
@@ -17,8 +17,8 @@
 	unlistedTimeout = 5 * time.Second
 	// stableLinkTime is how long a link must last to reset the backoff of the next dial.
 	stableLinkTime = 2 * time.Second
-	// refreshInterval is how often the entries are chosen again while no list has come. The choice ranks all known entries,
-	// which takes longer than the rest of a tick in a large fleet.
+	// refreshInterval is the longest time between two refreshes of the targets while no list comes. A refresh ranks all known
+	// entries, which takes longer than the rest of a tick in a large fleet.
 	refreshInterval = 500 * time.Millisecond
 )
 
