--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,6 +20,7 @@
 var scenarios = map[string]func(*stage) (bool, error){
 	"replace": playReplace,
 	"cancel":  playCancel,
+	"crash":   playCrash,
 }
 
 func main() {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -42,6 +42,11 @@
 	sequence int
 	// changed is closed when a run ends.
 	changed chan struct{}
+	// begun counts the runs that have begun, by task.
+	begun map[string]int
+	// crashes tells whether the worker crashes on an order to start; nil means never. down is set once it has.
+	crashes func(order *runOrder) bool
+	down    bool
 }
 
 type taskRun struct {
@@ -62,24 +67,35 @@
 
 // startWorker starts the worker of an agent's machine.
 func (s *stage) startWorker(m *machine, taskTime time.Duration) (*worker, error) {
-	w := &worker{stage: s, id: "i-" + m.name, machine: m, taskTime: taskTime, born: time.Now(), runs: map[string]*taskRun{}, numbers: map[string]int{}, changed: make(chan struct{})}
-	listener, err := net.Listen("tcp", m.address(s.workerPort()))
-	if err != nil {
+	w := &worker{stage: s, id: "i-" + m.name, machine: m, taskTime: taskTime, born: time.Now(), runs: map[string]*taskRun{}, numbers: map[string]int{}, begun: map[string]int{}, changed: make(chan struct{})}
+	if err := w.listen(); err != nil {
 		return nil, err
 	}
+	s.group.Run(w.tick)
+	s.group.Run(w.announce)
+	return w, nil
+}
+
+// listen opens the worker's port.
+func (w *worker) listen() error {
+	listener, err := net.Listen("tcp", w.machine.address(w.stage.workerPort()))
+	if err != nil {
+		return err
+	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/run-start", w.handle(w.start))
 	mux.HandleFunc("POST /v1/run-stop", w.handle(w.stop))
 	mux.HandleFunc("POST /v1/hold", w.handle(w.hold))
-	w.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
-	s.group.Run(func(context.Context) { _ = w.server.Serve(listener) })
-	s.group.Run(func(ctx context.Context) {
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	w.mu.Lock()
+	w.server = server
+	w.mu.Unlock()
+	w.stage.group.Run(func(context.Context) { _ = server.Serve(listener) })
+	w.stage.group.Run(func(ctx context.Context) {
 		<-ctx.Done()
-		_ = w.server.Close()
+		_ = server.Close()
 	})
-	s.group.Run(w.tick)
-	s.group.Run(w.announce)
-	return w, nil
+	return nil
 }
 
 // clock is the worker's steady clock.
@@ -95,11 +111,21 @@
 			response.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		w.mu.Lock()
+		crashes := request.URL.Path == "/v1/run-start" && w.crashes != nil && w.crashes(&order)
+		w.mu.Unlock()
+		if crashes {
+			w.crash(&order)
+			<-request.Context().Done()
+			return
+		}
 		status, body := http.StatusMisdirectedRequest, map[string]any{}
 		if expected := request.Header.Get("Expected-Instance"); expected == "" || expected == w.id {
 			status, body = act(&order)
 		}
+		w.mu.Lock()
 		body["clock-ms"], body["born"] = w.clock().Milliseconds(), w.born.UnixMilli()
+		w.mu.Unlock()
 		response.Header().Set("Content-Type", "application/json")
 		response.WriteHeader(status)
 		_ = json.NewEncoder(response).Encode(body)
@@ -135,6 +161,7 @@
 		return rejection("late")
 	}
 	w.numbers[order.Task] = order.Run
+	w.begun[order.Task]++
 	w.runs[order.Task] = &taskRun{number: order.Run, ends: w.clock() + w.taskTime}
 	w.stage.note("%s: starts %s, run %d, of %q", w.id, order.Task, order.Run, order.Spec)
 	return http.StatusOK, map[string]any{}
@@ -216,6 +243,13 @@
 func (w *worker) announce(ctx context.Context) {
 	for acknowledged := false; ; {
 		w.mu.Lock()
+		if w.down {
+			w.mu.Unlock()
+			if !sleep(ctx, 20*time.Millisecond) {
+				return
+			}
+			continue
+		}
 		w.sequence++
 		body, _ := json.Marshal(map[string]any{
 			"service": serviceName, "address": w.machine.address(w.stage.workerPort()), "zone": w.machine.zone, "version": "v1", "slots": 8, "state": "ready",
