--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -21,6 +21,7 @@
 	"replace": playReplace,
 	"cancel":  playCancel,
 	"crash":   playCrash,
+	"late":    playLateStart,
 }
 
 func main() {
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -47,6 +47,13 @@
 	// crashes tells whether the worker crashes on an order to start; nil means never. down is set once it has.
 	crashes func(order *runOrder) bool
 	down    bool
+	// delays tells whether an order to start gets no answer and is carried out later; nil means never.
+	delays func(order *runOrder) bool
+	// held is called with each order to hold; it may be nil.
+	held func(order *runOrder)
+	// boot counts the boots. dark is set while the machine has no power.
+	boot int
+	dark bool
 }
 
 type taskRun struct {
@@ -90,7 +97,7 @@
 	w.mu.Lock()
 	w.server = server
 	w.mu.Unlock()
-	w.stage.group.Run(func(context.Context) { _ = server.Serve(listener) })
+	w.stage.group.Run(func(context.Context) { _ = server.Serve(&workerListener{Listener: listener, worker: w}) })
 	w.stage.group.Run(func(ctx context.Context) {
 		<-ctx.Done()
 		_ = server.Close()
@@ -112,8 +119,18 @@
 			return
 		}
 		w.mu.Lock()
-		crashes := request.URL.Path == "/v1/run-start" && w.crashes != nil && w.crashes(&order)
+		starts := request.URL.Path == "/v1/run-start"
+		crashes := starts && w.crashes != nil && w.crashes(&order)
+		delays := starts && w.delays != nil && w.delays(&order)
+		if request.URL.Path == "/v1/hold" && w.held != nil {
+			w.held(&order)
+		}
 		w.mu.Unlock()
+		if delays {
+			// The answer never comes.
+			<-request.Context().Done()
+			return
+		}
 		if crashes {
 			w.crash(&order)
 			<-request.Context().Done()
