--- a/review/stand-2/latestart.go
+++ b/review/stand-2/latestart.go
@@ -105,7 +105,7 @@
 			case <-ctx.Done():
 				return
 			}
-			if !sleep(ctx, 50*time.Millisecond) || !w.losePower(ctx, darkTime) || !sleep(ctx, lateAfterBoot) {
+			if !sleep(ctx, 50*time.Millisecond) || !w.losePower(ctx, darkTime, "a") || !sleep(ctx, lateAfterBoot) {
 				return
 			}
 			status, body := w.start(&late)
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 	"cancel":  playCancel,
 	"crash":   playCrash,
 	"late":    playLateStart,
+	"kind":    playKind,
 }
 
 func main() {
--- a/review/stand-2/silence.go
+++ b/review/stand-2/silence.go
@@ -68,8 +68,8 @@
 }
 
 // losePower ends the boot of the worker: what runs there ends, and nothing answers any more. After pause it starts again under
-// its id and knows nothing of before; its first heartbeat comes half of heartbeat-ms after that.
-func (w *worker) losePower(ctx context.Context, pause time.Duration) bool {
+// its id, as the given kind, and knows nothing of before; its first heartbeat comes half of heartbeat-ms after that.
+func (w *worker) losePower(ctx context.Context, pause time.Duration, kind string) bool {
 	w.mu.Lock()
 	w.dark, w.down = true, true
 	clear(w.runs)
@@ -80,11 +80,11 @@
 	}
 	w.mu.Lock()
 	w.boot++
-	w.dark = false
+	w.dark, w.label = false, kind
 	w.born, w.token, w.deadline, w.lastEnd, w.sequence = time.Now(), 0, 0, 0, 0
 	w.numbers, w.finished = map[string]int{}, nil
 	w.mu.Unlock()
-	w.stage.note("%s: has started again under its id", w.id)
+	w.stage.note("%s: has started again under its id, as kind %s", w.id, kind)
 	w.stage.group.Run(func(ctx context.Context) {
 		if !sleep(ctx, heartbeatInterval/2) {
 			return
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -27,8 +27,10 @@
 	id       string
 	machine  *machine
 	taskTime time.Duration
-	born     time.Time
-	server   *http.Server
+	// label is the kind of the worker.
+	label  string
+	born   time.Time
+	server *http.Server
 
 	mu       sync.Mutex
 	token    uint64
@@ -44,6 +46,8 @@
 	changed chan struct{}
 	// begun counts the runs that have begun, by task.
 	begun map[string]int
+	// kinds counts them by the kind that the worker had.
+	kinds map[string]int
 	// crashes tells whether the worker crashes on an order to start; nil means never. down is set once it has.
 	crashes func(order *runOrder) bool
 	down    bool
@@ -74,7 +78,7 @@
 
 // startWorker starts the worker of an agent's machine.
 func (s *stage) startWorker(m *machine, taskTime time.Duration) (*worker, error) {
-	w := &worker{stage: s, id: "i-" + m.name, machine: m, taskTime: taskTime, born: time.Now(), runs: map[string]*taskRun{}, numbers: map[string]int{}, begun: map[string]int{}, changed: make(chan struct{})}
+	w := &worker{stage: s, id: "i-" + m.name, machine: m, taskTime: taskTime, label: "a", born: time.Now(), runs: map[string]*taskRun{}, numbers: map[string]int{}, begun: map[string]int{}, kinds: map[string]int{}, changed: make(chan struct{})}
 	if err := w.listen(); err != nil {
 		return nil, err
 	}
@@ -180,7 +184,8 @@
 	w.numbers[order.Task] = order.Run
 	w.begun[order.Task]++
 	w.runs[order.Task] = &taskRun{number: order.Run, ends: w.clock() + w.taskTime}
-	w.stage.note("%s: starts %s, run %d, of %q", w.id, order.Task, order.Run, order.Spec)
+	w.stage.note("%s, of kind %s: starts %s, run %d, of %q", w.id, w.label, order.Task, order.Run, order.Spec)
+	w.kinds[w.label]++
 	return http.StatusOK, map[string]any{}
 }
 
@@ -270,7 +275,7 @@
 		w.sequence++
 		body, _ := json.Marshal(map[string]any{
 			"service": serviceName, "address": w.machine.address(w.stage.workerPort()), "zone": w.machine.zone, "version": "v1", "slots": 8, "state": "ready",
-			"cold-remaining-ms": 0, "capacity": map[string]any{"cpu": workerCPU, "mem-mb": workerMemory, "gpu": 0}, "labels": []string{"a", "r1-1"},
+			"cold-remaining-ms": 0, "capacity": map[string]any{"cpu": workerCPU, "mem-mb": workerMemory, "gpu": 0}, "labels": []string{w.label, "r1-1"},
 			"clock-ms": w.clock().Milliseconds(), "sequence": w.sequence, "born": w.born.UnixMilli(),
 		})
 		w.mu.Unlock()
