--- a/review/stand-2/crash.go
+++ b/review/stand-2/crash.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	// crashAgents is the number of workers. One that crashes is less than 0.15 of them.
-	crashAgents = 7
+	// crashAgents is the number of workers. One that crashes is 0.125 of them.
+	crashAgents = 8
 	// crashes is how many workers crash, one after another.
 	crashes = 2
 	// downTime is how long a worker that has crashed is down.
--- a/review/stand-2/kind.go
+++ b/review/stand-2/kind.go
@@ -14,7 +14,7 @@
 
 const (
 	// kindAgents is the number of workers. One of them is of the kind that the jobs require, until it loses power.
-	kindAgents = 7
+	kindAgents = 8
 	// kindJobs is the number of jobs, which fit into one worker together, and kindWidth the number of tasks of each.
 	kindJobs, kindWidth = 9, 4
 	// kindTask is how long a worker takes for a task, and kindPatience how long the clients wait.
--- a/review/stand-2/latestart.go
+++ b/review/stand-2/latestart.go
@@ -15,7 +15,7 @@
 
 const (
 	// lateAgents is the number of workers, of which one loses power.
-	lateAgents = 7
+	lateAgents = 8
 	// lateTask is how long a worker takes for the task of the job.
 	lateTask = 8 * time.Second
 	// minLate is how long after its sending a late order is carried out at least.
