Fetch rules in parts beside the renewals of the lease

Cause: the reply to a renewal carried the whole text. An attempt at one member is given up after 250 ms, so that a silent member does not cost the lease, and was repeated at the next with the whole text, while the replies that were given up still took the link. No bound fits both the short message and the long one.

Change: the reply names the parts of the text by the hash of their content, and the entry fetches those that it lacks from any member that knows them, at most 32 KB compressed in an answer, beside its renewals. Parts that have arrived stay when a call fails and when a newer version replaces the target, so a changed route costs a part or two. The text is parsed outside of the event loop. Entries of earlier builds still get the text in the renewal.

--- a/internal/connection/vwlinktest/network.go
+++ b/internal/connection/vwlinktest/network.go
@@ -35,9 +35,13 @@
 	// isolated holds addresses and not pairs, because a process may restart while another is isolated.
 	isolated map[string]bool
 	standard Fault
-	timing   vwlink.Timing
-	silenced map[*pipe]bool
-	pipes    map[*pipe]bool
+	// rates are the bytes a second that an address receives over all its links, and busyUntil is when it will have received
+	// what was sent to it so far.
+	rates     map[string]int
+	busyUntil map[string]time.Time
+	timing    vwlink.Timing
+	silenced  map[*pipe]bool
+	pipes     map[*pipe]bool
 }
 
 // MakeNetwork returns a network on which each message takes delay.
@@ -48,6 +52,8 @@
 		faults:    map[direction]Fault{},
 		isolated:  map[string]bool{},
 		standard:  Fault{Delay: delay},
+		rates:     map[string]int{},
+		busyUntil: map[string]time.Time{},
 		timing:    vwlink.DefaultTiming,
 		silenced:  map[*pipe]bool{},
 		pipes:     map[*pipe]bool{},
@@ -78,6 +84,33 @@
 	n.faults[direction{from, to}] = fault
 }
 
+// SetRate bounds the bytes a second that an address receives over all its links together, in the order in which they were
+// sent.
+func (n *Network) SetRate(address string, rate int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rates[address] = rate
+}
+
+// arrival returns when a message arrives that is sent now.
+func (n *Network) arrival(p *pipe, envelope *vwmessage.Envelope) time.Time {
+	delay := n.fault(p).Delay
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := time.Now()
+	rate := n.rates[p.to]
+	if rate == 0 {
+		return now.Add(delay)
+	}
+	received := now
+	if busy := n.busyUntil[p.to]; busy.After(now) {
+		received = busy
+	}
+	received = received.Add(time.Duration(envelope.Msgsize()) * time.Second / time.Duration(rate))
+	n.busyUntil[p.to] = received
+	return received.Add(delay)
+}
+
 // Isolate makes an address silent in both directions, or reachable again.
 func (n *Network) Isolate(address string, silent bool) {
 	n.mu.Lock()
@@ -318,7 +351,7 @@
 	default:
 	}
 	select {
-	case c.out.queue <- delivery{at: time.Now().Add(c.out.network.fault(c.out).Delay), envelope: envelope}:
+	case c.out.queue <- delivery{at: c.out.network.arrival(c.out, &envelope), envelope: envelope}:
 		return nil
 	default:
 		return trace.LimitExceeded("%d messages are queued", pipeCapacity)
--- a/internal/connection/vwmessage/lease.go
+++ b/internal/connection/vwmessage/lease.go
@@ -6,7 +6,8 @@
 	"vanillawind.example/vanillawind/internal/version/vwlease"
 )
 
-// Grant returns the part of the reply that renews the configuration lease.
+// Grant returns the part of the reply that renews the configuration lease. Its text is empty if the reply has the parts of
+// the text instead.
 func (r *LeaseReply) Grant() vwlease.Grant {
 	return vwlease.Grant{
 		Version:   r.Version,
--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -18,6 +18,7 @@
 //msgp:replace vwid.TaskID with:string
 //msgp:replace vwid.Epoch with:uint64
 //msgp:replace vwid.ConfigVersion with:uint64
+//msgp:replace vwid.RulesPart with:string
 //msgp:replace vwverdict.Verdict with:uint8
 
 // The kinds of messages. A number is never given to another message.
@@ -137,6 +138,8 @@
 	Relayed []vwid.Incarnation
 	// EntriesDigest names the EntryList that the sender holds; zero means none.
 	EntriesDigest uint64 `msg:",omitempty"`
+	// FetchesRules means that the sender reads newer rules by their parts, so that the reply must not carry their text.
+	FetchesRules bool `msg:",omitempty"`
 }
 
 // LeaseReply grants a configuration lease.
@@ -144,8 +147,10 @@
 	Version vwid.ConfigVersion
 	// RemainingMilliseconds counts from the moment at which the holder sent its request.
 	RemainingMilliseconds int64
-	// Rules is the text of the configuration, present when the holder's version is older.
+	// Rules is the text of the configuration, present when the holder's version is older and it does not fetch rules.
 	Rules []byte
+	// RulesParts are, in place of Rules, the parts of the text in their order.
+	RulesParts []vwid.RulesPart `msg:",omitempty"`
 	// Entries are the live entries. They are left out when the request named their EntriesDigest.
 	Entries       []EntryAddress
 	EntriesDigest uint64 `msg:",omitempty"`
--- a/internal/connection/vwmessage/message_gen.go
+++ b/internal/connection/vwmessage/message_gen.go
@@ -1216,16 +1216,20 @@
 func (z *LeaseReply) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(8)
+	var zb0001Mask uint8 /* 8 bits */
 	_ = zb0001Mask
+	if z.RulesParts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
 	if z.EntriesDigest == 0 {
 		zb0001Len--
-		zb0001Mask |= 0x10
+		zb0001Mask |= 0x20
 	}
 	if z.Members == nil {
 		zb0001Len--
-		zb0001Mask |= 0x20
+		zb0001Mask |= 0x40
 	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
@@ -1241,34 +1245,42 @@
 		// string "Rules"
 		o = append(o, 0xa5, 0x52, 0x75, 0x6c, 0x65, 0x73)
 		o = msgp.AppendBytes(o, z.Rules)
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "RulesParts"
+			o = append(o, 0xaa, 0x52, 0x75, 0x6c, 0x65, 0x73, 0x50, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.RulesParts)))
+			for za0001 := range z.RulesParts {
+				o = msgp.AppendString(o, string(z.RulesParts[za0001]))
+			}
+		}
 		// string "Entries"
 		o = append(o, 0xa7, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Entries)))
-		for za0001 := range z.Entries {
-			o, err = z.Entries[za0001].MarshalMsg(o)
+		for za0002 := range z.Entries {
+			o, err = z.Entries[za0002].MarshalMsg(o)
 			if err != nil {
-				err = msgp.WrapError(err, "Entries", za0001)
+				err = msgp.WrapError(err, "Entries", za0002)
 				return
 			}
 		}
-		if (zb0001Mask & 0x10) == 0 { // if not omitted
+		if (zb0001Mask & 0x20) == 0 { // if not omitted
 			// string "EntriesDigest"
 			o = append(o, 0xad, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
 			o = msgp.AppendUint64(o, z.EntriesDigest)
 		}
-		if (zb0001Mask & 0x20) == 0 { // if not omitted
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
 			// string "Members"
 			o = append(o, 0xa7, 0x4d, 0x65, 0x6d, 0x62, 0x65, 0x72, 0x73)
 			o = msgp.AppendArrayHeader(o, uint32(len(z.Members)))
-			for za0002 := range z.Members {
-				o = msgp.AppendString(o, z.Members[za0002])
+			for za0003 := range z.Members {
+				o = msgp.AppendString(o, z.Members[za0003])
 			}
 		}
 		// string "Expired"
 		o = append(o, 0xa7, 0x45, 0x78, 0x70, 0x69, 0x72, 0x65, 0x64)
 		o = msgp.AppendArrayHeader(o, uint32(len(z.Expired)))
-		for za0003 := range z.Expired {
-			o = msgp.AppendString(o, string(z.Expired[za0003]))
+		for za0004 := range z.Expired {
+			o = msgp.AppendString(o, string(z.Expired[za0004]))
 		}
 	}
 	return
@@ -1314,22 +1326,45 @@
 				err = msgp.WrapError(err, "Rules")
 				return
 			}
-		case "Entries":
+		case "RulesParts":
 			var zb0003 uint32
 			zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "RulesParts")
+				return
+			}
+			if cap(z.RulesParts) >= int(zb0003) {
+				z.RulesParts = (z.RulesParts)[:zb0003]
+			} else {
+				z.RulesParts = make([]vwid.RulesPart, zb0003)
+			}
+			for za0001 := range z.RulesParts {
+				{
+					var zb0004 string
+					zb0004, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "RulesParts", za0001)
+						return
+					}
+					z.RulesParts[za0001] = vwid.RulesPart(zb0004)
+				}
+			}
+		case "Entries":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Entries")
 				return
 			}
-			if cap(z.Entries) >= int(zb0003) {
-				z.Entries = (z.Entries)[:zb0003]
+			if cap(z.Entries) >= int(zb0005) {
+				z.Entries = (z.Entries)[:zb0005]
 			} else {
-				z.Entries = make([]EntryAddress, zb0003)
+				z.Entries = make([]EntryAddress, zb0005)
 			}
-			for za0001 := range z.Entries {
-				bts, err = z.Entries[za0001].UnmarshalMsg(bts)
+			for za0002 := range z.Entries {
+				bts, err = z.Entries[za0002].UnmarshalMsg(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Entries", za0001)
+					err = msgp.WrapError(err, "Entries", za0002)
 					return
 				}
 			}
@@ -1340,45 +1375,45 @@
 				return
 			}
 		case "Members":
-			var zb0004 uint32
-			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0006 uint32
+			zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Members")
 				return
 			}
-			if cap(z.Members) >= int(zb0004) {
-				z.Members = (z.Members)[:zb0004]
+			if cap(z.Members) >= int(zb0006) {
+				z.Members = (z.Members)[:zb0006]
 			} else {
-				z.Members = make([]string, zb0004)
+				z.Members = make([]string, zb0006)
 			}
-			for za0002 := range z.Members {
-				z.Members[za0002], bts, err = msgp.ReadStringBytes(bts)
+			for za0003 := range z.Members {
+				z.Members[za0003], bts, err = msgp.ReadStringBytes(bts)
 				if err != nil {
-					err = msgp.WrapError(err, "Members", za0002)
+					err = msgp.WrapError(err, "Members", za0003)
 					return
 				}
 			}
 		case "Expired":
-			var zb0005 uint32
-			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			var zb0007 uint32
+			zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 			if err != nil {
 				err = msgp.WrapError(err, "Expired")
 				return
 			}
-			if cap(z.Expired) >= int(zb0005) {
-				z.Expired = (z.Expired)[:zb0005]
+			if cap(z.Expired) >= int(zb0007) {
+				z.Expired = (z.Expired)[:zb0007]
 			} else {
-				z.Expired = make([]vwid.Incarnation, zb0005)
+				z.Expired = make([]vwid.Incarnation, zb0007)
 			}
-			for za0003 := range z.Expired {
+			for za0004 := range z.Expired {
 				{
-					var zb0006 string
-					zb0006, bts, err = msgp.ReadStringBytes(bts)
+					var zb0008 string
+					zb0008, bts, err = msgp.ReadStringBytes(bts)
 					if err != nil {
-						err = msgp.WrapError(err, "Expired", za0003)
+						err = msgp.WrapError(err, "Expired", za0004)
 						return
 					}
-					z.Expired[za0003] = vwid.Incarnation(zb0006)
+					z.Expired[za0004] = vwid.Incarnation(zb0008)
 				}
 			}
 		default:
@@ -1395,17 +1430,21 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *LeaseReply) Msgsize() (s int) {
-	s = 1 + 8 + msgp.Uint64Size + 22 + msgp.Int64Size + 6 + msgp.BytesPrefixSize + len(z.Rules) + 8 + msgp.ArrayHeaderSize
-	for za0001 := range z.Entries {
-		s += z.Entries[za0001].Msgsize()
+	s = 1 + 8 + msgp.Uint64Size + 22 + msgp.Int64Size + 6 + msgp.BytesPrefixSize + len(z.Rules) + 11 + msgp.ArrayHeaderSize
+	for za0001 := range z.RulesParts {
+		s += msgp.StringPrefixSize + len(string(z.RulesParts[za0001]))
+	}
+	s += 8 + msgp.ArrayHeaderSize
+	for za0002 := range z.Entries {
+		s += z.Entries[za0002].Msgsize()
 	}
 	s += 14 + msgp.Uint64Size + 8 + msgp.ArrayHeaderSize
-	for za0002 := range z.Members {
-		s += msgp.StringPrefixSize + len(z.Members[za0002])
+	for za0003 := range z.Members {
+		s += msgp.StringPrefixSize + len(z.Members[za0003])
 	}
 	s += 8 + msgp.ArrayHeaderSize
-	for za0003 := range z.Expired {
-		s += msgp.StringPrefixSize + len(string(z.Expired[za0003]))
+	for za0004 := range z.Expired {
+		s += msgp.StringPrefixSize + len(string(z.Expired[za0004]))
 	}
 	return
 }
@@ -1414,13 +1453,17 @@
 func (z *LeaseRequest) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.EntriesDigest == 0 {
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.FetchesRules == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1443,6 +1486,11 @@
 			o = append(o, 0xad, 0x45, 0x6e, 0x74, 0x72, 0x69, 0x65, 0x73, 0x44, 0x69, 0x67, 0x65, 0x73, 0x74)
 			o = msgp.AppendUint64(o, z.EntriesDigest)
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "FetchesRules"
+			o = append(o, 0xac, 0x46, 0x65, 0x74, 0x63, 0x68, 0x65, 0x73, 0x52, 0x75, 0x6c, 0x65, 0x73)
+			o = msgp.AppendBool(o, z.FetchesRules)
+		}
 	}
 	return
 }
@@ -1514,6 +1562,12 @@
 				err = msgp.WrapError(err, "EntriesDigest")
 				return
 			}
+		case "FetchesRules":
+			z.FetchesRules, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "FetchesRules")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1532,7 +1586,7 @@
 	for za0001 := range z.Relayed {
 		s += msgp.StringPrefixSize + len(string(z.Relayed[za0001]))
 	}
-	s += 14 + msgp.Uint64Size
+	s += 14 + msgp.Uint64Size + 13 + msgp.BoolSize
 	return
 }
 
--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -8,6 +8,7 @@
 	"vanillawind.example/vanillawind/internal/process/vwevent"
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 	"vanillawind.example/vanillawind/internal/process/vwstore"
+	"vanillawind.example/vanillawind/internal/version/vwpart"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
@@ -33,7 +34,9 @@
 	leader        vwraft.Voter
 	configVersion vwid.ConfigVersion
 	// agentRules is the configuration of the last answer to a query for rules, without its routes.
-	agentRules            vwstate.Config
+	agentRules vwstate.Config
+	// rulesParts has the parts of the current configuration once a process has asked for them.
+	rulesParts            vwpart.Library
 	configWatchers        []func(vwid.ConfigVersion)
 	proposals             proposals
 	reads                 reads
--- a/internal/process/vwcontrol/lease.go
+++ b/internal/process/vwcontrol/lease.go
@@ -115,7 +115,11 @@
 func (c *core) grantLease(request *vwmessage.LeaseRequest, received time.Time) *vwmessage.LeaseReply {
 	config := c.state.Config()
 	reply := &vwmessage.LeaseReply{Version: config.Version, RemainingMilliseconds: c.settings.Lease.Milliseconds()}
-	if request.Held < config.Version {
+	switch {
+	case request.Held >= config.Version:
+	case request.FetchesRules:
+		reply.RulesParts = c.rulesParts.Update(config)
+	default:
 		reply.Rules = config.Text
 	}
 	for _, incarnation := range append([]vwid.Incarnation{request.Incarnation}, request.Relayed...) {
--- a/internal/process/vwcontrol/serve.go
+++ b/internal/process/vwcontrol/serve.go
@@ -84,8 +84,8 @@
 	c.proposals.add(index, proposal{term: term, deadline: c.now.Add(c.settings.RequestTimeout), answer: answer})
 }
 
-// serveRead answers a local query from this member's applied state, and any other query on the leader after a
-// linearizable read.
+// serveRead answers a local query and a query for parts of the rules from this member's applied state, and any other query
+// on the leader after a linearizable read.
 func (c *core) serveRead(message *vwmessage.Read, answer Answer, mayForward bool) {
 	var query vwstate.Query
 	if _, err := query.UnmarshalMsg(message.Query); err != nil {
@@ -93,6 +93,8 @@
 		return
 	}
 	switch {
+	case len(query.Parts) > 0:
+		c.serveParts(query, message, answer, mayForward)
 	case query.Local && c.appliedIndex == 0:
 		answer(nil, vwverdict.Errorf(vwverdict.NotRun, "the member has not joined a log yet"))
 	case query.Local:
@@ -110,6 +112,19 @@
 	}
 }
 
+// serveParts answers a query for parts of the rules. A member that knows none of them may lag behind, and forwards the query
+// to the leader. If the leader knows none, newer rules have replaced them.
+func (c *core) serveParts(query vwstate.Query, message *vwmessage.Read, answer Answer, mayForward bool) {
+	c.rulesParts.Update(c.state.Config())
+	if !c.node.IsLeader() && !c.rulesParts.Knows(query.Parts) {
+		c.forward(message, answer, mayForward)
+		return
+	}
+	view := vwstate.View{NowMillis: c.state.NowMillis(), Parts: c.rulesParts.Read(query.Parts, query.PartBytes)}
+	data, err := view.MarshalMsg(nil)
+	answer(&vwmessage.View{View: data}, vwverdict.Wrap(vwverdict.NotRun, err))
+}
+
 func (c *core) answerQuery(query vwstate.Query, answer Answer) {
 	view := c.state.Read(query)
 	view.Members = c.memberAddresses()
--- a/internal/process/vwcontroltest/control.go
+++ b/internal/process/vwcontroltest/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwpart"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
@@ -26,6 +27,8 @@
 	renewed map[vwid.Incarnation]time.Time
 	delay   time.Duration
 	planted Fault
+	// rulesParts has the parts of the current rules once an entry has renewed its lease.
+	rulesParts vwpart.Library
 }
 
 // Fault is a wrong behaviour that a test plants to show that its checks find it.
@@ -159,7 +162,11 @@
 	if c.planted.StaleLease && request.Held > 0 {
 		reply.Version = request.Held
 	}
-	if request.Held < reply.Version {
+	switch {
+	case request.Held >= reply.Version:
+	case request.FetchesRules:
+		reply.RulesParts = c.rulesParts.Update(c.state.Config())
+	default:
 		reply.Rules = c.state.Config().Text
 	}
 	var entries []vwmessage.EntryAddress
@@ -183,5 +190,9 @@
 	c.control.mu.Lock()
 	defer c.control.mu.Unlock()
 	c.control.expire()
-	return c.control.state.Read(query), nil
+	view := c.control.state.Read(query)
+	if len(query.Parts) > 0 {
+		view.Parts = c.control.rulesParts.Read(query.Parts, query.PartBytes)
+	}
+	return view, nil
 }
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -34,6 +34,11 @@
 	// so many workers have crashed that their job has failed.
 	Suspected atomic.Int64
 	GivenUp   atomic.Int64
+	// RulesFetches are the answers with parts of the rules, RulesBytes their compressed bytes, and RulesFetchesFailed the
+	// calls for parts that had no answer in time.
+	RulesFetches       atomic.Int64
+	RulesBytes         atomic.Int64
+	RulesFetchesFailed atomic.Int64
 	// Takeovers are jobs taken over from another entry.
 	Takeovers atomic.Int64
 	// Retries are repeated attempts of idempotent requests.
--- a/internal/process/vwentry/entry.go
+++ b/internal/process/vwentry/entry.go
@@ -90,7 +90,8 @@
 	observer    Observer
 	lost        chan struct{}
 	// renewNow triggers a lease renewal before the next interval.
-	renewNow chan struct{}
+	renewNow   chan struct{}
+	rulesFetch *rulesFetch
 	// closing ends when the calls that still wait must be answered.
 	closing context.Context
 	close   context.CancelFunc
@@ -147,6 +148,7 @@
 		retryBudgets:         map[vwid.Team]*retryBudget{},
 	}
 	e.bestEffort = makeBestEffort(e)
+	e.rulesFetch = makeRulesFetch(e)
 	e.group = vwgroup.Make(context.Background())
 	e.closing, e.close = context.WithCancel(context.Background())
 	e.peers = vwlink.MakePool(e.group.Context(), dialer, e)
@@ -168,12 +170,8 @@
 // Announce notifies the entry of a configuration version. A version newer than its own triggers a lease
 // renewal, which fetches it.
 func (e *Entry) Announce(version vwid.ConfigVersion) {
-	if !e.holder.Announce(version) {
-		return
-	}
-	select {
-	case e.renewNow <- struct{}{}:
-	default:
+	if e.holder.Announce(version) {
+		e.renewSoon()
 	}
 }
 
@@ -182,6 +180,7 @@
 func (e *Entry) Start() {
 	e.group.Run(e.loop)
 	e.group.Run(e.keepLease)
+	e.group.Run(e.rulesFetch.run)
 	e.group.Run(e.refreshRegistrations)
 }
 
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -70,6 +70,11 @@
 // nothing of it, and renews it at once.
 func (e *Entry) expireLease(now time.Time) {
 	e.holder.Expire(now)
+	e.renewSoon()
+}
+
+// renewSoon triggers a renewal before the next interval.
+func (e *Entry) renewSoon() {
 	select {
 	case e.renewNow <- struct{}{}:
 	default:
@@ -103,7 +108,7 @@
 }
 
 func (e *Entry) makeLeaseRequest() *vwmessage.LeaseRequest {
-	return &vwmessage.LeaseRequest{Incarnation: e.incarnation, Relayed: e.takeSeenAgents(), EntriesDigest: e.entries.Digest}
+	return &vwmessage.LeaseRequest{Incarnation: e.incarnation, Relayed: e.takeSeenAgents(), EntriesDigest: e.entries.Digest, FetchesRules: true}
 }
 
 // takeSeenAgents returns the agents that sent a registration or a lease request since the last call.
@@ -124,7 +129,9 @@
 		e.handleRegistrationLoss()
 		return
 	}
-	if _, err := e.holder.Renew(request, reply.Grant()); err != nil {
+	if len(reply.RulesParts) > 0 {
+		e.rulesFetch.setTarget(rulesTarget{request: request, grant: reply.Grant(), parts: reply.RulesParts})
+	} else if _, err := e.holder.Renew(request, reply.Grant()); err != nil {
 		e.log.Error("lease reply refused", "error", err)
 		return
 	}
@@ -134,6 +141,10 @@
 	for _, incarnation := range reply.Expired {
 		e.expiredRegistrations[incarnation] = true
 	}
+	e.applyChangedRules()
+}
+
+func (e *Entry) applyChangedRules() {
 	if e.holder.Version() != e.appliedVersion || len(e.entries.Entries) != e.appliedEntryCount {
 		e.applyRules()
 	}
--- a/internal/version/vwlease/holder.go
+++ b/internal/version/vwlease/holder.go
@@ -107,6 +107,14 @@
 // does not extend the lease, because the older rules could start tasks in a data centre that the newer ones
 // take out of service.
 func (h *Holder) Renew(request Request, grant Grant) (bool, error) {
+	var newer *Lease
+	if grant.Remaining > 0 && grant.Version > max(h.Version(), request.Held) {
+		var err error
+		// A text of thousands of routes takes long, and the other methods must not wait for it.
+		if newer, err = parseGrant(grant); err != nil {
+			return false, err
+		}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	held := h.Current()
@@ -122,19 +130,19 @@
 		h.current.Store(held.extend(expiresAt))
 		return false, nil
 	}
-	if grant.Version <= request.Held {
+	if newer == nil {
 		return false, trace.BadParameter("the request named version %d, but version %d is held", request.Held, held.version)
 	}
-	return h.replaceRules(held, grant, expiresAt)
+	newer.expiresAt = held.expiresAt
+	h.current.Store(newer.extend(expiresAt))
+	return true, nil
 }
 
-// replaceRules replaces the rules by those of a newer version and extends the lease.
-func (h *Holder) replaceRules(held *Lease, grant Grant, expiresAt time.Time) (bool, error) {
+// parseGrant returns a lease with the rules of a grant, which has expired.
+func parseGrant(grant Grant) (*Lease, error) {
 	rules, err := vwrule.Parse(leaderRulesFile, grant.Text)
 	if err != nil {
-		return false, trace.Wrap(err, "version %d", grant.Version)
+		return nil, trace.Wrap(err, "version %d", grant.Version)
 	}
-	replacement := Lease{version: grant.Version, rules: rules, relayText: vwrule.RemoveRoutes(grant.Text), expiresAt: held.expiresAt}
-	h.current.Store(replacement.extend(expiresAt))
-	return true, nil
+	return &Lease{version: grant.Version, rules: rules, relayText: vwrule.RemoveRoutes(grant.Text)}, nil
 }
--- a/internal/version/vwstate/command.go
+++ b/internal/version/vwstate/command.go
@@ -16,6 +16,7 @@
 //msgp:replace vwid.Acceptance with:string
 //msgp:replace vwid.Epoch with:uint64
 //msgp:replace vwid.ConfigVersion with:uint64
+//msgp:replace vwid.RulesPart with:string
 //msgp:replace Role with:string
 //msgp:replace Phase with:uint8
 //msgp:replace Refusal with:string
@@ -212,6 +213,10 @@
 	// of routes, and without any text unless its version is above Held.
 	Rules bool               `msg:",omitempty"`
 	Held  vwid.ConfigVersion `msg:",omitempty"`
+	// Parts selects parts of the text of the rules. The view has as many of them as take at most PartBytes, but at least one
+	// if any is known. A member answers it without asking others, since the id of a part determines its content.
+	Parts     []vwid.RulesPart `msg:",omitempty"`
+	PartBytes int              `msg:",omitempty"`
 }
 
 // View is the answer to a Query. Parts that were not selected or do not exist are nil.
@@ -223,6 +228,14 @@
 	Change        *ChangeOutcome `msg:",omitempty"`
 	// Members are the addresses of the control members.
 	Members []string `msg:",omitempty"`
+	// Parts are the parts of the rules that the query selects. Parts of rules that are not the newest are not known.
+	Parts []RulesPart `msg:",omitempty"`
+}
+
+// RulesPart is a compressed part of the text of the rules.
+type RulesPart struct {
+	ID     vwid.RulesPart
+	Packed []byte
 }
 
 // Snapshot is the encoded form of State. Its slices are sorted, but for Changes, which are in log order.
--- a/internal/version/vwstate/command_gen.go
+++ b/internal/version/vwstate/command_gen.go
@@ -1326,8 +1326,8 @@
 func (z *Query) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(7)
-	var zb0001Mask uint8 /* 7 bits */
+	zb0001Len := uint32(9)
+	var zb0001Mask uint16 /* 9 bits */
 	_ = zb0001Mask
 	if z.SubmissionID == "" {
 		zb0001Len--
@@ -1357,6 +1357,14 @@
 		zb0001Len--
 		zb0001Mask |= 0x40
 	}
+	if z.Parts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x80
+	}
+	if z.PartBytes == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x100
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -1397,6 +1405,19 @@
 			o = append(o, 0xa4, 0x48, 0x65, 0x6c, 0x64)
 			o = msgp.AppendUint64(o, uint64(z.Held))
 		}
+		if (zb0001Mask & 0x80) == 0 { // if not omitted
+			// string "Parts"
+			o = append(o, 0xa5, 0x50, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+			for za0001 := range z.Parts {
+				o = msgp.AppendString(o, string(z.Parts[za0001]))
+			}
+		}
+		if (zb0001Mask & 0x100) == 0 { // if not omitted
+			// string "PartBytes"
+			o = append(o, 0xa9, 0x50, 0x61, 0x72, 0x74, 0x42, 0x79, 0x74, 0x65, 0x73)
+			o = msgp.AppendInt(o, z.PartBytes)
+		}
 	}
 	return
 }
@@ -1473,6 +1494,35 @@
 				}
 				z.Held = vwid.ConfigVersion(zb0004)
 			}
+		case "Parts":
+			var zb0005 uint32
+			zb0005, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0005) {
+				z.Parts = (z.Parts)[:zb0005]
+			} else {
+				z.Parts = make([]vwid.RulesPart, zb0005)
+			}
+			for za0001 := range z.Parts {
+				{
+					var zb0006 string
+					zb0006, bts, err = msgp.ReadStringBytes(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0001)
+						return
+					}
+					z.Parts[za0001] = vwid.RulesPart(zb0006)
+				}
+			}
+		case "PartBytes":
+			z.PartBytes, bts, err = msgp.ReadIntBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "PartBytes")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -1487,7 +1537,11 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Query) Msgsize() (s int) {
-	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 7 + msgp.BoolSize + 14 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(string(z.Change)) + 6 + msgp.BoolSize + 6 + msgp.BoolSize + 5 + msgp.Uint64Size
+	s = 1 + 13 + msgp.StringPrefixSize + len(string(z.SubmissionID)) + 7 + msgp.BoolSize + 14 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(string(z.Change)) + 6 + msgp.BoolSize + 6 + msgp.BoolSize + 5 + msgp.Uint64Size + 6 + msgp.ArrayHeaderSize
+	for za0001 := range z.Parts {
+		s += msgp.StringPrefixSize + len(string(z.Parts[za0001]))
+	}
+	s += 10 + msgp.IntSize
 	return
 }
 
@@ -1842,6 +1896,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *RulesPart) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// map header, size 2
+	// string "ID"
+	o = append(o, 0x82, 0xa2, 0x49, 0x44)
+	o = msgp.AppendString(o, string(z.ID))
+	// string "Packed"
+	o = append(o, 0xa6, 0x50, 0x61, 0x63, 0x6b, 0x65, 0x64)
+	o = msgp.AppendBytes(o, z.Packed)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *RulesPart) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var field []byte
+	_ = field
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadMapHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	for zb0001 > 0 {
+		zb0001--
+		field, bts, err = msgp.ReadMapKeyZC(bts)
+		if err != nil {
+			err = msgp.WrapError(err)
+			return
+		}
+		switch msgp.UnsafeString(field) {
+		case "ID":
+			{
+				var zb0002 string
+				zb0002, bts, err = msgp.ReadStringBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "ID")
+					return
+				}
+				z.ID = vwid.RulesPart(zb0002)
+			}
+		case "Packed":
+			z.Packed, bts, err = msgp.ReadBytesBytes(bts, z.Packed)
+			if err != nil {
+				err = msgp.WrapError(err, "Packed")
+				return
+			}
+		default:
+			bts, err = msgp.Skip(bts)
+			if err != nil {
+				err = msgp.WrapError(err)
+				return
+			}
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *RulesPart) Msgsize() (s int) {
+	s = 1 + 3 + msgp.StringPrefixSize + len(string(z.ID)) + 7 + msgp.BytesPrefixSize + len(z.Packed)
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -2248,8 +2367,8 @@
 func (z *View) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(6)
-	var zb0001Mask uint8 /* 6 bits */
+	zb0001Len := uint32(7)
+	var zb0001Mask uint8 /* 7 bits */
 	_ = zb0001Mask
 	if z.Submission == nil {
 		zb0001Len--
@@ -2271,6 +2390,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x20
 	}
+	if z.Parts == nil {
+		zb0001Len--
+		zb0001Mask |= 0x40
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -2338,6 +2461,20 @@
 				o = msgp.AppendString(o, z.Members[za0002])
 			}
 		}
+		if (zb0001Mask & 0x40) == 0 { // if not omitted
+			// string "Parts"
+			o = append(o, 0xa5, 0x50, 0x61, 0x72, 0x74, 0x73)
+			o = msgp.AppendArrayHeader(o, uint32(len(z.Parts)))
+			for za0003 := range z.Parts {
+				// map header, size 2
+				// string "ID"
+				o = append(o, 0x82, 0xa2, 0x49, 0x44)
+				o = msgp.AppendString(o, string(z.Parts[za0003].ID))
+				// string "Packed"
+				o = append(o, 0xa6, 0x50, 0x61, 0x63, 0x6b, 0x65, 0x64)
+				o = msgp.AppendBytes(o, z.Parts[za0003].Packed)
+			}
+		}
 	}
 	return
 }
@@ -2455,6 +2592,58 @@
 					return
 				}
 			}
+		case "Parts":
+			var zb0004 uint32
+			zb0004, bts, err = msgp.ReadArrayHeaderBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Parts")
+				return
+			}
+			if cap(z.Parts) >= int(zb0004) {
+				z.Parts = (z.Parts)[:zb0004]
+			} else {
+				z.Parts = make([]RulesPart, zb0004)
+			}
+			for za0003 := range z.Parts {
+				var zb0005 uint32
+				zb0005, bts, err = msgp.ReadMapHeaderBytes(bts)
+				if err != nil {
+					err = msgp.WrapError(err, "Parts", za0003)
+					return
+				}
+				for zb0005 > 0 {
+					zb0005--
+					field, bts, err = msgp.ReadMapKeyZC(bts)
+					if err != nil {
+						err = msgp.WrapError(err, "Parts", za0003)
+						return
+					}
+					switch msgp.UnsafeString(field) {
+					case "ID":
+						{
+							var zb0006 string
+							zb0006, bts, err = msgp.ReadStringBytes(bts)
+							if err != nil {
+								err = msgp.WrapError(err, "Parts", za0003, "ID")
+								return
+							}
+							z.Parts[za0003].ID = vwid.RulesPart(zb0006)
+						}
+					case "Packed":
+						z.Parts[za0003].Packed, bts, err = msgp.ReadBytesBytes(bts, z.Parts[za0003].Packed)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0003, "Packed")
+							return
+						}
+					default:
+						bts, err = msgp.Skip(bts)
+						if err != nil {
+							err = msgp.WrapError(err, "Parts", za0003)
+							return
+						}
+					}
+				}
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -2495,5 +2684,9 @@
 	for za0002 := range z.Members {
 		s += msgp.StringPrefixSize + len(z.Members[za0002])
 	}
+	s += 6 + msgp.ArrayHeaderSize
+	for za0003 := range z.Parts {
+		s += 1 + 3 + msgp.StringPrefixSize + len(string(z.Parts[za0003].ID)) + 7 + msgp.BytesPrefixSize + len(z.Parts[za0003].Packed)
+	}
 	return
 }
--- a/pkg/vwid/id.go
+++ b/pkg/vwid/id.go
@@ -35,6 +35,8 @@
 	Acceptance string
 	// Member identifies a replica of the control log; it lasts as long as the replica's data folder.
 	Member string
+	// RulesPart identifies a part of the text of the rules by the hash of its content.
+	RulesPart string
 )
 
 type (
