Remove replaced voters by the tolerance of the settings

Cause: successors become voters while those that they replace still count, and a voter that has gone was removed only while the number of voters was even. Of seven voters with two gone, four are a majority, and two lost disks leave three.

Change: control knows how many disks may be lost at once (T): fault-tolerance on the platform, else fewer than half of the initial members. The leader removes a silent voter if 2T+1 voters are left and a majority of them has answered lately. So five voters are never made fewer when some are only cut off. A member that stops while there are more voters than needed says so in its replies to the next three heartbeats and is removed at once: its successor has had its time. Gauges of the voters and of those that answer, and a line when fewer losses are tolerated than are set.

--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -36,21 +36,27 @@
 	// agentRules is the configuration of the last answer to a query for rules, without its routes.
 	agentRules vwstate.Config
 	// rulesParts has the parts of the current configuration once a process has asked for them.
-	rulesParts            vwpart.Library
-	configWatchers        []func(vwid.ConfigVersion)
-	proposals             proposals
-	reads                 reads
-	forwards              forwards
-	renewals              registrationRenewals
-	discovery             discovery
-	snapshots             snapshots
-	peers                 peers
-	disk                  fullDisk
+	rulesParts     vwpart.Library
+	configWatchers []func(vwid.ConfigVersion)
+	proposals      proposals
+	reads          reads
+	forwards       forwards
+	renewals       registrationRenewals
+	discovery      discovery
+	snapshots      snapshots
+	peers          peers
+	disk           fullDisk
+	voters         voterCounts
+	// stopping is set while this member is about to end.
+	stopping              bool
 	outage                outage
 	leadershipTransferred chan struct{}
 }
 
 func makeCore(settings Settings, files vwstore.FileSystem, transport Transport) (*core, error) {
+	if settings.Tolerance == 0 {
+		settings.Tolerance = (len(settings.Initial) - 1) / 2
+	}
 	store, loaded, err := openStore(&settings, files)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -262,6 +268,7 @@
 	c.reads.failNotLeader(status.Leader)
 	c.forwards.failStale(status.Leader)
 	c.renewals.reset(c.now)
+	c.voters = voterCounts{}
 }
 
 // recordLeader writes a change of the known leader to the event log.
@@ -303,7 +310,7 @@
 }
 
 func (c *core) status() Status {
-	return Status{Self: c.self, Log: c.node.Status(), Applied: c.appliedIndex, Config: c.state.Version(), DiskFull: c.disk.isFull()}
+	return Status{Self: c.self, Log: c.node.Status(), Applied: c.appliedIndex, Config: c.state.Version(), DiskFull: c.disk.isFull(), Voters: c.voters.voters, AnsweringVoters: c.voters.answering}
 }
 
 // close waits for the writer, fails all waiting requests and closes the data directory.
--- a/internal/process/vwcontrol/leader.go
+++ b/internal/process/vwcontrol/leader.go
@@ -19,27 +19,74 @@
 		return
 	}
 	c.expireRegistrations()
+	c.observeTolerance(status.Membership)
 	if status.MembershipCommitted && !c.removeSilentVoter(status.Membership) {
 		c.promoteLearner(status.Membership)
 	}
 }
 
-// removeSilentVoter proposes the removal of a voter that has sent nothing for ReplaceAfter, if the number of voters is
-// even. It reports whether it found one.
+// removeSilentVoter proposes the removal of the voter that has been silent for longest, if that is longer than ReplaceAfter,
+// or of one that is about to stop, if the other voters are enough for the tolerated losses. It reports whether it found one. Voters that were replaced would
+// otherwise count towards every majority for good. A majority of the voters that are left must have answered, so that the
+// change is committed.
 func (c *core) removeSilentVoter(membership vwraft.Membership) bool {
-	if len(membership.Voters)%2 != 0 {
+	silentest, answering := c.countAnswering(membership, c.settings.ReplaceAfter)
+	left := len(membership.Voters) - 1
+	if answering > left || left < c.settings.neededVoters() || answering < left/2+1 {
 		return false
 	}
-	limit := uint64(c.settings.ReplaceAfter / c.settings.Tick)
+	c.settings.Logger.Info("proposing removal of silent voter", "member", string(silentest.Member), "address", silentest.Address,
+		"silent", (time.Duration(c.node.TicksSinceContact(silentest.Member)) * c.settings.Tick).String(), "stopping", c.peers.stopping[silentest.Member], "voters", len(membership.Voters), "answering", answering)
+	c.proposeChange(vwraft.Change{Kind: vwraft.ChangeRemove, Voter: silentest})
+	return true
+}
+
+// countAnswering returns the voter that has been silent for longest and the number of voters, with this one, that have
+// answered within the given time.
+func (c *core) countAnswering(membership vwraft.Membership, within time.Duration) (silentest vwraft.Voter, answering int) {
+	limit := uint64(within / c.settings.Tick)
+	longest := uint64(0)
 	for _, voter := range membership.Voters {
-		if silent := c.node.TicksSinceContact(voter.Member); silent > limit {
-			c.settings.Logger.Info("proposing removal of silent voter", "member", string(voter.Member), "address", voter.Address,
-				"silent", (time.Duration(silent) * c.settings.Tick).String(), "voters", len(membership.Voters))
-			c.proposeChange(vwraft.Change{Kind: vwraft.ChangeRemove, Voter: voter})
-			return true
+		silent := c.node.TicksSinceContact(voter.Member)
+		if c.peers.stopping[voter.Member] {
+			silent = max(silent, limit+1)
+		}
+		if silent <= limit {
+			answering++
+		}
+		if silent >= longest {
+			silentest, longest = voter, silent
 		}
 	}
-	return false
+	return silentest, answering
+}
+
+// observeTolerance records how many voters answer, and logs when the losses that can be borne on top of those that are silent
+// now fall below the tolerance of the settings or reach it again.
+func (c *core) observeTolerance(membership vwraft.Membership) {
+	_, answering := c.countAnswering(membership, c.settings.ElectionTimeout)
+	voters := len(membership.Voters)
+	tolerated := max(answering-(voters/2+1), 0)
+	before := c.voters
+	c.voters = voterCounts{voters: voters, answering: answering, tolerated: tolerated}
+	switch {
+	case tolerated < c.settings.Tolerance && (!before.isKnown() || tolerated != before.tolerated):
+		c.settings.Logger.Warn("control tolerates fewer losses than it is set to", "tolerated", tolerated, "wanted", c.settings.Tolerance, "voters", voters, "answering", answering)
+	case tolerated >= c.settings.Tolerance && before.isKnown() && before.tolerated < c.settings.Tolerance:
+		c.settings.Logger.Info("control tolerates the losses that it is set to", "tolerated", tolerated, "voters", voters, "answering", answering)
+	}
+}
+
+// voterCounts is what a leader knows of the voters. It is zero on other members.
+type voterCounts struct {
+	voters    int
+	answering int
+	// tolerated is how many of the answering voters may be lost while the rest is a majority.
+	tolerated int
+}
+
+func (v voterCounts) isKnown() bool {
+	return v.voters > 0
 }
 
 // promoteLearner proposes to make a learner that has caught up a voter. A voter at the same address has lost its disk:
--- a/internal/process/vwcontrol/member.go
+++ b/internal/process/vwcontrol/member.go
@@ -19,6 +19,9 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
+// stopNoticeHeartbeats is for how many heartbeats a stopping member still answers.
+const stopNoticeHeartbeats = 3
+
 // transferTimeout bounds how long Stop waits for another member to take the leadership.
 const transferTimeout = time.Second
 
@@ -53,6 +56,10 @@
 	Config  vwid.ConfigVersion
 	// DiskFull means that the member finds no room on its disk. It then acknowledges nothing that it cannot store.
 	DiskFull bool
+	// Voters is the number of voters and AnsweringVoters that of those that have answered within an election timeout, with
+	// the leader. Both are zero on members that do not lead.
+	Voters          int
+	AnsweringVoters int
 }
 
 // Start opens the data directory and runs a member until Stop, Kill, the end of ctx or a failure of the disk.
@@ -148,7 +155,8 @@
 }
 
 // Stop ends the member. A leader first transfers its leadership, so that the others need not wait for an election
-// timeout.
+// timeout. If there are more voters than needed, the member answers the next heartbeats with a notice that it stops, so that
+// the leader removes it at once.
 func (m *Member) Stop() error {
 	transferred := make(chan struct{})
 	if err := m.enqueue(request{run: func() { m.core.transferLeadership(transferred) }}); err == nil {
@@ -158,9 +166,34 @@
 		case <-time.After(transferTimeout):
 		}
 	}
+	m.announceStop()
 	return m.group.Stop()
 }
 
+// announceStop sends the notice that this member stops, if there are more voters than needed.
+func (m *Member) announceStop() {
+	announced := make(chan bool, 1)
+	err := m.enqueue(request{run: func() {
+		m.core.stopping = len(m.core.node.Status().Membership.Voters) > m.core.settings.neededVoters()
+		announced <- m.core.stopping
+	}})
+	if err != nil {
+		return
+	}
+	select {
+	case stopping := <-announced:
+		if !stopping {
+			return
+		}
+	case <-m.group.Context().Done():
+		return
+	}
+	select {
+	case <-m.group.Context().Done():
+	case <-time.After(stopNoticeHeartbeats * m.core.settings.HeartbeatInterval):
+	}
+}
+
 // Kill ends the member at once, without a transfer of the leadership.
 func (m *Member) Kill() error {
 	return m.group.Stop()
--- a/internal/process/vwcontrol/packet.go
+++ b/internal/process/vwcontrol/packet.go
@@ -18,6 +18,8 @@
 	Probe *Probe `msg:",omitempty"`
 	// Envelope is a request that is forwarded to the leader, or the reply.
 	Envelope *vwmessage.Envelope `msg:",omitempty"`
+	// Stopping is set by a member that is about to end. If it was replaced, it need not be waited for.
+	Stopping bool `msg:",omitempty"`
 }
 
 // Probe states whether the sender's log is empty, that is, whether it has never held a part of a log.
--- a/internal/process/vwcontrol/packet_gen.go
+++ b/internal/process/vwcontrol/packet_gen.go
@@ -12,8 +12,8 @@
 func (z *Packet) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(4)
-	var zb0001Mask uint8 /* 4 bits */
+	zb0001Len := uint32(5)
+	var zb0001Mask uint8 /* 5 bits */
 	_ = zb0001Mask
 	if z.Messages == nil {
 		zb0001Len--
@@ -27,6 +27,10 @@
 		zb0001Len--
 		zb0001Mask |= 0x8
 	}
+	if z.Stopping == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -97,6 +101,11 @@
 				}
 			}
 		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "Stopping"
+			o = append(o, 0xa8, 0x53, 0x74, 0x6f, 0x70, 0x70, 0x69, 0x6e, 0x67)
+			o = msgp.AppendBool(o, z.Stopping)
+		}
 	}
 	return
 }
@@ -217,6 +226,12 @@
 					return
 				}
 			}
+		case "Stopping":
+			z.Stopping, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Stopping")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -247,6 +262,7 @@
 	} else {
 		s += z.Envelope.Msgsize()
 	}
+	s += 9 + msgp.BoolSize
 	return
 }
 
--- a/internal/process/vwcontrol/peer.go
+++ b/internal/process/vwcontrol/peer.go
@@ -11,13 +11,24 @@
 // maxPacketBytes bounds the data in one packet, well below vwmessage.MaxEnvelope.
 const maxPacketBytes = 1 << 20
 
-// peers holds the sender addresses of received packets, for members that are not in the membership yet.
+// peers holds what the packets of other members say of their senders.
 type peers struct {
+	// addresses serve for members that are not in the membership yet.
 	addresses map[vwid.Member]string
+	// stopping has the members whose last packet says that they are about to end.
+	stopping map[vwid.Member]bool
 }
 
 func makePeers() peers {
-	return peers{addresses: map[vwid.Member]string{}}
+	return peers{addresses: map[vwid.Member]string{}, stopping: map[vwid.Member]bool{}}
+}
+
+func (p *peers) observe(packet *Packet) {
+	p.addresses[packet.From.Member] = packet.From.Address
+	delete(p.stopping, packet.From.Member)
+	if packet.Stopping {
+		p.stopping[packet.From.Member] = true
+	}
 }
 
 // send groups raft messages by receiver into packets of at most maxPacketBytes of data; a larger message gets a packet
@@ -69,7 +80,7 @@
 }
 
 func (c *core) sendPacket(to vwraft.Voter, packet Packet) {
-	packet.From = c.self
+	packet.From, packet.Stopping = c.self, c.stopping
 	data, err := packet.Encode()
 	if err != nil {
 		c.settings.Logger.Error("packet not encoded", "error", err)
@@ -89,7 +100,7 @@
 	if packet.From.Member == c.self.Member || packet.From.Address == c.self.Address || (packet.Probe == nil && c.discovery.isSuperseded(packet.From)) {
 		return
 	}
-	c.peers.addresses[packet.From.Member] = packet.From.Address
+	c.peers.observe(&packet)
 	for at := range packet.Messages {
 		if c.outage.active {
 			c.outage.observeLeader(&packet.Messages[at], c.now)
--- a/internal/process/vwcontrol/settings.go
+++ b/internal/process/vwcontrol/settings.go
@@ -40,9 +40,12 @@
 	RejoinOnCorruption bool
 	// MaxMembers bounds the voters and learners, because the leader sends messages to each of them.
 	MaxMembers int
-	// ReplaceAfter is how long a voter must have sent nothing before the leader removes it. The leader does so only
-	// with an even number of voters, which tolerates no more failures than one voter fewer.
+	// ReplaceAfter is how long a voter must have sent nothing before the leader removes it. The leader does so only while
+	// there are more voters than Tolerance needs.
 	ReplaceAfter time.Duration
+	// Tolerance is how many members may lose their disks at once. 2*Tolerance+1 voters are needed for that, and the leader
+	// removes no voter if fewer would be left. Zero means fewer than half of the initial members at the start.
+	Tolerance int
 	// Tick is the interval between the ticks of vwraft.
 	Tick time.Duration
 	// HeartbeatInterval is the interval of the leader's heartbeats.
@@ -118,6 +121,8 @@
 		return trace.BadParameter("the registration (%v) must be longer than the lease (%v)", s.RegistrationPeriod, s.Lease)
 	case s.SnapshotEntries < 1 || s.SnapshotBytes < 1 || s.SegmentBytes < 1 || s.MaxWaiting < 1:
 		return trace.BadParameter("sizes and bounds must be positive")
+	case s.Tolerance < 0 || s.neededVoters() > s.MaxMembers:
+		return trace.BadParameter("the loss of %d members needs %d voters; the limit is %d", s.Tolerance, s.neededVoters(), s.MaxMembers)
 	case s.ReplaceAfter <= s.ElectionTimeout:
 		return trace.BadParameter("ReplaceAfter (%v) must be longer than the election timeout (%v)", s.ReplaceAfter, s.ElectionTimeout)
 	case s.Random == nil || s.Logger == nil || s.SuspendedTime == nil:
@@ -126,6 +131,11 @@
 	return nil
 }
 
+// neededVoters returns the lowest number of voters of which a majority is left after the tolerated losses.
+func (s Settings) neededVoters() int {
+	return 2*s.Tolerance + 1
+}
+
 func (s Settings) raftSettings(self vwid.Member) vwraft.Settings {
 	settings := vwraft.DefaultSettings(self, s.Random)
 	settings.HeartbeatTicks = int(s.HeartbeatInterval / s.Tick)
--- a/internal/process/vwmetrics/description.go
+++ b/internal/process/vwmetrics/description.go
@@ -93,10 +93,12 @@
 
 // The metrics of control members.
 var (
-	ControlLeader   = describe("control_leader", KindGauge, UnitBool, "Whether the member leads.")
-	ControlTerm     = describe("control_term", KindGauge, UnitCount, "Term of the replicated log.")
-	ControlApplied  = describe("control_applied_index", KindGauge, UnitCount, "Index of the last applied entry of the replicated log.")
-	ControlSyncTime = describe("control_sync_seconds", KindHistogram, UnitSeconds, "Time of a synced write.")
-	ControlDiskFull = describe("control_disk_full", KindGauge, UnitBool, "Whether the member finds no room on its disk.")
-	ControlDisk     = describe("control_disk_bytes", KindGauge, UnitBytes, "Size of the log segments and snapshots.")
+	ControlLeader          = describe("control_leader", KindGauge, UnitBool, "Whether the member leads.")
+	ControlTerm            = describe("control_term", KindGauge, UnitCount, "Term of the replicated log.")
+	ControlApplied         = describe("control_applied_index", KindGauge, UnitCount, "Index of the last applied entry of the replicated log.")
+	ControlSyncTime        = describe("control_sync_seconds", KindHistogram, UnitSeconds, "Time of a synced write.")
+	ControlDiskFull        = describe("control_disk_full", KindGauge, UnitBool, "Whether the member finds no room on its disk.")
+	ControlDisk            = describe("control_disk_bytes", KindGauge, UnitBytes, "Size of the log segments and snapshots.")
+	ControlVoters          = describe("control_voters", KindGauge, UnitCount, "Voters of the replicated log; 0 on members that do not lead.")
+	ControlAnsweringVoters = describe("control_answering_voters", KindGauge, UnitCount, "Voters that have answered the leader lately, with itself; 0 on members that do not lead.")
 )
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -62,6 +62,8 @@
 	Watch(m, ControlTerm, func() uint64 { return uint64(member.Status().Log.Term) })
 	Watch(m, ControlApplied, func() uint64 { return uint64(member.Status().Applied) })
 	WatchBool(m, ControlDiskFull, func() bool { return member.Status().DiskFull })
+	Watch(m, ControlVoters, func() int { return member.Status().Voters })
+	Watch(m, ControlAnsweringVoters, func() int { return member.Status().AnsweringVoters })
 }
 
 // WatchEvents adds the drops of an event log.
--- a/internal/process/vwprocess/member.go
+++ b/internal/process/vwprocess/member.go
@@ -37,6 +37,8 @@
 	RejoinOnCorruption bool
 	// MaxMembers limits the number of members; zero means the default.
 	MaxMembers int
+	// Tolerance is how many members may lose their disks at once; zero means the default of vwcontrol.
+	Tolerance int
 	// Suspended returns for how long the machine has been suspended. Nil means never.
 	Suspended func() time.Duration
 }
@@ -91,6 +93,11 @@
 	if c.MaxMembers > 0 {
 		settings.MaxMembers = c.MaxMembers
 	}
+	if c.Tolerance > 0 {
+		settings.Tolerance = c.Tolerance
+		// Each of the members that may be lost may be replaced while it still votes.
+		settings.MaxMembers = max(settings.MaxMembers, 3*c.Tolerance+1)
+	}
 	if c.Suspended != nil {
 		settings.SuspendedTime = c.Suspended
 	}
