--- a/internal/version/vwrule/parse.go
+++ b/internal/version/vwrule/parse.go
@@ -14,10 +14,9 @@
 	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
-// MaxText bounds the size of a rules file. The text crosses the network to each entry at each change; 33
-// teams with a rule of every kind at four services need 55 KiB (BenchmarkParse), and a thousand routes
-// 220 KiB.
-const MaxText = 2 * vwunit.MiB
+// MaxText bounds the size of a rules file. A route takes about 250 bytes, and 33 teams with a rule of every kind at
+// four services 55 KiB (BenchmarkParse).
+const MaxText = 4 * vwunit.MiB
 
 // Parse reads and checks a rules file. File is the name that faults show. When the text has faults it
 // returns an ErrRules with all of them.
