Let reads of the whole rules take as long as their caller allows

An operator at an entry could not read or edit large rules: each attempt at a member was given up after 250 ms, and with 4,245 routes the text takes a third of a second of a link of 25 Mbit/s. Such a read is bounded by its caller now; a silent member ends the link, and the read goes to the next one. A reply with parts of rules that are in force by the time it arrives extends the lease.

TestLargeRulesAreReadOverSlowLinks fails in both cases without the change ("context deadline exceeded") and passes.

--- a/internal/process/vwcontrol/largerules_test.go
+++ b/internal/process/vwcontrol/largerules_test.go
@@ -28,6 +28,9 @@
 	megabit    = 1e6 / 8
 )
 
+// platformTiming is the timing of links on the users' platform.
+var platformTiming = vwlink.Timing{Ping: 160 * time.Millisecond, Silence: 500 * time.Millisecond}
+
 func rulesWithRoutes(routes, edition int) []byte {
 	var text bytes.Buffer
 	fmt.Fprintf(&text, "Edition.platform = { Number = %d } # test\nService.s = {} # test\n", edition)
@@ -51,9 +54,9 @@
 	entries []*vwentry.Entry
 }
 
-func makeSlowLinkFixture(t *testing.T) *slowLinkFixture {
+func makeSlowLinkFixture(t *testing.T, timing vwlink.Timing) *slowLinkFixture {
 	f := &slowLinkFixture{t: t, network: vwlinktest.MakeNetwork(time.Millisecond), group: vwgroup.Make(context.Background()), initial: []string{"a0", "a1", "a2"}}
-	f.network.SetTiming(vwlink.Timing{Ping: 160 * time.Millisecond, Silence: 500 * time.Millisecond})
+	f.network.SetTiming(timing)
 	for at := range f.initial {
 		f.members = append(f.members, serveLinks(t, f.group, f.network, at, f.initial))
 	}
@@ -135,7 +138,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := makeSlowLinkFixture(t)
+				f := makeSlowLinkFixture(t, platformTiming)
 				defer f.stop()
 				entry := f.startEntry("e", c.rate)
 				version := f.change("small", 0, rulesWithRoutes(45, 1))
@@ -154,7 +157,7 @@
 // Guards against an entry that starts while large rules are in force and never gets its first lease.
 func TestEntryStartsWhileLargeRulesAreInForce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := makeSlowLinkFixture(t)
+		f := makeSlowLinkFixture(t, platformTiming)
 		defer f.stop()
 		first := f.startEntry("e", 25*megabit)
 		version := f.change("large", 0, rulesWithRoutes(manyRoutes, 1))
@@ -168,7 +171,7 @@
 // What a version shares with the one before must not cross the link again.
 func TestChangesOfLargeRulesFasterThanTheLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := makeSlowLinkFixture(t)
+		f := makeSlowLinkFixture(t, platformTiming)
 		defer f.stop()
 		entry := f.startEntry("e", 2*megabit)
 		version := f.change("small", 0, rulesWithRoutes(45, 1))
@@ -182,6 +185,33 @@
 	})
 }
 
+// Guards against an operator at an entry who can never read large rules, because the attempt at each member is given up
+// before the text has crossed the link, and one who waits for a member that is silent.
+func TestLargeRulesAreReadOverSlowLinks(t *testing.T) {
+	for name, silent := range map[string]bool{"all members answer": false, "the preferred member is silent": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := makeSlowLinkFixture(t, vwlink.DefaultTiming)
+				defer f.stop()
+				text := rulesWithRoutes(manyRoutes, 1)
+				f.change("large", 0, text)
+				f.network.SetRate("operator", 25*megabit)
+				pool := vwlink.MakePool(f.group.Context(), f.network.MakeEndpoint("operator", hello("operator")), vwlink.HandlerFunc(func(*vwlink.Session, vwmessage.Body, vwlink.Reply) {}))
+				f.pools = append(f.pools, pool)
+				client := MakeClient(Retry(MakeLinkCaller(pool, f.initial)))
+				_, err := client.Read(t.Context(), vwstate.Query{Registrations: true})
+				require.NoError(t, err)
+				f.network.SetFault(f.initial[0], "operator", vwlinktest.Fault{Delay: time.Millisecond, Silent: silent})
+				ctx, cancel := context.WithTimeout(t.Context(), vwlink.DefaultTiming.Silence+2*time.Second)
+				defer cancel()
+				view, err := client.Read(ctx, vwstate.Query{Config: true})
+				require.NoError(t, err)
+				require.True(t, bytes.Equal(text, view.Config.Text))
+			})
+		})
+	}
+}
+
 // Guards against a process of an earlier build that cannot fetch parts and gets rules without a text.
 func TestRenewalWithoutFetchCarriesTheText(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/vwcontrol/linkcaller.go
+++ b/internal/process/vwcontrol/linkcaller.go
@@ -9,11 +9,13 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
 // attemptTimeout bounds dialling, and the whole attempt of a request that may be repeated at another member, so that a
-// renewal succeeds within its lease although one member does not respond.
+// renewal succeeds within its lease although one member does not respond. It does not bound a read whose reply may take longer
+// to cross a slow link.
 const attemptTimeout = 250 * time.Millisecond
 
 // LinkCaller sends requests to control members over links. It prefers the leader named by the last ErrNotLeader.
@@ -75,6 +77,9 @@
 	if _, proposes := request.(*vwmessage.Propose); proposes {
 		return vwlink.Call[vwmessage.Body](ctx, session, request)
 	}
+	if hasLongReply(request) {
+		attemptCtx = ctx
+	}
 	reply, err := vwlink.Call[vwmessage.Body](attemptCtx, session, request)
 	if err != nil && ctx.Err() == nil {
 		// Renewals and reads are idempotent, so they may be repeated whether or not they were handled.
@@ -83,6 +88,18 @@
 	return reply, err
 }
 
+// hasLongReply reports whether a request reads the whole text of the rules. While it waits, the link ends if the member is
+// silent.
+func hasLongReply(request vwmessage.Body) bool {
+	read, ok := request.(*vwmessage.Read)
+	if !ok {
+		return false
+	}
+	var query vwstate.Query
+	_, err := query.UnmarshalMsg(read.Query)
+	return err == nil && query.Config
+}
+
 func (c *LinkCaller) preferred() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -129,7 +129,7 @@
 		e.handleRegistrationLoss()
 		return
 	}
-	if len(reply.RulesParts) > 0 {
+	if len(reply.RulesParts) > 0 && reply.Version > e.holder.Version() {
 		e.rulesFetch.setTarget(rulesTarget{request: request, grant: reply.Grant(), parts: reply.RulesParts})
 	} else if _, err := e.holder.Renew(request, reply.Grant()); err != nil {
 		e.log.Error("lease reply refused", "error", err)
