--- a/internal/process/vwcontrol/leader.go
+++ b/internal/process/vwcontrol/leader.go
@@ -25,10 +25,10 @@
 	}
 }
 
-// removeSilentVoter proposes the removal of the voter that has been silent for longest, if that is longer than ReplaceAfter,
-// or of one that is about to stop, if the other voters are enough for the tolerated losses. It reports whether it found one. Voters that were replaced would
-// otherwise count towards every majority for good. A majority of the voters that are left must have answered, so that the
-// change is committed.
+// removeSilentVoter proposes the removal of the voter that has been silent for longest, if that is longer than ReplaceAfter
+// or the voter has said that it stops, and if the other voters are enough for the tolerated losses. It reports whether it
+// found one. Voters that were replaced would otherwise count towards every majority for good. A majority of the voters that
+// are left must have answered, so that the change is committed.
 func (c *core) removeSilentVoter(membership vwraft.Membership) bool {
 	silentest, answering := c.countAnswering(membership, c.settings.ReplaceAfter)
 	left := len(membership.Voters) - 1
@@ -36,13 +36,14 @@
 		return false
 	}
 	c.settings.Logger.Info("proposing removal of silent voter", "member", string(silentest.Member), "address", silentest.Address,
-		"silent", (time.Duration(c.node.TicksSinceContact(silentest.Member)) * c.settings.Tick).String(), "stopping", c.peers.stopping[silentest.Member], "voters", len(membership.Voters), "answering", answering)
+		"silent", (time.Duration(c.node.TicksSinceContact(silentest.Member)) * c.settings.Tick).String(),
+		"stopping", c.peers.stopping[silentest.Member], "voters", len(membership.Voters), "answering", answering)
 	c.proposeChange(vwraft.Change{Kind: vwraft.ChangeRemove, Voter: silentest})
 	return true
 }
 
-// countAnswering returns the voter that has been silent for longest and the number of voters, with this one, that have
-// answered within the given time.
+// countAnswering returns the voter that has been silent for longest, and the number of voters, with this one, that have
+// answered within the given time and have not said that they stop.
 func (c *core) countAnswering(membership vwraft.Membership, within time.Duration) (silentest vwraft.Voter, answering int) {
 	limit := uint64(within / c.settings.Tick)
 	longest := uint64(0)
