--- a/internal/version/vwlease/holder.go
+++ b/internal/version/vwlease/holder.go
@@ -111,7 +111,7 @@
 	if grant.Remaining > 0 && grant.Version > max(h.Version(), request.Held) {
 		var err error
 		// A text of thousands of routes takes long, and the other methods must not wait for it.
-		if newer, err = parseGrant(grant); err != nil {
+		if newer, err = parseGrant(grant, h.Rules()); err != nil {
 			return false, err
 		}
 	}
@@ -139,8 +139,8 @@
 }
 
 // parseGrant returns a lease with the rules of a grant, which has expired.
-func parseGrant(grant Grant) (*Lease, error) {
-	rules, err := vwrule.Parse(leaderRulesFile, grant.Text)
+func parseGrant(grant Grant, held *vwrule.Rules) (*Lease, error) {
+	rules, err := vwrule.ParseNext(leaderRulesFile, grant.Text, held)
 	if err != nil {
 		return nil, trace.Wrap(err, "version %d", grant.Version)
 	}
--- a/internal/version/vwrule/parse.go
+++ b/internal/version/vwrule/parse.go
@@ -21,11 +21,17 @@
 // Parse reads and checks a rules file. File is the name that faults show. When the text has faults it
 // returns an ErrRules with all of them.
 func Parse(file string, text []byte) (*Rules, error) {
+	return ParseNext(file, text, Empty())
+}
+
+// ParseNext returns what Parse returns, and reads only the lines that the rules of an earlier text do not have. To read the
+// lines takes most of the time.
+func ParseNext(file string, text []byte, earlier *Rules) (*Rules, error) {
 	if err := checkSize(file, text); err != nil {
 		return nil, err
 	}
 	c := checker{file: file, rules: Empty(), byKey: map[string]*rule{}, byScope: map[scope][]*rule{}}
-	c.readLines(text)
+	c.readLines(text, earlier.byLine())
 	c.checkAll()
 	if len(c.faults) > 0 {
 		sortFaults(c.faults)
@@ -52,13 +58,22 @@
 	faults  []Fault
 }
 
-func (c *checker) readLines(text []byte) {
+// readLines adds the rules of all lines. Known has rules by the text of their line.
+func (c *checker) readLines(text []byte, known map[string]*rule) {
 	number := 0
 	var parser unstable.Parser
 	for line := range bytes.Lines(text) {
 		number++
-		reader := lineReader{file: c.file, number: number, text: trimLineEnd(line), parser: &parser}
+		line = trimLineEnd(line)
+		if same, found := known[string(line)]; found {
+			moved := *same
+			moved.line = number
+			c.add(&moved)
+			continue
+		}
+		reader := lineReader{file: c.file, number: number, text: line, parser: &parser}
 		if r := reader.read(); r != nil {
+			r.text = string(line)
 			c.add(r)
 		}
 		c.faults = append(c.faults, reader.faults...)
--- a/internal/version/vwrule/rule.go
+++ b/internal/version/vwrule/rule.go
@@ -12,7 +12,9 @@
 	// names are the parts of the key after the kind.
 	names []name
 	// comment says who asked for the rule.
-	comment  string
+	comment string
+	// text is the line as it was read, without its end.
+	text     string
 	line     int
 	column   int
 	settings []setting
--- a/internal/version/vwrule/rules.go
+++ b/internal/version/vwrule/rules.go
@@ -136,6 +136,15 @@
 	return chain
 }
 
+// byLine returns the rules by the text of their line.
+func (r *Rules) byLine() map[string]*rule {
+	known := make(map[string]*rule, len(r.rules))
+	for _, rule := range r.rules {
+		known[rule.text] = rule
+	}
+	return known
+}
+
 // Len returns the number of rules in the file.
 func (r *Rules) Len() int {
 	return len(r.rules)
