--- a/internal/version/vwrule/parse.go
+++ b/internal/version/vwrule/parse.go
@@ -30,7 +30,7 @@
 	if err := checkSize(file, text); err != nil {
 		return nil, err
 	}
-	c := checker{file: file, rules: Empty(), byKey: map[string]*rule{}, byScope: map[scope][]*rule{}}
+	c := checker{file: file, rules: Empty(), byKey: map[string]*rule{}, byScope: map[scope][]*rule{}, routeNames: map[routePlace]string{}}
 	c.readLines(text, earlier.byLine())
 	c.checkAll()
 	if len(c.faults) > 0 {
@@ -55,7 +55,9 @@
 	rules   *Rules
 	byKey   map[string]*rule
 	byScope map[scope][]*rule
-	faults  []Fault
+	// routeNames has the names of the routes by what they answer for.
+	routeNames map[routePlace]string
+	faults     []Fault
 }
 
 // readLines adds the rules of all lines. Known has rules by the text of their line.
--- a/internal/version/vwrule/route.go
+++ b/internal/version/vwrule/route.go
@@ -138,6 +138,9 @@
 	}
 }
 
+// routePlace is what a route answers for. No two routes have the same.
+type routePlace struct{ host, prefix string }
+
 func (c *checker) addRoute(r *rule, route Route) {
 	for _, required := range []string{"Host", "Prefix", "Service", "Timeout"} {
 		if _, sets := r.find(required); !sets {
@@ -147,13 +150,13 @@
 	}
 	service, _ := r.find("Service")
 	checkDeclared(c, r, name{text: string(route.Service), column: service.column}, KindService, c.rules.services)
-	for _, other := range c.rules.routes[route.Host] {
-		if other.Prefix == route.Prefix {
-			prefix, _ := r.find("Prefix")
-			c.report(r, prefix.column, fmt.Sprintf("%s.%s already has the host %s and the prefix %s", KindRoute, other.Name, route.Host, route.Prefix), "delete one of the two lines or change its prefix")
-			return
-		}
+	place := routePlace{route.Host, route.Prefix}
+	if other, taken := c.routeNames[place]; taken {
+		prefix, _ := r.find("Prefix")
+		c.report(r, prefix.column, fmt.Sprintf("%s.%s already has the host %s and the prefix %s", KindRoute, other, route.Host, route.Prefix), "delete one of the two lines or change its prefix")
+		return
 	}
+	c.routeNames[place] = route.Name
 	c.rules.routes[route.Host] = append(c.rules.routes[route.Host], route)
 }
 
