Start the members again whose disks the test has taken

loseTwoDisks started the first members again instead of those that it had wiped, which differ when one of the first is down.

--- a/internal/process/vwcontrol/tolerance_test.go
+++ b/internal/process/vwcontrol/tolerance_test.go
@@ -33,18 +33,18 @@
 	require.Len(t, c.membership().Voters, 5)
 }
 
-// loseTwoDisks wipes the first two members of which neither is down or among those excluded, and returns them.
+// loseTwoDisks takes the disks of the first members that run, as many as may be lost, and starts these again a second later.
 func (c *cluster) loseTwoDisks() {
-	lost := 0
+	var lost []int
 	for at := range c.disks {
-		if c.member(at) != nil && lost < toleratedLosses {
+		if c.member(at) != nil && len(lost) < toleratedLosses {
 			c.crash(at)
 			c.disks[at].Wipe()
-			lost++
+			lost = append(lost, at)
 		}
 	}
 	time.Sleep(time.Second)
-	for at := range lost {
+	for _, at := range lost {
 		c.start(at)
 	}
 }
@@ -53,7 +53,7 @@
 // as many disks as the settings allow, and what was acknowledged can be neither read nor changed. Guards as well against
 // the removal of members that are only cut off: the voters that are left may all lose their disks.
 func TestToleratedLossesAfterReplacements(t *testing.T) {
-	// The members 5 to 7 are successors. Members 0 and 1 lose their disks at the end, unless they are down.
+	// The members 5 to 7 are successors.
 	cases := map[string]func(t *testing.T, c *cluster){
 		"two at once, planned": func(_ *testing.T, c *cluster) {
 			c.start(5)
