Report tasks that are placed again without a report of their end

Nor was a run counted that a worker no longer lists.

Entries log each of these with job, tasks, agent and reason and count them (tasks_requeued_total). Agents count runs that the worker no longer lists and whose end it does not tell (runs_unlisted_total); the log has had the reason.

--- a/internal/process/vwagent/counters.go
+++ b/internal/process/vwagent/counters.go
@@ -24,6 +24,8 @@
 	Denied  atomic.Uint64
 	// WorkerCrashes counts the crashes of a worker that grants leases.
 	WorkerCrashes atomic.Uint64
+	// Unlisted counts runs that a worker that grants leases no longer listed and whose end it did not tell.
+	Unlisted atomic.Uint64
 	// RulesReads counts calls that ask control for the rules because no entry renews the lease.
 	RulesReads atomic.Uint64
 	// Unexpected counts messages that an agent does not serve.
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -457,6 +457,7 @@
 		r.agent.group.Run(func(ctx context.Context) { r.callWorker(ctx, order) })
 	}
 	r.agent.counters.WorkerCrashes.Add(uint64(r.tracker.TakeCrashes()))
+	r.agent.counters.Unlisted.Add(uint64(r.tracker.TakeUnlisted()))
 	results := r.tracker.TakeResults()
 	for i := range results {
 		r.health.recordResult(now, &results[i])
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -234,6 +234,11 @@
 	for _, suspicion := range b.queue.TakeSuspicions() {
 		b.logSuspicion(&suspicion)
 	}
+	for _, requeue := range b.queue.TakeRequeues() {
+		b.entry.counters.Requeued.Add(int64(len(requeue.Tasks)))
+		b.entry.log.Warn("tasks are placed again without a report of their end", "job", string(requeue.JobID), "tasks", requeue.Tasks,
+			"agent", string(requeue.Agent), "incarnation", string(requeue.Incarnation), "reason", string(requeue.Reason))
+	}
 	for _, answer := range b.queue.TakeAnswers() {
 		b.answer(now, answer)
 	}
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -34,6 +34,8 @@
 	// so many workers have crashed that their job has failed.
 	Suspected atomic.Int64
 	GivenUp   atomic.Int64
+	// Requeued are tasks that were placed again without a report of the end of their runs.
+	Requeued atomic.Int64
 	// RulesFetches are the answers with parts of the rules, RulesBytes their compressed bytes, and RulesFetchesFailed the
 	// calls for parts that had no answer in time.
 	RulesFetches       atomic.Int64
--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -241,7 +241,7 @@
 func (q *Queue) removeEarlierIncarnations(now time.Time, description *Worker) {
 	for _, w := range slices.Clone(q.workerOrder) {
 		if w.Process == description.Process && w.Incarnation != description.Incarnation {
-			q.removeWorker(now, w)
+			q.removeWorker(now, w, RequeueRestarted)
 		}
 	}
 }
@@ -253,18 +253,10 @@
 	for _, ref := range held {
 		known[ref] = true
 	}
-	for j := range w.running {
-		for i := range j.tasks {
-			t := &j.tasks[i]
-			if t.state != taskSent || t.worker != w || known[vwmessage.RunRef{JobID: j.ID, Index: i, Attempt: t.attempt}] {
-				continue
-			}
-			w.removeTask(j)
-			w.releaseSuspect(t)
-			t.worker = nil
-			j.mayHaveRun = true
-			q.requeue(j, t)
-		}
+	for _, j := range w.jobsAt() {
+		q.requeueUnreported(w, j, RequeueNotHeld, func(index int, t *task) bool {
+			return !known[vwmessage.RunRef{JobID: j.ID, Index: index, Attempt: t.attempt}]
+		})
 	}
 }
 
@@ -323,18 +315,12 @@
 }
 
 // removeWorker removes a worker whose runs have certainly ended, and requeues its tasks.
-func (q *Queue) removeWorker(now time.Time, w *worker) {
+func (q *Queue) removeWorker(now time.Time, w *worker, reason RequeueReason) {
 	delete(q.workers, w.Incarnation)
 	q.stale.removeWorker(w)
 	q.workerOrder = slices.DeleteFunc(q.workerOrder, func(other *worker) bool { return other == w })
-	for j := range w.running {
-		for i := range j.tasks {
-			if t := &j.tasks[i]; t.state == taskSent && t.worker == w {
-				j.mayHaveRun = true
-				t.worker = nil
-				q.requeue(j, t)
-			}
-		}
+	for _, j := range w.jobsAt() {
+		q.requeueUnreported(w, j, reason, func(int, *task) bool { return true })
 		q.checkTime(now, j)
 	}
 	clear(w.running)
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -58,6 +58,7 @@
 	sends               []Send
 	stops               []Stop
 	suspicions          []Suspicion
+	requeues            []Requeue
 	// teamCrashes holds when a task of a team was last given up, crashRecords the crashes under jobs that were not completed.
 	teamCrashes  map[vwid.Team]time.Time
 	crashRecords map[vwid.SubmissionID]crashRecord
@@ -209,7 +210,7 @@
 	for i := len(q.workerOrder) - 1; i >= 0; i-- {
 		w := q.workerOrder[i]
 		if !w.linked && !w.runsEndAt.IsZero() && !now.Before(w.runsEndAt) {
-			q.removeWorker(now, w)
+			q.removeWorker(now, w, RequeueSettled)
 		}
 	}
 	for _, j := range q.jobs {
--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -336,6 +336,7 @@
 		r.crashedAt = time.Time{}
 		t.checkOverdue(r, reportTime)
 	case r.confirmed && reportTime > r.confirmedAt:
+		t.unlisted++
 		t.settleLost(now, r, "the worker no longer lists the run and tells no end")
 	case r.confirmed:
 	case r.stop != nil && r.stop.acknowledged && reportTime > r.stop.acknowledgedAt:
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -117,8 +117,8 @@
 	// reportClock is the worker's clock in the newest report.
 	reportClock vwworker.Clock
 
-	// crashes is the count that the next TakeCrashes returns.
-	crashes int
+	// crashes and unlisted are the counts that the next TakeCrashes and TakeUnlisted return.
+	crashes, unlisted int
 	// overdueJobs is the count that the next TakeOverdueJobs returns. lastOwnEnd is when the worker last reported a run
 	// that ended by itself, done or failed.
 	overdueJobs int
@@ -279,6 +279,14 @@
 	return count
 }
 
+// TakeUnlisted returns the number of confirmed runs since the last call that the worker no longer listed and whose end it did
+// not tell.
+func (t *Tracker) TakeUnlisted() int {
+	count := t.unlisted
+	t.unlisted = 0
+	return count
+}
+
 // IsReady reports whether the worker answers and has no runs that are not tracked.
 func (t *Tracker) IsReady() bool {
 	return t.phase == phaseReady && t.unansweredHolds == 0 && t.suspectedAt.IsZero() && len(t.foreignRuns) == 0
