Reproduce runs that end for the agent while the worker goes on

The stand-in of a worker can answer a hold with lists that are older than its clock (ListAge), as a process with threads may.

--- a/internal/connection/vwworkertest/worker.go
+++ b/internal/connection/vwworkertest/worker.go
@@ -59,6 +59,8 @@
 	// Silent keeps calls that wait at the end of a life from noticing it, like those to a machine that loses power. Otherwise
 	// their connections break, as they do when a process ends.
 	Silent bool
+	// ListAge, if it is set, returns by how much the lists of a report are older than its clock. It is called with the lock held.
+	ListAge func() time.Duration
 	// Started, if it is set, hears of each start with the lock held, and whether the present life has been
 	// held before.
 	Started func(run vwworker.Run, held bool)
@@ -368,13 +370,30 @@
 			return vwworker.Report{}, errLost
 		}
 	}
-	report := vwworker.Report{Answer: vwworker.Answer{Now: w.now()}, Born: w.born, Ended: slices.Clone(w.ended)}
+	report := vwworker.Report{Born: w.born, Ended: slices.Clone(w.ended)}
 	for id := range w.running {
 		report.Running = append(report.Running, id)
 	}
+	w.age()
+	if !w.up || w.born != report.Born {
+		return vwworker.Report{}, errLost
+	}
+	report.Now = w.now()
 	return report, nil
 }
 
+// age lets the lists of a report grow old before its clock is read.
+func (w *Worker) age() {
+	if w.ListAge == nil {
+		return
+	}
+	if age := w.ListAge(); age > 0 {
+		w.mu.Unlock()
+		time.Sleep(age)
+		w.mu.Lock()
+	}
+}
+
 // check refuses orders for another life and with a token below the highest one seen.
 func (w *Worker) check(id vwid.Worker, token uint64) error {
 	if id != w.id {
