Take a run as ended only if a later list lacks it

Cause: an agent took a confirmed run as ended if a report of its worker lacked it and the clock in the report was later than the clock in the answer to the start. A worker with threads may make the lists of a report, start the run, and read the clock for the report after that; the protocol says only that each response has the clock. The entry got Lost for all starts that arrived in that moment, usually the tasks of one message, and placed them elsewhere at once. In the same way a run that was stopped before it was confirmed counted as not run, and a run of an earlier agent as ended.

The clock is no longer compared for this. The absence of a run proves its end only in the report to a hold that was sent after the answer that showed the run or its stop: the worker got that hold after it had the run.

--- a/internal/process/vwagent/counters.go
+++ b/internal/process/vwagent/counters.go
@@ -26,6 +26,8 @@
 	WorkerCrashes atomic.Uint64
 	// Unlisted counts runs that a worker that grants leases no longer listed and whose end it did not tell.
 	Unlisted atomic.Uint64
+	// OutdatedLists counts how often a list of such a worker lacked a run because it may have been made before the run started.
+	OutdatedLists atomic.Uint64
 	// RulesReads counts calls that ask control for the rules because no entry renews the lease.
 	RulesReads atomic.Uint64
 	// Unexpected counts messages that an agent does not serve.
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -458,6 +458,7 @@
 	}
 	r.agent.counters.WorkerCrashes.Add(uint64(r.tracker.TakeCrashes()))
 	r.agent.counters.Unlisted.Add(uint64(r.tracker.TakeUnlisted()))
+	r.agent.counters.OutdatedLists.Add(uint64(r.tracker.TakeOutdated()))
 	results := r.tracker.TakeResults()
 	for i := range results {
 		r.health.recordResult(now, &results[i])
--- a/internal/process/vwmetrics/description.go
+++ b/internal/process/vwmetrics/description.go
@@ -86,6 +86,7 @@
 	ResultsUndelivered    = describe("results_undelivered_total", KindCounter, UnitCount, "Results whose entry had no link when they came.")
 	WorkerCrashes         = describe("worker_crashes_total", KindCounter, UnitCount, "Times that the worker ended without a notice.")
 	RunsUnlisted          = describe("runs_unlisted_total", KindCounter, UnitCount, "Runs that the worker no longer listed and whose end it did not tell.")
+	ListsOutdated         = describe("lists_outdated_total", KindCounter, UnitCount, "Times that a list of the worker lacked a run that it had shown after the list was asked for.")
 	RulesReads            = describe("rules_reads_total", KindCounter, UnitCount, "Calls that asked control for the rules because no entry renewed the lease.")
 	SlotsBusy             = describe("slots_busy", KindGauge, UnitCount, "Slots with a running task.")
 	SlotsTotal            = describe("slots", KindGauge, UnitCount, "Slots that the backend server announced.")
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -82,6 +82,7 @@
 	Watch(m, ResultsUndelivered, counters.Undelivered.Load)
 	Watch(m, WorkerCrashes, counters.WorkerCrashes.Load)
 	Watch(m, RunsUnlisted, counters.Unlisted.Load)
+	Watch(m, ListsOutdated, counters.OutdatedLists.Load)
 	Watch(m, RulesReads, counters.RulesReads.Load)
 	Watch(m, MessagesWasted, counters.Duplicate.Load, reason("duplicate"))
 	Watch(m, MessagesWasted, counters.Late.Load, reason("late"))
--- a/internal/request/vwrun/answer.go
+++ b/internal/request/vwrun/answer.go
@@ -55,7 +55,7 @@
 	case err == nil && order.Token < t.lifeToken:
 		t.logger.Info("ignored the answer of an earlier incarnation to a start", "run", r.spec.Task.String(), "number", r.id.Number)
 	case err == nil:
-		r.confirm(answer.Now)
+		t.confirm(r, answer.Now)
 	case isRejected:
 		t.handleStartRejection(now, r, order.Token, rejected)
 	default:
@@ -66,9 +66,10 @@
 	}
 }
 
-func (r *run) confirm(at vwworker.Clock) {
+// confirm records that the worker has shown a run in an answer made at a time of its clock.
+func (t *Tracker) confirm(r *run, at vwworker.Clock) {
 	if !r.confirmed {
-		r.confirmed, r.confirmedAt = true, at
+		r.confirmed, r.confirmedAt, r.confirmedAfter = true, at, t.holdsSent
 	}
 }
 
@@ -141,7 +142,7 @@
 		// An earlier incarnation has answered.
 		t.pollNow = true
 	case err == nil:
-		s.acknowledged, s.acknowledgedAt = true, answer.Now
+		s.acknowledged, s.shownAfter = true, t.holdsSent
 		t.pollNow = true
 	case vwworker.IsRejected(err, vwworker.Fenced):
 		t.raiseToken(order.Token)
@@ -280,13 +281,13 @@
 	if len(report.Ended) >= maxReportedEnds {
 		return
 	}
-	for id := range t.foreignRuns {
-		if !listed[id] {
+	for id, s := range t.foreignRuns {
+		if !listed[id] && sent.wasSentAfter(s.shownAfter) {
 			delete(t.foreignRuns, id)
 		}
 	}
 	for _, r := range t.runs {
-		t.updateFromReport(now, r, listed[r.id], report.Now, order.Token)
+		t.updateFromReport(now, r, listed[r.id], report.Now, &sent)
 	}
 	if t.phase == phaseSyncing && len(t.foreignRuns) == 0 {
 		t.phase = phaseReady
@@ -302,6 +303,7 @@
 		t.logger.Info("stopping a run that is not tracked", "run", id.Task.String(), "number", id.Number)
 		t.foreignRuns[id] = &stopRequest{requestedAt: now}
 	}
+	t.foreignRuns[id].shownAfter = t.holdsSent
 	t.orderStop(now, id, t.foreignRuns[id])
 }
 
@@ -327,21 +329,23 @@
 	}
 }
 
-// updateFromReport updates a run from a report that the worker made at reportTime of its clock, in answer to a hold with
-// token. listed tells whether the report lists the run as running. The ends in the same report must be handled before.
-func (t *Tracker) updateFromReport(now time.Time, r *run, listed bool, reportTime vwworker.Clock, token uint64) {
+// updateFromReport updates a run from a report that the worker made at reportTime of its clock, in answer to a hold.
+// listed tells whether the report lists the run as running. The ends in the same report must be handled before.
+func (t *Tracker) updateFromReport(now time.Time, r *run, listed bool, reportTime vwworker.Clock, hold *Order) {
+	stopped := r.stop != nil && r.stop.acknowledged
 	switch {
 	case listed:
-		r.confirm(reportTime)
+		t.confirm(r, reportTime)
 		r.crashedAt = time.Time{}
 		t.checkOverdue(r, reportTime)
-	case r.confirmed && reportTime > r.confirmedAt:
+	case r.confirmed && !hold.wasSentAfter(r.confirmedAfter):
+		t.outdated++
+	case r.confirmed:
 		t.unlisted++
 		t.settleLost(now, r, "the worker no longer lists the run and tells no end")
-	case r.confirmed:
-	case r.stop != nil && r.stop.acknowledged && reportTime > r.stop.acknowledgedAt:
+	case stopped && hold.wasSentAfter(r.stop.shownAfter):
 		t.settleNotRun(now, r, r.stop.reason)
-	case token > r.startToken && (r.startUnanswered || reportTime > r.startDeadline):
+	case hold.Hold.Token > r.startToken && (r.startUnanswered || reportTime > r.startDeadline):
 		t.settleNotRun(now, r, "the start order was not answered, and the worker has not started the run")
 	case r.startUnanswered || reportTime > r.startDeadline:
 		// A late start order may still arrive, and the worker may count its time from then.
--- a/internal/request/vwrun/olderlist_test.go
+++ b/internal/request/vwrun/olderlist_test.go
@@ -56,17 +56,14 @@
 	return f, f.takeHold()
 }
 
-// takeHold returns the only hold among the orders to send now.
+// takeHold returns the last hold among the orders to send now.
 func (f *listFixture) takeHold() Order {
 	f.Helper()
-	var holds []Order
-	for _, order := range f.TakeOrders(f.now) {
-		if order.Hold != nil {
-			holds = append(holds, order)
-		}
-	}
-	require.Len(f, holds, 1)
-	return holds[0]
+	orders := f.TakeOrders(f.now)
+	require.NotEmpty(f, orders)
+	last := orders[len(orders)-1]
+	require.NotNil(f, last.Hold)
+	return last
 }
 
 // report answers a hold with a list of runs and a clock that is later than all before.
--- a/internal/request/vwrun/order.go
+++ b/internal/request/vwrun/order.go
@@ -21,6 +21,15 @@
 	Timeout time.Duration
 	// Sent is when the order was created.
 	Sent time.Time
+	// number counts the holds, from 1.
+	number uint64
+}
+
+// wasSentAfter reports whether a hold was sent after the one with the given number. If the worker showed a run, or its stop,
+// when that one was the last, the absence of the run from the report to a later hold proves that it is not there. The lists in
+// other reports may be older, whatever their clock shows: the worker may read it after it has made the lists.
+func (o *Order) wasSentAfter(number uint64) bool {
+	return o.number > number
 }
 
 // TakeOrders returns the calls to make now.
@@ -109,7 +118,8 @@
 
 func (t *Tracker) enqueueHold(now time.Time, order vwworker.HoldOrder) {
 	order.Worker, order.Token, order.Seen = t.life.ID, t.token, t.lastEndSeen
-	t.orders = append(t.orders, Order{Sent: now, Timeout: order.Wait + t.settings.AnswerTimeout, Hold: &order})
+	t.holdsSent++
+	t.orders = append(t.orders, Order{Sent: now, Timeout: order.Wait + t.settings.AnswerTimeout, Hold: &order, number: t.holdsSent})
 }
 
 // extendLease returns the end of a lease that begins now and records it in leaseEnd. It counts from the sending of the
--- a/internal/request/vwrun/run.go
+++ b/internal/request/vwrun/run.go
@@ -76,9 +76,11 @@
 	startDeadline vwworker.Clock
 	// startToken is the fencing token of the last start order.
 	startToken uint64
-	// confirmed is set once the worker has acknowledged or listed the run; confirmedAt is its clock at that answer.
-	confirmed   bool
-	confirmedAt vwworker.Clock
+	// confirmed is set once the worker has acknowledged or listed the run; confirmedAt is its clock at that answer, and
+	// confirmedAfter the number of the last hold that was sent before the answer came.
+	confirmed      bool
+	confirmedAt    vwworker.Clock
+	confirmedAfter uint64
 	// startUnanswered is set when a start order was not answered.
 	startUnanswered bool
 	// startRetries counts the retries with a higher run number or fencing token.
@@ -96,9 +98,10 @@
 	requestedAt time.Time
 	// inFlight is set while a stop order has no answer yet.
 	inFlight bool
-	// acknowledged is set once the worker has answered a stop order. From acknowledgedAt on its clock it does not start
-	// the run.
-	acknowledged   bool
-	acknowledgedAt vwworker.Clock
-	reason         string
+	// acknowledged is set once the worker has answered a stop order, after which it does not start the run.
+	acknowledged bool
+	// shownAfter is the number of the last hold that was sent before the worker acknowledged the stop or, for a run that is
+	// not tracked, last listed the run.
+	shownAfter uint64
+	reason     string
 }
--- a/internal/request/vwrun/tracker.go
+++ b/internal/request/vwrun/tracker.go
@@ -117,13 +117,15 @@
 	// reportClock is the worker's clock in the newest report.
 	reportClock vwworker.Clock
 
-	// crashes and unlisted are the counts that the next TakeCrashes and TakeUnlisted return.
-	crashes, unlisted int
+	// crashes, unlisted and outdated are the counts that the next TakeCrashes, TakeUnlisted and TakeOutdated return.
+	crashes, unlisted, outdated int
 	// overdueJobs is the count that the next TakeOverdueJobs returns. lastOwnEnd is when the worker last reported a run
 	// that ended by itself, done or failed.
 	overdueJobs int
 	lastOwnEnd  time.Time
 
+	// holdsSent is the number of holds that were sent.
+	holdsSent uint64
 	// At most one hold (holdInFlight) and beside it one poll (pollInFlight) and one watch (watchInFlight) are in flight.
 	// pollNow requests a poll from the next TakeOrders.
 	holdInFlight, pollInFlight, watchInFlight, pollNow bool
@@ -287,6 +289,14 @@
 	return count
 }
 
+// TakeOutdated returns how often since the last call a report has lacked a run that the worker had shown after the hold of the
+// report was sent.
+func (t *Tracker) TakeOutdated() int {
+	count := t.outdated
+	t.outdated = 0
+	return count
+}
+
 // IsReady reports whether the worker answers and has no runs that are not tracked.
 func (t *Tracker) IsReady() bool {
 	return t.phase == phaseReady && t.unansweredHolds == 0 && t.suspectedAt.IsZero() && len(t.foreignRuns) == 0
@@ -488,7 +498,7 @@
 		// carry a lower token.
 		r.startDeadline, r.confirmedAt = 0, 0
 		if r.stop != nil {
-			r.stop.acknowledged, r.stop.acknowledgedAt = false, 0
+			r.stop.acknowledged = false
 		}
 	}
 	t.sync(now)
