Let the first message of an older link requeue nothing

Nobody has seen this happen: it was found by reading.

An entry took the first message over any link of an agent for the newest. It names what the agent held when it opened that link. If the message of an older link is handled after that of a newer one, because a packet was lost or because a goroutine was late, the tasks that were sent over the newer link are not among them: they started again at once while they ran, and the entry ignored the newer link, over which the agent held them. After the end of the newer link, and from an earlier incarnation of the agent, the same happened. The registration of agents for durable jobs, which takes as long as control needs, had the same fault; there the entry lost the newer link.

Links are numbered in the order in which they are opened: before the peer learns that the link is open, so that the links that one agent dials one after the other have rising numbers. Sessions of accepted links are made in the order of their acceptance, no longer in the goroutine of each. An entry closes a link whose first message, or registration, comes after that of a newer link of the agent. Nothing changes on the wire.

--- a/internal/connection/vwlink/pool.go
+++ b/internal/connection/vwlink/pool.go
@@ -22,7 +22,8 @@
 			_ = group.Stop()
 			return err
 		}
-		group.Run(func(ctx context.Context) { runSession(ctx, MakeSession(conn, handler), handler) })
+		session := MakeSession(conn, handler)
+		group.Run(func(ctx context.Context) { runSession(ctx, session, handler) })
 	}
 }
 
--- a/internal/connection/vwlink/session.go
+++ b/internal/connection/vwlink/session.go
@@ -61,6 +61,7 @@
 // Session runs requests and one-way messages over a link. It owns the link.
 type Session struct {
 	conn    Conn
+	number  uint64
 	handler Handler
 	timing  Timing
 	// pingAfter is how long nothing was sent when a ping is due. answersPings is set at the end that answers the pings of
@@ -98,7 +99,7 @@
 // MakeSession returns a session over conn. Run must be called for it to receive anything.
 func MakeSession(conn Conn, handler Handler) *Session {
 	s := &Session{
-		conn: conn, handler: handler, timing: timingOf(conn), opened: time.Now(),
+		conn: conn, number: numberOf(conn), handler: handler, timing: timingOf(conn), opened: time.Now(),
 		pending: map[uint64]chan callResult{}, done: make(chan struct{}), suspended: machineClock.Suspended,
 	}
 	s.heardSuspended.Store(int64(s.suspended(s.opened)))
--- a/internal/connection/vwlink/stream.go
+++ b/internal/connection/vwlink/stream.go
@@ -85,6 +85,7 @@
 	timing Timing
 	// dialled is set if this end has dialled the link.
 	dialled bool
+	number  uint64
 	out     io.Writer
 	reader  *bufio.Reader
 	// end closes the connection below the stream.
@@ -98,7 +99,7 @@
 }
 
 func makeStreamConn(peer Peer, timing Timing, dialled bool, out io.Writer, reader *bufio.Reader, end func() error) *streamConn {
-	return &streamConn{peer: peer, timing: timing, dialled: dialled, out: out, reader: reader, end: end, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	return &streamConn{peer: peer, timing: timing, dialled: dialled, number: lastNumber.Add(1), out: out, reader: reader, end: end, done: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Peer implements Conn.
@@ -116,6 +117,11 @@
 	return c.dialled
 }
 
+// Number implements Numbered.
+func (c *streamConn) Number() uint64 {
+	return c.number
+}
+
 // Send implements Conn. It never waits for the peer.
 func (c *streamConn) Send(_ context.Context, envelope vwmessage.Envelope) error {
 	c.mu.Lock()
--- a/internal/connection/vwlink/tcp.go
+++ b/internal/connection/vwlink/tcp.go
@@ -164,13 +164,13 @@
 	if err != nil {
 		return nil, err
 	}
+	// The end of a link closes the socket without a TLS alert, which would wait behind a blocked write.
+	conn := makeStreamConn(peer, e.timing, dialled, secure, reader, raw.Close)
 	if !dialled {
 		if err := writeHello(secure, e.hello); err != nil {
 			return nil, err
 		}
 	}
-	// The end of a link closes the socket without a TLS alert, which would wait behind a blocked write.
-	conn := makeStreamConn(peer, e.timing, dialled, secure, reader, raw.Close)
 	if !e.group.Run(conn.write) {
 		return nil, trace.Wrap(ErrClosed)
 	}
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -187,12 +187,18 @@
 		return
 	}
 	peer := session.Peer()
-	b.sessions[peer.Incarnation] = session
-	b.queue.LinkUp(now, vwplace.Worker{
-		Incarnation: peer.Incarnation, Process: peer.Process, DataCentre: peer.DataCentre,
+	opened := b.queue.LinkUp(now, vwplace.Worker{
+		Incarnation: peer.Incarnation, Process: peer.Process, DataCentre: peer.DataCentre, Link: session.Number(),
 		Service: resume.Offer.Service, Labels: resume.Offer.Labels, Capacity: resume.Offer.Capacity,
 		SettleTime: time.Duration(resume.Offer.SettleMilliseconds) * time.Millisecond,
 	}, resume)
+	if !opened {
+		b.entry.counters.Stray.Add(1)
+		b.entry.log.Warn("ignored the first message of a link, because the agent has opened a newer one", "agent", string(peer.Process), "incarnation", string(peer.Incarnation))
+		_ = session.Close()
+		return
+	}
+	b.sessions[peer.Incarnation] = session
 	b.entry.log.Info("worker is linked", "agent", string(peer.Process), "worker", string(resume.Offer.Worker), "incarnation", string(peer.Incarnation),
 		"service", string(resume.Offer.Service), "held", len(resume.Held), "ended", len(resume.Ended), "accepting", resume.Load.Accepting, "reason", resume.Load.Reason)
 }
--- a/internal/process/vwentry/worker.go
+++ b/internal/process/vwentry/worker.go
@@ -21,7 +21,9 @@
 // link to the agent is open.
 type agentState struct {
 	vwdispatch.Worker
-	session          *vwlink.Session
+	session *vwlink.Session
+	// newestLink is the number of the newest link over which the agent has registered.
+	newestLink       uint64
 	seenSinceRenewal bool
 	leaving          bool
 	// demandPending is set by a demand message and cleared by the next credit.
@@ -157,6 +159,14 @@
 		w = &agentState{jobs: map[vwid.SubmissionID]*job{}}
 		e.agents[registration.Incarnation] = w
 	}
+	if session.Number() < w.newestLink {
+		// A registration takes as long as control needs for it.
+		e.counters.Stray.Add(1)
+		e.log.Warn("ignored the registration over a link, because the agent has registered over a newer one", "worker", string(w.Process), "incarnation", string(w.Incarnation))
+		_ = session.Close()
+		return
+	}
+	w.newestLink = session.Number()
 	w.Worker = vwdispatch.Worker{
 		Incarnation: registration.Incarnation,
 		Process:     registration.Process,
--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -215,8 +215,12 @@
 
 // LinkUp handles the first message of an agent on a new link. It marks the worker as linked, takes the ends of runs
 // that the agent reports, requeues the tasks sent over earlier links that the agent no longer holds, and stops the runs that
-// it holds but that are not in flight there.
-func (q *Queue) LinkUp(now time.Time, description Worker, resume *vwmessage.Resume) {
+// it holds but that are not in flight there. It ignores the message of a link that is older than the newest one to the agent, which
+// tells nothing of the tasks that were sent over that one, and returns false.
+func (q *Queue) LinkUp(now time.Time, description Worker, resume *vwmessage.Resume) bool {
+	if q.hasNewerLink(&description) {
+		return false
+	}
 	q.removeEarlierIncarnations(now, &description)
 	w := q.workers[description.Incarnation]
 	if w == nil {
@@ -234,6 +238,14 @@
 	}
 	q.requeueMissing(w, resume.Held)
 	q.stopUnexpected(w, resume.Held)
+	return true
+}
+
+// hasNewerLink reports whether the process of an agent has opened a newer link, also under another incarnation.
+func (q *Queue) hasNewerLink(description *Worker) bool {
+	return slices.ContainsFunc(q.workerOrder, func(w *worker) bool {
+		return w.Process == description.Process && w.Link > description.Link
+	})
 }
 
 // removeEarlierIncarnations removes the earlier incarnations of an agent and requeues their tasks. This is safe because
--- a/internal/process/vwplace/worker.go
+++ b/internal/process/vwplace/worker.go
@@ -18,6 +18,8 @@
 	Service     vwid.Service
 	Labels      []string
 	Capacity    vwresource.Amount
+	// Link is the number of the link to the agent. A newer link has a higher one.
+	Link uint64
 	// SettleTime is the longest time for which runs may go on after the link to the agent was lost.
 	SettleTime time.Duration
 }
