Lose no agent by an older list of registrations

Nobody has seen this one.

An entry asks control for the registrations while an agent has no link or a takeover waits for records. When the list came, it gave up each agent without a link that was not in it, also one that had registered after the list was asked for and had lost its link again, and the records of such agents in takeovers that began after that. The tasks there failed as possibly run, though the agent was there and would have told their results.

The entry remembers what waited when it asked for the list; the list decides about that alone. TestOlderListOfRegistrationsLosesNoAgent failed before for the agent (and, with that condition in place, for the takeover).

--- a/internal/process/vwentry/lease.go
+++ b/internal/process/vwentry/lease.go
@@ -241,8 +241,8 @@
 			return
 		case <-ticker.C:
 		}
-		needed, err := runOnLoop(ctx, e, e.needsRegistrations)
-		if err != nil || !needed {
+		waiting, err := runOnLoop(ctx, e, e.awaitedRegistrations)
+		if err != nil || waiting.isEmpty() {
 			continue
 		}
 		view, err := e.readRegistrations(ctx)
@@ -250,7 +250,7 @@
 			e.log.Warn("registrations not read", "error", err)
 			continue
 		}
-		e.post(func() { e.handleRegistrations(view) })
+		e.post(func() { e.handleRegistrations(waiting, view) })
 	}
 }
 
@@ -260,32 +260,50 @@
 	return e.control.Read(ctx, vwstate.Query{Registrations: true})
 }
 
-func (e *Entry) needsRegistrations() bool {
-	if e.recoveringJobs > 0 {
-		return true
-	}
-	for _, w := range e.agents {
+// awaitedRegistrations holds what waits for a list of registrations when the list is asked for: the agents without a link and
+// the recoveries in progress. The list may be older than what came later, so it proves nothing about that.
+type awaitedRegistrations struct {
+	agents     map[vwid.Incarnation]bool
+	recoveries map[*recovery]bool
+}
+
+func (w *awaitedRegistrations) isEmpty() bool {
+	return len(w.agents) == 0 && len(w.recoveries) == 0
+}
+
+func (e *Entry) awaitedRegistrations() awaitedRegistrations {
+	waiting := awaitedRegistrations{agents: map[vwid.Incarnation]bool{}, recoveries: map[*recovery]bool{}}
+	for incarnation, w := range e.agents {
 		if w.session == nil {
-			return true
+			waiting.agents[incarnation] = true
 		}
 	}
-	return false
+	if e.recoveringJobs == 0 {
+		return waiting
+	}
+	for _, j := range e.jobs {
+		if j.recovery != nil {
+			waiting.recoveries[j.recovery] = true
+		}
+	}
+	return waiting
 }
 
-func (e *Entry) handleRegistrations(view vwstate.View) {
+// handleRegistrations handles a list of registrations that was asked for when waiting was made.
+func (e *Entry) handleRegistrations(waiting awaitedRegistrations, view vwstate.View) {
 	live := map[vwid.Incarnation]bool{}
 	for i := range view.Registrations {
 		if !view.Registrations[i].Ended() {
 			live[view.Registrations[i].Incarnation] = true
 		}
 	}
-	for _, w := range e.agents {
-		if w.session == nil && !live[w.Incarnation] {
+	for incarnation, w := range e.agents {
+		if w.session == nil && waiting.agents[incarnation] && !live[incarnation] {
 			e.handleWorkerLoss(w)
 		}
 	}
 	for _, j := range e.jobs {
-		if j.recovery != nil {
+		if j.recovery != nil && waiting.recoveries[j.recovery] {
 			e.dropUnreachableAgents(j, live)
 		}
 	}
