Let links that the entry has not opened prolong no run

Nobody has seen this happen for certain; it would look like the record: the tasks of one entry at one agent start again together, at several workers, while the agent goes on with their long runs and stops none.

An entry that has lost an agent places its tasks again once the agent's runs must have ended. It counts from the end of the last link that it has opened, by the first message over it. The agent counted from the end of the last link at all. An entry that is short of processor time accepts a link and lets it end before it handles the first message, because nothing is read from it in time; to the agent the time began anew with each such link, and with one that stays up while the entry does not handle the message it never began.

The agent counts from the end of the last link that the entry has opened. What shows that is any message about best-effort jobs; an entry now sends an empty demand over each link that it opens, which agents of earlier versions take for what it is. Revision 2 of the messages says that an entry does that. With an entry of an earlier version a link counts as opened at once, as before.

--- a/internal/connection/vwmessage/message.go
+++ b/internal/connection/vwmessage/message.go
@@ -101,8 +101,10 @@
 const (
 	// RevisionPackedRun adds RankedWant and PackedRun.
 	RevisionPackedRun = 1
+	// RevisionOpenedLink adds that an entry answers a Resume with a Want, if only an empty one.
+	RevisionOpenedLink = 2
 	// CurrentRevision is the newest revision.
-	CurrentRevision = RevisionPackedRun
+	CurrentRevision = RevisionOpenedLink
 )
 
 // Hello is the first message on a link, sent by both ends.
--- a/internal/process/vwagent/link.go
+++ b/internal/process/vwagent/link.go
@@ -283,6 +283,7 @@
 		a.logger.Warn("ignored message: the agent has no worker that grants leases", "Entry", string(m.link.entry))
 		return
 	}
+	a.runner.confirmOpened(m.link)
 	switch body := m.body.(type) {
 	case *vwmessage.Run:
 		m.applyRun(a, now, body)
--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -80,8 +80,8 @@
 	// loadDue is set when the offer has changed since the last load.
 	loadDue    bool
 	resumeSent bool
-	// graceStart is when orphanGrace and resultRetention began: when the last link ended, or orphanGrace earlier if
-	// the link timed out. It is zero while a link is open.
+	// graceStart is when orphanGrace and resultRetention began: when the last link that the entry had opened ended, or
+	// orphanGrace earlier if that link timed out. It is zero while the entry has opened link.
 	graceStart time.Time
 	results    []retainedResult
 }
@@ -261,10 +261,21 @@
 		o = &owner{process: process}
 		r.owners[l.entry] = o
 	}
-	o.link, o.tasksReceived, o.resumeSent, o.graceStart = l, 0, false, time.Time{}
+	o.link, o.tasksReceived, o.resumeSent = l, 0, false
+	if l.session.Peer().Revision < vwmessage.RevisionOpenedLink {
+		r.confirmOpened(l)
+	}
 	r.resume(now, o, l.entry)
 }
 
+// confirmOpened records that the entry of a link has opened it, which the first message about best-effort jobs shows. From then
+// on the entry counts on the runs here until the link ends.
+func (r *runner) confirmOpened(l *link) {
+	if o := r.owners[l.entry]; o != nil && o.link == l {
+		o.graceStart = time.Time{}
+	}
+}
+
 // detach records the end of a link. After a timeout the runs get no orphanGrace, because the time for a new
 // link has passed.
 func (r *runner) detach(now time.Time, l *link) {
@@ -272,9 +283,12 @@
 	if o == nil || o.link != l {
 		return
 	}
-	o.link, o.resumeSent, o.graceStart = nil, false, now
-	if l.timedOut {
-		o.graceStart = now.Add(-orphanGrace)
+	o.link, o.resumeSent = nil, false
+	if o.graceStart.IsZero() {
+		o.graceStart = now
+		if l.timedOut {
+			o.graceStart = now.Add(-orphanGrace)
+		}
 	}
 	r.reservations.RemoveEntry(l.entry)
 }
@@ -582,8 +596,8 @@
 	r.checkOverdue(now)
 	for entry, o := range r.owners {
 		switch {
-		case o.link != nil || o.graceStart.IsZero():
-		case now.Sub(o.graceStart) >= resultRetention:
+		case o.graceStart.IsZero():
+		case o.link == nil && now.Sub(o.graceStart) >= resultRetention:
 			r.removeOwner(now, entry, "the entry has not come back")
 		case now.Sub(o.graceStart) >= orphanGrace:
 			r.tracker.StopOwnedBy(now, entry, "the link to the entry has ended")
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -110,12 +110,17 @@
 	link    *link
 }
 
-// attach opens a link to an entry.
+// attach opens a link to an entry of an earlier version, which does not show that it has opened the link.
 func (f *runnerFixture) attach(process vwid.Process, incarnation vwid.Incarnation) *entryLink {
-	conn := &recordingConn{peer: vwlink.Peer{Process: process, Incarnation: incarnation}}
+	return f.attachPeer(vwlink.Peer{Process: process, Incarnation: incarnation})
+}
+
+// attachPeer opens a link to an entry.
+func (f *runnerFixture) attachPeer(peer vwlink.Peer) *entryLink {
+	conn := &recordingConn{peer: peer}
 	e := &entryLink{fixture: f, conn: conn}
 	f.agent.do(func(now time.Time) {
-		e.link = &link{registration: f.agent.current, entry: incarnation, session: vwlink.MakeSession(conn, nil)}
+		e.link = &link{registration: f.agent.current, entry: peer.Incarnation, session: vwlink.MakeSession(conn, nil)}
 		f.agent.runner.attach(now, e.link)
 	})
 	return e
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -199,6 +199,8 @@
 		return
 	}
 	b.sessions[peer.Incarnation] = session
+	// Until the agent learns that the entry has opened the link, it keeps the runs only for as long as without a link.
+	b.send(session, &vwmessage.Want{})
 	b.entry.log.Info("worker is linked", "agent", string(peer.Process), "worker", string(resume.Offer.Worker), "incarnation", string(peer.Incarnation),
 		"service", string(resume.Offer.Service), "held", len(resume.Held), "ended", len(resume.Ended), "accepting", resume.Load.Accepting, "reason", resume.Load.Reason)
 }
