--- a/internal/process/vwhistory/effortcluster_test.go
+++ b/internal/process/vwhistory/effortcluster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -28,6 +29,8 @@
 	workerCores = 6
 	// announceInterval is how often a worker announces itself.
 	announceInterval = 500 * time.Millisecond
+	// maxListAge is by how much the lists of a worker are older than its clock at most.
+	maxListAge = 5 * time.Millisecond
 )
 
 // effortTiming is that of an installation whose callers send a job again 1.3 s after a broken connection.
@@ -140,12 +143,24 @@
 		w.worker.Started = func(run vwworker.Run, _ bool) { c.record.start(i, run) }
 		w.worker.Ended = func(run vwworker.Run, how vwworker.How) { c.record.end(i, run, how) }
 		w.worker.Filled = func(used vwresource.Amount) { c.record.fill(i, used) }
+		w.worker.ListAge = makeListAge(uint64(i))
 		c.workers = append(c.workers, w)
 		c.startEffortAgent(w)
 	}
 	return c
 }
 
+// makeListAge returns by how much the lists of a worker are older than its clock: up to maxListAge for one list in four.
+func makeListAge(seed uint64) func() time.Duration {
+	random := rand.New(rand.NewPCG(seed, 5))
+	return func() time.Duration {
+		if random.IntN(4) > 0 {
+			return 0
+		}
+		return time.Duration(random.IntN(int(maxListAge)))
+	}
+}
+
 // changeRules stores the first rules and waits until all processes have them.
 func (c *effortCluster) changeRules(t *testing.T, text string) {
 	t.Helper()
@@ -220,5 +235,7 @@
 		c.killEffortAgent(w)
 		w.worker.Crash()
 	}
+	// Calls to workers end with the age of their lists.
+	time.Sleep(maxListAge)
 	c.stop()
 }
