Share one list between the holdings and the connections of the intake

The ledger and the listener each had the same linked list of their own, and a further one is needed for connections whose bodies arrive slowly. Both use order now, which keeps its size as well. No behaviour changes; the tests of the package pass, and the randomized test of the ledger checks the size too.

--- a/internal/process/vwintake/ledger.go
+++ b/internal/process/vwintake/ledger.go
@@ -30,8 +30,8 @@
 	// progress is the time of the last progress, and since is what has come after it.
 	progress time.Time
 	since    vwunit.Bytes
-	// before and after are the neighbours in the order of the last progress.
-	before, after *Holding
+	// place is that in the order of the last progress.
+	place place[*Holding]
 	// stop ends the arrival of an evicted holding.
 	stop func()
 }
@@ -60,8 +60,8 @@
 	large     vwunit.Bytes
 	byKind    [kinds]vwunit.Bytes
 	byAddress map[netip.Addr]vwunit.Bytes
-	// oldest and newest are the ends of the order of the last progress.
-	oldest, newest *Holding
+	// arriving holds the holdings that may lose to others in the order of their last progress.
+	arriving order[*Holding]
 }
 
 func makeLedger(settings Settings) *ledger {
@@ -70,8 +70,8 @@
 
 // begin makes a holding that has no bytes yet. It loses to others until it is kept or released.
 func (l *ledger) begin(h *Holding, now time.Time) {
-	h.arriving, h.progress = true, now
-	l.append(h)
+	h.arriving, h.progress, h.place.element = true, now, h
+	l.arriving.append(&h.place)
 }
 
 // grow lets a holding have so many bytes in all, or returns why not. The evicted holdings have lost their bytes, and their arrival
@@ -140,15 +140,15 @@
 // findStalled returns the holding that has made no progress for longest, if it has made none for too long and its end helps. Only a
 // few are looked at.
 func (l *ledger) findStalled(h *Holding, helps func(*Holding) bool, now time.Time) *Holding {
-	victim := l.oldest
+	next := l.arriving.oldest
 	for range maxVictims {
-		if victim == nil || now.Sub(victim.progress) < l.settings.StallTime {
+		if next == nil || now.Sub(next.element.progress) < l.settings.StallTime {
 			return nil
 		}
-		if victim != h && helps(victim) {
+		if victim := next.element; victim != h && helps(victim) {
 			return victim
 		}
-		victim = victim.after
+		next = next.after
 	}
 	return nil
 }
@@ -162,8 +162,8 @@
 		return
 	}
 	h.since, h.progress = 0, now
-	l.unlink(h)
-	l.append(h)
+	l.arriving.remove(&h.place)
+	l.arriving.append(&h.place)
 }
 
 // keep ends the arrival of a holding and leaves it so many bytes of a kind. More than it has is not refused.
@@ -183,32 +183,6 @@
 
 // end ends the arrival of a holding.
 func (l *ledger) end(h *Holding) {
-	if h.arriving {
-		h.arriving = false
-		l.unlink(h)
-	}
-}
-
-func (l *ledger) append(h *Holding) {
-	h.before, h.after = l.newest, nil
-	if l.newest == nil {
-		l.oldest = h
-	} else {
-		l.newest.after = h
-	}
-	l.newest = h
-}
-
-func (l *ledger) unlink(h *Holding) {
-	if h.before == nil {
-		l.oldest = h.after
-	} else {
-		h.before.after = h.after
-	}
-	if h.after == nil {
-		l.newest = h.before
-	} else {
-		h.after.before = h.before
-	}
-	h.before, h.after = nil, nil
+	h.arriving = false
+	l.arriving.remove(&h.place)
 }
--- a/internal/process/vwintake/ledger_test.go
+++ b/internal/process/vwintake/ledger_test.go
@@ -118,13 +118,14 @@
 					arriving++
 				}
 			}
-			for h := l.oldest; h != nil; h = h.after {
+			for p := l.arriving.oldest; p != nil; p = p.after {
 				listed++
 			}
 			require.Equal(t, sum, l.held)
 			require.Equal(t, large, l.large)
 			require.Equal(t, sum, l.byKind[Bodies]+l.byKind[Waiting])
 			require.Equal(t, arriving, listed)
+			require.Equal(t, arriving, l.arriving.size)
 			require.LessOrEqual(t, l.held, testSettings.Total)
 			require.LessOrEqual(t, l.large, testSettings.Total-testSettings.Reserve)
 		}
@@ -133,7 +134,7 @@
 		}
 		require.Zero(t, l.held)
 		require.Empty(t, l.byAddress)
-		require.Nil(t, l.oldest)
+		require.Nil(t, l.arriving.oldest)
 	})
 }
 
--- a/internal/process/vwintake/listener.go
+++ b/internal/process/vwintake/listener.go
@@ -45,8 +45,8 @@
 	once   sync.Once
 
 	mu sync.Mutex
-	// oldest and newest are the ends of the list of connections that wait for a request, by the time since when.
-	oldest, newest *Conn
+	// waiting holds the connections that wait for a request, by the time since when.
+	waiting order[*Conn]
 }
 
 // Limit returns a listener for at most so many connections, or fewer if the budget's share for connections is smaller. Zero means
@@ -104,11 +104,12 @@
 func (l *Listener) takeVictim(now time.Time) *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	victim := l.oldest
-	if victim == nil || now.Sub(victim.since) < l.budget.ledger.settings.StallTime {
+	oldest := l.waiting.oldest
+	if oldest == nil || now.Sub(oldest.element.since) < l.budget.ledger.settings.StallTime {
 		return nil
 	}
-	victim.remove()
+	victim := oldest.element
+	l.waiting.remove(oldest)
 	victim.ending = true
 	return victim
 }
@@ -129,11 +130,10 @@
 	// holding is what the head takes beyond freeHeadBytes.
 	holding *Holding
 
-	// since is the time since when the connection has waited for a request. before, after and waits are its place in the list.
+	// since is the time since when the connection has waited for a request, and waiting its place among those that do.
 	// The mutex of the listener guards them.
-	since         time.Time
-	before, after *Conn
-	waits         bool
+	since   time.Time
+	waiting place[*Conn]
 	// ending is set once the connection has lost its place or is closed.
 	ending bool
 }
@@ -247,23 +247,18 @@
 	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if c.waits || c.ending {
+	if c.waiting.listed || c.ending {
 		return
 	}
-	c.waits, c.since, c.before, c.after = true, now, l.newest, nil
-	if l.newest == nil {
-		l.oldest = c
-	} else {
-		l.newest.after = c
-	}
-	l.newest = c
+	c.since, c.waiting.element = now, c
+	l.waiting.append(&c.waiting)
 }
 
 // unlink takes the connection off the list. It reports whether the connection has lost its place.
 func (c *Conn) unlink() (ending bool) {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.remove()
+	c.listener.waiting.remove(&c.waiting)
 	return c.ending
 }
 
@@ -271,25 +266,6 @@
 func (c *Conn) end() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
-	c.remove()
+	c.listener.waiting.remove(&c.waiting)
 	c.ending = true
 }
-
-// remove takes the connection off the list. The mutex of the listener must be held.
-func (c *Conn) remove() {
-	l := c.listener
-	if !c.waits {
-		return
-	}
-	if c.before == nil {
-		l.oldest = c.after
-	} else {
-		c.before.after = c.after
-	}
-	if c.after == nil {
-		l.newest = c.before
-	} else {
-		c.after.before = c.before
-	}
-	c.waits, c.before, c.after = false, nil, nil
-}
