Bound what all links hold for peers that do not read

What was seen: nothing yet; by reading, each link of a process queued up to 64 MiB for a peer that does not read, in processes of 96 to 408 MiB, and an entry has tens of links. Cause: maxQueuedBytes was a bound of one link, and did not depend on the memory of the process. Change: the links of an endpoint share a limit, an eighth of the memory on the platform and 64 MiB elsewhere, of which one link may have half. A link without a queue may always have one message, so peers that read are reached whatever others do. The errors of a full queue are as before: the message was not sent.

--- a/internal/connection/vwlink/number_test.go
+++ b/internal/connection/vwlink/number_test.go
@@ -66,8 +66,8 @@
 
 // A link must be numbered before its peer learns that it is open, because the peer may open the next one at once.
 func TestStreamIsNumberedWhenItIsMade(t *testing.T) {
-	first := makeStreamConn(Peer{}, DefaultTiming, false, nil, nil, nil)
-	second := makeStreamConn(Peer{}, DefaultTiming, false, nil, nil, nil)
+	first := makeStreamConn(Peer{}, DefaultTiming, false, nil, nil, nil, makeQueueLimit())
+	second := makeStreamConn(Peer{}, DefaultTiming, false, nil, nil, nil, makeQueueLimit())
 	late := MakeSession(first, nil)
 	require.Less(t, late.Number(), second.Number())
 	require.Equal(t, first.Number(), late.Number())
--- a/internal/connection/vwlink/quic.go
+++ b/internal/connection/vwlink/quic.go
@@ -36,6 +36,7 @@
 	listener  *quic.Listener
 	group     *vwgroup.Group
 	accepted  chan Conn
+	queues    *queueLimit
 }
 
 // MakeQUICEndpoint binds address, which may have port 0, and listens there. The certificate in config
@@ -65,8 +66,9 @@
 // MakeQUICEndpointOn makes an endpoint on a bound socket, which it owns from then on.
 func MakeQUICEndpointOn(socket *net.UDPConn, config *tls.Config, hello vwmessage.Hello) (*QUICEndpoint, error) {
 	e := &QUICEndpoint{
-		hello: hello,
-		tls:   config,
+		hello:  hello,
+		tls:    config,
+		queues: makeQueueLimit(),
 		config: &quic.Config{
 			HandshakeIdleTimeout: helloTimeout,
 			// Session finds silence earlier; this bounds links that never reach a session.
@@ -191,7 +193,7 @@
 	}
 	conn := makeStreamConn(peer, DefaultTiming, dialled, stream, reader, func() error {
 		return connection.CloseWithError(closeNormal, "")
-	})
+	}, e.queues)
 	if !e.group.Run(conn.write) {
 		return nil, refuseConnection(connection, ErrClosed)
 	}
--- a/internal/connection/vwlink/stream.go
+++ b/internal/connection/vwlink/stream.go
@@ -15,9 +15,6 @@
 	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
-// maxQueuedBytes bounds what one link holds in memory for a slow peer.
-const maxQueuedBytes = 4 * vwmessage.MaxEnvelope
-
 // maxSpareBuffer is the largest write buffer that a link keeps for its next write. A burst of payloads must
 // not stay in memory for the life of the link.
 const maxSpareBuffer = 64 << 10
@@ -92,14 +89,16 @@
 	end  func() error
 	done chan struct{}
 	wake chan struct{}
+	// limit bounds the queues of all links of the endpoint.
+	limit *queueLimit
 
 	mu     sync.Mutex
 	queue  []byte
 	closed bool
 }
 
-func makeStreamConn(peer Peer, timing Timing, dialled bool, out io.Writer, reader *bufio.Reader, end func() error) *streamConn {
-	return &streamConn{peer: peer, timing: timing, dialled: dialled, number: lastNumber.Add(1), out: out, reader: reader, end: end, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+func makeStreamConn(peer Peer, timing Timing, dialled bool, out io.Writer, reader *bufio.Reader, end func() error, limit *queueLimit) *streamConn {
+	return &streamConn{peer: peer, timing: timing, dialled: dialled, number: lastNumber.Add(1), out: out, reader: reader, end: end, done: make(chan struct{}), wake: make(chan struct{}, 1), limit: limit}
 }
 
 // Peer implements Conn.
@@ -129,11 +128,13 @@
 	if c.closed {
 		return trace.Wrap(ErrClosed)
 	}
-	if len(c.queue) > maxQueuedBytes {
-		return trace.LimitExceeded("peer %q does not read; %d bytes are queued", c.peer.Process, len(c.queue))
+	queued := len(c.queue)
+	if !c.limit.allows(queued) {
+		return trace.LimitExceeded("peer %q does not read; %d bytes are queued for it, %d for all peers", c.peer.Process, queued, c.limit.queued.Load())
 	}
 	queue, err := AppendFrame(c.queue, &envelope)
 	c.queue = queue
+	c.limit.add(len(queue) - queued)
 	if err != nil {
 		return err
 	}
@@ -160,7 +161,9 @@
 		if len(batch) == 0 {
 			continue
 		}
-		if _, err := c.out.Write(batch); err != nil {
+		_, err := c.out.Write(batch)
+		c.limit.add(-len(batch))
+		if err != nil {
 			_ = c.Close()
 			return
 		}
@@ -197,6 +200,8 @@
 	c.mu.Lock()
 	closed := c.closed
 	c.closed = true
+	c.limit.add(-len(c.queue))
+	c.queue = nil
 	c.mu.Unlock()
 	if closed {
 		return nil
--- a/internal/connection/vwlink/tcp.go
+++ b/internal/connection/vwlink/tcp.go
@@ -13,6 +13,7 @@
 
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
 const (
@@ -36,6 +37,7 @@
 	log      *slog.Logger
 	group    *vwgroup.Group
 	accepted chan Conn
+	queues   *queueLimit
 }
 
 // MakeTCPEndpoint binds address, which may have port 0, and listens there. With an empty address the
@@ -50,6 +52,7 @@
 		log:      log,
 		group:    vwgroup.Make(context.Background()),
 		accepted: make(chan Conn),
+		queues:   makeQueueLimit(),
 	}
 	if address == "" {
 		return e, nil
@@ -64,6 +67,11 @@
 	return e, nil
 }
 
+// LimitQueues bounds what the links of the endpoint hold in memory for peers that read slowly. Each has at most half of it.
+func (e *TCPEndpoint) LimitQueues(total vwunit.Bytes) {
+	e.queues.set(total)
+}
+
 // Address returns the bound address, or an empty one when the endpoint only dials.
 func (e *TCPEndpoint) Address() string {
 	if e.listener == nil {
@@ -165,7 +173,7 @@
 		return nil, err
 	}
 	// The end of a link closes the socket without a TLS alert, which would wait behind a blocked write.
-	conn := makeStreamConn(peer, e.timing, dialled, secure, reader, raw.Close)
+	conn := makeStreamConn(peer, e.timing, dialled, secure, reader, raw.Close, e.queues)
 	if !dialled {
 		if err := writeHello(secure, e.hello); err != nil {
 			return nil, err
--- a/internal/process/vwprocess/links.go
+++ b/internal/process/vwprocess/links.go
@@ -12,6 +12,7 @@
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwkeys"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
@@ -31,6 +32,8 @@
 	Transport Transport
 	// Timing applies to TCP only; zero means vwlink.DefaultTiming.
 	Timing vwlink.Timing
+	// QueuedBytes bounds what all links hold for peers that read slowly. It applies to TCP only; zero means the default of vwlink.
+	QueuedBytes vwunit.Bytes
 	// Log receives the errors of accepting links over TCP. Nil discards them.
 	Log *slog.Logger
 }
@@ -57,7 +60,14 @@
 		return nil, trace.Wrap(err)
 	}
 	if c.Transport == TCP {
-		return vwlink.MakeTCPEndpoint(address, tls, hello, c.timing(), c.logger())
+		endpoint, err := vwlink.MakeTCPEndpoint(address, tls, hello, c.timing(), c.logger())
+		if err != nil {
+			return nil, err
+		}
+		if c.QueuedBytes > 0 {
+			endpoint.LimitQueues(c.QueuedBytes)
+		}
+		return endpoint, nil
 	}
 	return vwlink.MakeQUICEndpoint(address, tls, hello)
 }
