Bound the links whose handshakes are under way

What callers would see, by calculation, not by a run: a process accepts any number of connections at its link port and keeps each for the 2 s of a handshake, so 1,000 a second take the 2,000 to 4,100 descriptors, and neither clients nor peers get a connection. Cause: acceptAll started a goroutine for each connection and counted none. Change: at most 256 handshakes are under way. A further connection closes the oldest one, which has had at least 250 ms, and waits to be served until then. A handshake takes two round trips, so 250 ms exceed those of all deployments by far.

--- a/internal/connection/vwlink/tcp.go
+++ b/internal/connection/vwlink/tcp.go
@@ -38,6 +38,8 @@
 	group    *vwgroup.Group
 	accepted chan Conn
 	queues   *queueLimit
+	// handshakes are those of accepted connections.
+	handshakes handshakes
 }
 
 // MakeTCPEndpoint binds address, which may have port 0, and listens there. With an empty address the
@@ -128,7 +130,7 @@
 			}
 			continue
 		}
-		if !e.group.Run(func(ctx context.Context) { e.acceptOne(ctx, raw) }) {
+		if e.handshakes.begin(ctx, raw) != nil || !e.group.Run(func(ctx context.Context) { e.acceptOne(ctx, raw) }) {
 			_ = raw.Close()
 		}
 	}
@@ -138,6 +140,7 @@
 	limited, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	conn, err := e.open(limited, raw, tls.Server(raw, e.tls), false)
+	e.handshakes.end(raw)
 	if err != nil {
 		return
 	}
