Let slow bodies and slow readers lose their connections to others

Cause: a full listener closes only connections without a request, and each of these bodies makes the progress that is asked for. Change: a connection whose body arrives, or whose answer is written, is in a list by the time since when. When the listener is full and no connection waits for a request, the slowest of the hundred that have taken longest is closed for a new connection, after a second, or after 10 s if it moves 32 KiB a second. Such connections keep at most three quarters of all, so that a new request finds one without a wait. A body that ends after its connection has lost its place is an error for its handler, so nothing of it runs. A request whose body has come and whose handler waits is not in the list. Why it holds: a connection is kept by what it moves, not by that it moves.

--- a/internal/process/vwintake/body.go
+++ b/internal/process/vwintake/body.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"sync"
@@ -24,11 +25,42 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(b.ledger.settings.ProgressTime))
+			if conn, ok := connOf(r); ok {
+				body := &transferredBody{ReadCloser: r.Body, conn: conn}
+				conn.beginTransfer()
+				defer body.end()
+				r.Body = body
+			}
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
+// transferredBody is a body whose connection may lose its place to another one until the body has ended.
+type transferredBody struct {
+	io.ReadCloser
+	conn  *Conn
+	ended bool
+}
+
+// Read implements io.Reader. It returns an error in place of the end of a body whose connection has lost its place before.
+func (b *transferredBody) Read(text []byte) (int, error) {
+	n, err := b.ReadCloser.Read(text)
+	if err != nil && b.end() && errors.Is(err, io.EOF) {
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
+// end records the end of the body. It reports whether the connection has lost its place.
+func (b *transferredBody) end() (ending bool) {
+	if b.ended {
+		return false
+	}
+	b.ended = true
+	return b.conn.endTransfer()
+}
+
 // ReadBody reads the body of a request, which may have limit bytes. The bytes are taken from the budget as they come, and held until
 // the holding is released. It returns ErrRefused if there is no room, or if the body made no progress in time.
 // After an error the connection closes with the response.
--- a/internal/process/vwintake/ledger.go
+++ b/internal/process/vwintake/ledger.go
@@ -48,6 +48,8 @@
 	KindShare    Reason = "kind"
 	// Connections means that a connection without a request made room for another.
 	Connections Reason = "connections"
+	// Slow means that a connection whose body arrived, or whose answer was read, more slowly than others made room for another.
+	Slow Reason = "slow"
 	// Stalled means that a body made no progress in time, which is shorter while others lack room.
 	Stalled Reason = "stalled"
 )
--- a/internal/process/vwintake/listener.go
+++ b/internal/process/vwintake/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -32,10 +33,17 @@
 	writeBytes   = 16 << 10
 	// slotPollInterval is the period at which a full listener looks for a connection that it may close.
 	slotPollInterval = 20 * time.Millisecond
+	// transferShare is the part of the connections that bodies which arrive, and answers which are read, for longer than the stall
+	// time may keep from new connections.
+	transferShare = 3.0 / 4
+	// fastRate is the rate, in bytes a second, from which on a body or an answer keeps its connection for fastTime. A configuration of
+	// the largest size passes a link of 2 Mbit/s in little more than that.
+	fastRate = 32 << 10
+	fastTime = 10 * time.Second
 )
 
 // Listener limits the open connections of a server. When all are taken, one that has waited for a request for longest makes room for
-// a new one.
+// a new one, or else the slowest of those whose bodies arrive or whose answers are read.
 type Listener struct {
 	net.Listener
 	budget *Budget
@@ -47,6 +55,8 @@
 	mu sync.Mutex
 	// waiting holds the connections that wait for a request, by the time since when.
 	waiting order[*Conn]
+	// transfers holds the connections whose bodies arrive or whose answers are read, by the time since when.
+	transfers order[*Conn]
 }
 
 // Limit returns a listener for at most so many connections, or fewer if the budget's share for connections is smaller. Zero means
@@ -77,6 +87,10 @@
 // takeSlot waits until there is room for a connection.
 func (l *Listener) takeSlot() error {
 	for {
+		if victim, reason := l.takeVictim(time.Now()); victim != nil {
+			victim.abort()
+			l.budget.count(reason)
+		}
 		select {
 		case l.slots <- struct{}{}:
 			return nil
@@ -84,11 +98,6 @@
 			return net.ErrClosed
 		default:
 		}
-		if victim := l.takeVictim(time.Now()); victim != nil {
-			_ = victim.Close()
-			l.budget.count(Connections)
-			continue
-		}
 		select {
 		case l.slots <- struct{}{}:
 			return nil
@@ -99,19 +108,47 @@
 	}
 }
 
-// takeVictim takes the connection that has waited for a request for longest off the list, if that is at least the stall time. A
-// request whose head ends from then on is not served.
-func (l *Listener) takeVictim(now time.Time) *Conn {
+// takeVictim takes a connection that makes room for a new one off its lists, if there has to be one. No request whose end comes from
+// then on is served over it.
+func (l *Listener) takeVictim(now time.Time) (victim *Conn, reason Reason) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	full := len(l.slots) == cap(l.slots)
+	if full {
+		victim, reason = l.oldestWaiting(now), Connections
+	}
+	if victim == nil && (full || float64(l.transfers.size) > transferShare*float64(cap(l.slots))) {
+		victim, reason = l.slowestTransfer(now), Slow
+	}
+	if victim != nil {
+		victim.unlist()
+	}
+	return victim, reason
+}
+
+// oldestWaiting returns the connection that has waited for a request for longest, if that is at least the stall time.
+func (l *Listener) oldestWaiting(now time.Time) *Conn {
 	oldest := l.waiting.oldest
 	if oldest == nil || now.Sub(oldest.element.since) < l.budget.ledger.settings.StallTime {
 		return nil
 	}
-	victim := oldest.element
-	l.waiting.remove(oldest)
-	victim.ending = true
-	return victim
+	return oldest.element
+}
+
+// slowestTransfer returns the connection with the lowest rate, of the slow ones among those that have taken longest.
+func (l *Listener) slowestTransfer(now time.Time) (slowest *Conn) {
+	slowestRate := 0.0
+	next := l.transfers.oldest
+	for range maxVictims {
+		if next == nil {
+			break
+		}
+		if rate, slow := next.element.rate(now); slow && (slowest == nil || rate < slowestRate) {
+			slowest, slowestRate = next.element, rate
+		}
+		next = next.after
+	}
+	return slowest
 }
 
 // Close implements net.Listener. The connections stay open.
@@ -134,8 +171,15 @@
 	// The mutex of the listener guards them.
 	since   time.Time
 	waiting place[*Conn]
-	// ending is set once the connection has lost its place or is closed.
+	// transfers is the number of bodies that arrive and answers that are written, begun the time since when there is one, and transfer
+	// the place among the connections that have one. The mutex of the listener guards them.
+	transfers int
+	begun     time.Time
+	transfer  place[*Conn]
+	// ending is set once the connection has lost its place or is closed. The mutex of the listener guards it.
 	ending bool
+	// moved is the number of bytes that were read and written since begun.
+	moved atomic.Int64
 }
 
 // SyscallConn implements syscall.Conn.
@@ -181,6 +225,7 @@
 // Read implements net.Conn. A head beyond a few KB or fields is taken from the budget; without room the connection ends.
 func (c *Conn) Read(text []byte) (int, error) {
 	n, err := c.Conn.Read(text)
+	c.moved.Add(int64(n))
 	if c.head < 0 {
 		return n, err
 	}
@@ -220,12 +265,15 @@
 
 // Write implements net.Conn. Each part has to be taken in time.
 func (c *Conn) Write(text []byte) (int, error) {
+	c.beginTransfer()
+	defer c.endTransfer()
 	written := 0
 	for {
 		part := text[written:min(written+writeBytes, len(text))]
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 		n, err := c.Conn.Write(part)
 		written += n
+		c.moved.Add(int64(n))
 		if err != nil || written >= len(text) {
 			return written, err
 		}
@@ -241,6 +289,49 @@
 	return c.Conn.Close()
 }
 
+// rate returns how many bytes a second the connection has moved in its transfer, and whether it may lose its place: after the stall
+// time, or after fastTime if it is fast. The mutex of the listener must be held.
+func (c *Conn) rate(now time.Time) (rate float64, slow bool) {
+	taken := now.Sub(c.begun)
+	if taken < c.listener.budget.ledger.settings.StallTime {
+		return 0, false
+	}
+	rate = float64(c.moved.Load()) / max(taken.Seconds(), 1e-9)
+	return rate, rate < fastRate || taken >= fastTime
+}
+
+// abort closes the connection at once, with what the peer has not read.
+func (c *Conn) abort() {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// beginTransfer records that a body begins to arrive or an answer to be written.
+func (c *Conn) beginTransfer() {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.transfers++; c.transfers > 1 || c.ending {
+		return
+	}
+	c.begun, c.transfer.element = time.Now(), c
+	c.moved.Store(0)
+	l.transfers.append(&c.transfer)
+}
+
+// endTransfer records its end. It reports whether the connection has lost its place.
+func (c *Conn) endTransfer() (ending bool) {
+	l := c.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c.transfers--; c.transfers == 0 {
+		l.transfers.remove(&c.transfer)
+	}
+	return c.ending
+}
+
 // wait puts the connection at the end of the list of those that wait for a request.
 func (c *Conn) wait() {
 	l := c.listener
@@ -262,10 +353,16 @@
 	return c.ending
 }
 
-// end takes the connection off the list for good.
+// end takes the connection off the lists for good.
 func (c *Conn) end() {
 	c.listener.mu.Lock()
 	defer c.listener.mu.Unlock()
+	c.unlist()
+}
+
+// unlist takes the connection off the lists for good. The mutex of the listener must be held.
+func (c *Conn) unlist() {
 	c.listener.waiting.remove(&c.waiting)
+	c.listener.transfers.remove(&c.transfer)
 	c.ending = true
 }
--- a/internal/process/vwintake/listener_test.go
+++ b/internal/process/vwintake/listener_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -22,13 +23,16 @@
 	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	server := &http.Server{
-		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Handler: budget.Handle(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := io.Copy(io.Discard, r.Body)
 			if r.URL.Path == "/wait" {
 				<-release
 			}
-			_, _ = fmt.Fprint(w, "answer")
-		}),
-		ConnState: SetState,
+			if err == nil {
+				_, _ = fmt.Fprint(w, "answer")
+			}
+		})),
+		ConnState: SetState, ConnContext: WithConn,
 	}
 	group := vwgroup.Make(context.Background())
 	limited := budget.Limit(listener, connections)
@@ -127,10 +131,71 @@
 	limited := Make(settings).Limit(listener, 1)
 	conn, err := limited.Accept()
 	require.NoError(t, err)
-	require.Same(t, conn, limited.takeVictim(time.Now()))
+	victim, _ := limited.takeVictim(time.Now())
+	require.Same(t, conn, victim)
 	require.PanicsWithValue(t, http.ErrAbortHandler, func() { SetState(conn, http.StateActive) })
 	require.NoError(t, conn.Close())
 	SetState(conn, http.StateIdle)
-	require.Nil(t, limited.takeVictim(time.Now()))
+	victim, _ = limited.takeVictim(time.Now())
+	require.Nil(t, victim)
 	require.NoError(t, client.Close())
 }
+
+// Guards against bodies that arrive slowly and keep all connections from others, and against a cut of a body that is fast, or of a
+// request whose body has come.
+func TestSlowBodiesMakeRoom(t *testing.T) {
+	settings := SettingsFor(0)
+	settings.StallTime = 50 * time.Millisecond
+	budget, release := Make(settings), make(chan struct{})
+	address := serveLimited(t, budget, 4, release)
+	const head = "POST %s HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n"
+	waiting := dial(t, address, fmt.Sprintf(head, "/wait")+strings.Repeat("x", 100000))
+	fast := dial(t, address, fmt.Sprintf(head, "/")+strings.Repeat("x", 90000))
+	for range 10 {
+		dial(t, address, fmt.Sprintf(head, "/")+"x")
+	}
+	ordinary := dial(t, address, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	requireAnswer(t, ordinary)
+	_, err := fast.Write([]byte(strings.Repeat("x", 10000)))
+	require.NoError(t, err)
+	requireAnswer(t, fast)
+	close(release)
+	requireAnswer(t, waiting)
+	require.Positive(t, budget.Refused(Slow))
+}
+
+func requireAnswer(t *testing.T, conn net.Conn) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
+
+// Guards against a request that runs although its connection was closed for another before the end of its body.
+func TestBodyWhoseConnectionHasLostItsPlaceDoesNotEnd(t *testing.T) {
+	for name, loses := range map[string]bool{"keeps its place": false, "loses its place": true} {
+		t.Run(name, func(t *testing.T) {
+			settings := SettingsFor(0)
+			settings.StallTime = 0
+			client, end := net.Pipe()
+			listener := pipeListener{make(chan net.Conn, 1), make(chan struct{})}
+			listener.conns <- end
+			limited := Make(settings).Limit(listener, 1)
+			accepted, err := limited.Accept()
+			require.NoError(t, err)
+			conn := accepted.(*Conn)
+			SetState(conn, http.StateActive)
+			conn.beginTransfer()
+			body := &transferredBody{ReadCloser: io.NopCloser(strings.NewReader("body")), conn: conn}
+			if loses {
+				victim, reason := limited.takeVictim(time.Now())
+				require.Same(t, conn, victim)
+				require.Equal(t, Slow, reason)
+			}
+			text, err := io.ReadAll(body)
+			require.Equal(t, "body", string(text))
+			require.Equal(t, loses, err != nil)
+			require.NoError(t, client.Close())
+		})
+	}
+}
--- a/internal/process/vwprocess/httpserver.go
+++ b/internal/process/vwprocess/httpserver.go
@@ -49,10 +49,15 @@
 		return nil, trace.Wrap(err, "binding %s", address)
 	}
 	s := &httpServer{listener: intake.Limit(listener, connections), group: vwgroup.Make(context.Background())}
-	s.server = &http.Server{Handler: s.count(intake.Handle(handler)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.setState, ConnContext: vwcaller.WithConn}
+	s.server = &http.Server{Handler: s.count(intake.Handle(handler)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.setState, ConnContext: withConn}
 	return s, nil
 }
 
+// withConn is the ConnContext of the server.
+func withConn(ctx context.Context, conn net.Conn) context.Context {
+	return vwintake.WithConn(vwcaller.WithConn(ctx, conn), conn)
+}
+
 // setState is the ConnState of the server.
 func (s *httpServer) setState(conn net.Conn, state http.ConnState) {
 	s.connections.set(conn, state)
