Refuse a body that is not whole when its caller stops waiting

It held a connection and memory all the time. Cause: the time of the caller began to count after the body. Change: the read of a job's body ends at the deadline of the request, with 503 and Retry-After: it has not run. The metric counts it as late. Evidence: TestBodiesEndWithTheTimeOfTheirCallers; without the change the body of that test is refused as too slow for nothing but its own size, after minutes. A body within the deadline is read as before (TestProgressDecidesAboutSlowBodies).

--- a/internal/process/vwintake/body.go
+++ b/internal/process/vwintake/body.go
@@ -65,7 +65,16 @@
 // the holding is released. It returns ErrRefused if there is no room, or if the body made no progress in time.
 // After an error the connection closes with the response.
 func (b *Budget) ReadBody(w http.ResponseWriter, r *http.Request, limit vwunit.Bytes) ([]byte, *Holding, error) {
-	a := &arrival{budget: b, controller: http.NewResponseController(w), body: http.MaxBytesReader(w, r.Body, int64(limit)), declared: vwunit.Bytes(r.ContentLength)}
+	return b.ReadBodyUntil(w, r, limit, time.Time{})
+}
+
+// ReadBodyUntil is ReadBody for a caller who no longer waits for its answer after a time, so a body that is not whole by then is
+// refused. The zero time is never.
+func (b *Budget) ReadBodyUntil(w http.ResponseWriter, r *http.Request, limit vwunit.Bytes, until time.Time) ([]byte, *Holding, error) {
+	a := &arrival{
+		budget: b, controller: http.NewResponseController(w), body: http.MaxBytesReader(w, r.Body, int64(limit)), declared: vwunit.Bytes(r.ContentLength),
+		until: until,
+	}
 	if a.declared > limit {
 		w.Header().Set("Connection", "close")
 		a.setDeadline(drainTime)
@@ -90,6 +99,8 @@
 	// declared is the length of the body, or negative.
 	declared vwunit.Bytes
 	holding  *Holding
+	// until is when the caller no longer waits, or zero.
+	until time.Time
 
 	mu sync.Mutex
 	// ended is set when the deadline of the connection is no longer that of the body, and stopped when the body must not arrive.
@@ -111,14 +122,26 @@
 	}
 }
 
-// extend lets the body have another ProgressTime.
+// extend lets the body have another ProgressTime, but no more than the caller waits.
 func (a *arrival) extend() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.stopped {
 		return
 	}
-	a.setDeadline(a.budget.ledger.settings.ProgressTime)
+	after := a.budget.ledger.settings.ProgressTime
+	if !a.until.IsZero() {
+		after = min(after, time.Until(a.until))
+	}
+	a.setDeadline(after)
+}
+
+// missed returns why a body that was not whole at its deadline is refused.
+func (a *arrival) missed() Reason {
+	if !a.until.IsZero() && time.Until(a.until) <= 0 {
+		return Late
+	}
+	return Stalled
 }
 
 // finish clears the deadline, since later requests of the connection have deadlines of their own.
@@ -147,8 +170,10 @@
 	switch {
 	case err == nil && !evicted:
 		return text, nil
-	case evicted && err == nil, errors.Is(err, os.ErrDeadlineExceeded):
+	case evicted:
 		return nil, a.budget.refuse(Stalled)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, a.budget.refuse(a.missed())
 	}
 	return nil, err
 }
--- a/internal/process/vwintake/budget.go
+++ b/internal/process/vwintake/budget.go
@@ -20,7 +20,7 @@
 }
 
 // reasons are all reasons of refusals.
-var reasons = [...]Reason{NoRoom, AddressShare, KindShare, Connections, Slow, Stalled}
+var reasons = [...]Reason{NoRoom, AddressShare, KindShare, Connections, Slow, Late, Stalled}
 
 // Reasons returns all reasons of refusals.
 func Reasons() []Reason {
--- a/internal/process/vwintake/ledger.go
+++ b/internal/process/vwintake/ledger.go
@@ -50,6 +50,8 @@
 	Connections Reason = "connections"
 	// Slow means that a connection whose body arrived, or whose answer was read, more slowly than others made room for another.
 	Slow Reason = "slow"
+	// Late means that the time of the caller ended before its body was whole.
+	Late Reason = "late"
 	// Stalled means that a body made no progress in time, which is shorter while others lack room.
 	Stalled Reason = "stalled"
 )
--- a/internal/process/vwintake/slow_test.go
+++ b/internal/process/vwintake/slow_test.go
@@ -41,6 +41,9 @@
 
 func (l pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// callerTime is how long the callers of servePipe wait for the answers to requests for /patient.
+const callerTime = time.Minute
+
 // servePipe serves one connection, whose other end is returned, and responds with the size of the body. The body of a request for
 // /unread is not read.
 func servePipe(t *testing.T, budget *Budget) net.Conn {
@@ -52,7 +55,11 @@
 		if r.URL.Path == "/unread" {
 			return
 		}
-		text, holding, err := budget.ReadBody(w, r, 1<<20)
+		until := time.Time{}
+		if r.URL.Path == "/patient" {
+			until = time.Now().Add(callerTime)
+		}
+		text, holding, err := budget.ReadBodyUntil(w, r, 1<<20, until)
 		defer budget.Release(holding)
 		var refused ErrRefused
 		switch {
@@ -166,3 +173,28 @@
 		})
 	}
 }
+
+// Guards against a body that keeps its connection when its caller no longer waits for the answer: it is refused at that time.
+func TestBodiesEndWithTheTimeOfTheirCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		budget, begun := Make(SettingsFor(0)), time.Now()
+		client := servePipe(t, budget)
+		group := vwgroup.Make(context.Background())
+		group.Run(func(context.Context) {
+			_, _ = fmt.Fprint(client, "POST /patient HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n")
+			for {
+				if _, err := io.WriteString(client, strings.Repeat("x", 300)); err != nil {
+					return
+				}
+				time.Sleep(3 * time.Second)
+			}
+		})
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+		require.Equal(t, callerTime, time.Since(begun))
+		require.Equal(t, uint64(1), budget.Refused(Late))
+		_ = client.Close()
+		require.NoError(t, group.Wait())
+	})
+}
