Bound what the kernel holds of connections

What callers saw: 900 clients that pipeline requests and do not read the answers leave 81 to 298 MB in the sockets of a process of 96 MB, and 1,124 MB in those of a control member of 152 MB; callers who read a configuration slowly 1,448 MB (crowds on, /proc/net/tcp). The platform counts these bytes, so it kills the process. Cause: a connection has the default window, 127 KB of which stayed unread behind a handler that waits, and a send buffer that grows to 4 MB, of which each answer takes what it needs. A receive buffer set after the accept changes nothing, as the window is announced before it. The writer of a connection waits when its peer has not acknowledged 4 KiB, 64 KiB for configurations, metrics and results, and looks at the kernel's count only then. A smaller send buffer does not hold: the kernel adds 41 to 53 KB to its last segment on loopback, whatever the buffer. A connection counts 28 KiB and its answer bytes within a quarter of the memory, so an entry of 184 MB takes 1,472 connections in place of 2,944; the ports for readiness and metrics have a quarter of that part. A peer that takes nothing for 10 s is dropped by the kernel too. Listeners use plain TCP, since multipath TCP has no such options.

--- a/internal/process/vwintake/listener.go
+++ b/internal/process/vwintake/listener.go
@@ -16,8 +16,11 @@
 )
 
 const (
-	// connectionBytes is what an open connection takes: its buffers, the stack of its goroutine and its records.
-	connectionBytes = 16 * vwunit.KiB
+	// connectionBytes is what an open connection takes: its buffers, the stack of its goroutine and its records, and what it has sent
+	// and the process has not read. What it has not read of its answers comes to that.
+	connectionBytes = 16*vwunit.KiB + receiveBytes
+	// answerBytes is what a connection may leave unread of its answers unless its port says more.
+	answerBytes = 4 * vwunit.KiB
 	// connectionShare is the part of the memory of a process that connections may take.
 	connectionShare = 1.0 / 4
 	// freeHeadBytes is the part of a head that connectionBytes covers.
@@ -42,11 +45,31 @@
 	fastTime = 10 * time.Second
 )
 
+// Port are the limits of the connections to a port. Fields that are zero have defaults.
+type Port struct {
+	// Connections is the number of open connections, which the share of the memory may lower.
+	Connections int
+	// MemoryPart is the part of the memory for connections that those of this port may take; zero means all of it.
+	MemoryPart float64
+	// AnswerBytes is what a connection may leave unread of its answers before no further ones are written to it.
+	AnswerBytes vwunit.Bytes
+}
+
+// limit returns the number of connections that a port may have within so much memory.
+func (p *Port) limit(memory vwunit.Bytes) int {
+	share := max(int(float64(memory)*p.MemoryPart/float64(connectionBytes+p.AnswerBytes)), minConnections)
+	if p.Connections <= 0 {
+		return share
+	}
+	return min(p.Connections, share)
+}
+
 // Listener limits the open connections of a server. When all are taken, one that has waited for a request for longest makes room for
 // a new one, or else the slowest of those whose bodies arrive or whose answers are read.
 type Listener struct {
 	net.Listener
 	budget *Budget
+	port   Port
 	// slots holds an element for each open connection.
 	slots  chan struct{}
 	closed chan struct{}
@@ -59,14 +82,15 @@
 	transfers order[*Conn]
 }
 
-// Limit returns a listener for at most so many connections, or fewer if the budget's share for connections is smaller. Zero means
-// that only the share counts.
-func (b *Budget) Limit(listener net.Listener, connections int) *Listener {
-	share := b.ledger.settings.Connections
-	if connections <= 0 || connections > share {
-		connections = share
+// Limit returns a listener that keeps the limits of a port.
+func (b *Budget) Limit(listener net.Listener, port Port) *Listener {
+	if port.MemoryPart <= 0 {
+		port.MemoryPart = 1
+	}
+	port.AnswerBytes = max(port.AnswerBytes, answerBytes)
+	return &Listener{
+		Listener: listener, budget: b, port: port, slots: make(chan struct{}, port.limit(b.ledger.settings.Sockets)), closed: make(chan struct{}),
 	}
-	return &Listener{Listener: listener, budget: b, slots: make(chan struct{}, connections), closed: make(chan struct{})}
 }
 
 // Accept implements net.Listener.
@@ -180,6 +204,8 @@
 	ending bool
 	// moved is the number of bytes that were read and written since begun.
 	moved atomic.Int64
+	// unread is what the peer may not have read of what was written. Only the writer of the connection uses it.
+	unread int
 }
 
 // SyscallConn implements syscall.Conn.
@@ -271,6 +297,9 @@
 	for {
 		part := text[written:min(written+writeBytes, len(text))]
 		_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if err := c.makeRoom(len(part)); err != nil {
+			return written, err
+		}
 		n, err := c.Conn.Write(part)
 		written += n
 		c.moved.Add(int64(n))
--- a/internal/process/vwintake/listener_test.go
+++ b/internal/process/vwintake/listener_test.go
@@ -35,7 +35,7 @@
 		ConnState: SetState, ConnContext: WithConn,
 	}
 	group := vwgroup.Make(context.Background())
-	limited := budget.Limit(listener, connections)
+	limited := budget.Limit(listener, Port{Connections: connections})
 	group.Run(func(context.Context) { _ = server.Serve(limited) })
 	t.Cleanup(func() {
 		require.NoError(t, server.Close())
@@ -128,7 +128,7 @@
 	client, end := net.Pipe()
 	listener := pipeListener{make(chan net.Conn, 1), make(chan struct{})}
 	listener.conns <- end
-	limited := Make(settings).Limit(listener, 1)
+	limited := Make(settings).Limit(listener, Port{Connections: 1})
 	conn, err := limited.Accept()
 	require.NoError(t, err)
 	victim, _ := limited.takeVictim(time.Now())
@@ -180,7 +180,7 @@
 			client, end := net.Pipe()
 			listener := pipeListener{make(chan net.Conn, 1), make(chan struct{})}
 			listener.conns <- end
-			limited := Make(settings).Limit(listener, 1)
+			limited := Make(settings).Limit(listener, Port{Connections: 1})
 			accepted, err := limited.Accept()
 			require.NoError(t, err)
 			conn := accepted.(*Conn)
--- a/internal/process/vwintake/settings.go
+++ b/internal/process/vwintake/settings.go
@@ -20,8 +20,8 @@
 	PerAddress vwunit.Bytes
 	// PerKind is what the holdings of one kind may take.
 	PerKind vwunit.Bytes
-	// Connections is the number of open connections.
-	Connections int
+	// Sockets is the memory that the open connections to one port may take.
+	Sockets vwunit.Bytes
 	// StallTime is how long a body or a connection without a request may make no progress while others lack room.
 	StallTime time.Duration
 	// ProgressTime is how long a body may make no progress while there is room.
@@ -51,7 +51,7 @@
 		memory = defaultMemory
 	}
 	settings := SettingsOf(max(vwunit.Bytes(float64(memory)*memoryShare), minTotal))
-	settings.Connections = max(int(float64(memory)*connectionShare/float64(connectionBytes)), minConnections)
+	settings.Sockets = vwunit.Bytes(float64(memory) * connectionShare)
 	return settings
 }
 
@@ -59,7 +59,7 @@
 func SettingsOf(total vwunit.Bytes) Settings {
 	return Settings{
 		Total: total, Reserve: total / 4, Small: small, PerAddress: total / 2, PerKind: total * 3 / 4,
-		Connections: maxConnections,
-		StallTime:   time.Second, ProgressTime: 5 * time.Second, ProgressBytes: 256,
+		Sockets:   maxConnections * (connectionBytes + answerBytes),
+		StallTime: time.Second, ProgressTime: 5 * time.Second, ProgressBytes: 256,
 	}
 }
--- a/internal/process/vwintake/slow_test.go
+++ b/internal/process/vwintake/slow_test.go
@@ -71,7 +71,7 @@
 		_, _ = fmt.Fprint(w, len(text))
 	}))}
 	group := vwgroup.Make(context.Background())
-	group.Run(func(context.Context) { _ = server.Serve(budget.Limit(listener, 0)) })
+	group.Run(func(context.Context) { _ = server.Serve(budget.Limit(listener, Port{})) })
 	t.Cleanup(func() {
 		_ = client.Close()
 		require.NoError(t, server.Close())
@@ -149,7 +149,7 @@
 				client, conn := net.Pipe()
 				listener := pipeListener{make(chan net.Conn, 1), make(chan struct{})}
 				listener.conns <- conn
-				accepted, err := Make(SettingsFor(0)).Limit(listener, 1).Accept()
+				accepted, err := Make(SettingsFor(0)).Limit(listener, Port{Connections: 1}).Accept()
 				require.NoError(t, err)
 				group := vwgroup.Make(context.Background())
 				group.Run(func(context.Context) {
--- a/internal/process/vwprocess/agent.go
+++ b/internal/process/vwprocess/agent.go
@@ -172,7 +172,7 @@
 		if err != nil {
 			return agentServers{}, err
 		}
-		process.listener = config.Intake.Limit(listener, operatorsConnections)
+		process.listener = config.Intake.Limit(listener, operatorsLimits)
 	}
 	if config.Services != nil {
 		process.services, err = listenServices(config.Services(process), config.Intake, config.Log)
--- a/internal/process/vwprocess/caller_test.go
+++ b/internal/process/vwprocess/caller_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/connection/vwcaller"
+	"vanillawind.example/vanillawind/internal/process/vwintake"
 )
 
 // Guards against a server whose handlers cannot tell whether the caller has left: the connection must be in the context of a
@@ -21,7 +22,7 @@
 		close(received)
 		<-closed
 		left <- vwcaller.HasLeft(uncancelled)
-	}), orDefault(nil), 0)
+	}), orDefault(nil), vwintake.Port{})
 	require.NoError(t, err)
 	server.start()
 	defer server.kill()
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -22,8 +22,12 @@
 	"vanillawind.example/vanillawind/internal/process/vwmetrics"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
+// callerAnswerBytes is what a caller may leave unread of the results of its jobs before no more is written.
+const callerAnswerBytes = 64 * vwunit.KiB
+
 // EntryConfig describes an entry process. Addresses may have port 0.
 type EntryConfig struct {
 	Cluster  vwid.Cluster
@@ -208,9 +212,10 @@
 
 func provideEntryServers(config EntryConfig, process *Entry, supervisor *entrySupervisor) (entryServers, error) {
 	var err error
-	if process.callersServer, err = listenHTTP(config.CallersAddress, &supervisor.callersHandler, config.Intake, config.CallerConnections); err != nil {
+	if process.callersServer, err = listenHTTP(config.CallersAddress, &supervisor.callersHandler, config.Intake, vwintake.Port{Connections: config.CallerConnections, AnswerBytes: callerAnswerBytes}); err != nil {
 		return entryServers{}, err
 	}
+	process.callersServer.boundSockets(config.Log)
 	if process.operatorsServices, err = listenOptional(config.OperatorsAddress, &supervisor.operatorsHandler, config.Intake, config.Log); err != nil {
 		return entryServers{}, err
 	}
@@ -296,7 +301,10 @@
 
 // listen binds a TCP address.
 func listen(address string) (net.Listener, error) {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
+	config := net.ListenConfig{}
+	// Not all options of the sockets apply to multipath connections.
+	config.SetMultipathTCP(false)
+	listener, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
 	}
--- a/internal/process/vwprocess/httpserver.go
+++ b/internal/process/vwprocess/httpserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -30,7 +31,7 @@
 
 // httpServer serves HTTP on a bound address. All methods accept a nil receiver and then do nothing.
 type httpServer struct {
-	listener    net.Listener
+	listener    *vwintake.Listener
 	server      *http.Server
 	group       *vwgroup.Group
 	connections connectionStates
@@ -38,9 +39,8 @@
 	inFlight atomic.Int64
 }
 
-// listenHTTP binds an address and serves at most so many connections over it; zero means as many as the budget allows. With an empty
-// address it returns nil.
-func listenHTTP(address string, handler http.Handler, intake *vwintake.Budget, connections int) (*httpServer, error) {
+// listenHTTP binds an address and serves it within the limits. With an empty address it returns nil.
+func listenHTTP(address string, handler http.Handler, intake *vwintake.Budget, limits vwintake.Port) (*httpServer, error) {
 	if address == "" {
 		return nil, nil
 	}
@@ -48,7 +48,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err, "binding %s", address)
 	}
-	s := &httpServer{listener: intake.Limit(listener, connections), group: vwgroup.Make(context.Background())}
+	s := &httpServer{listener: intake.Limit(listener, limits), group: vwgroup.Make(context.Background())}
 	s.server = &http.Server{Handler: s.count(intake.Handle(handler)), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.setState, ConnContext: withConn}
 	return s, nil
 }
@@ -72,6 +72,16 @@
 	})
 }
 
+// boundSockets limits what the operating system holds of the connections. A server serves without that as well.
+func (s *httpServer) boundSockets(log *slog.Logger) {
+	if s == nil {
+		return
+	}
+	if err := s.listener.BoundSockets(); err != nil {
+		log.Warn("what the operating system holds of connections is not bounded", "address", s.address(), "error", err)
+	}
+}
+
 // requests returns the number of requests in flight.
 func (s *httpServer) requests() int64 {
 	if s == nil {
--- a/internal/process/vwprocess/httpserver_stop_test.go
+++ b/internal/process/vwprocess/httpserver_stop_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/process/vwintake"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 )
 
@@ -40,7 +41,7 @@
 					<-release
 				}
 				_, _ = io.Copy(io.Discard, r.Body)
-			}), orDefault(nil), 0)
+			}), orDefault(nil), vwintake.Port{})
 			require.NoError(t, err)
 			s.start()
 			t.Cleanup(s.kill)
--- a/internal/process/vwprocess/service.go
+++ b/internal/process/vwprocess/service.go
@@ -12,6 +12,7 @@
 
 	"vanillawind.example/vanillawind/internal/process/vwintake"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwunit"
 )
 
 // Service is an additional HTTP interface of a process, for example one in the protocol of the platform that an
@@ -22,9 +23,8 @@
 	// RequestLimits returns the request limits. It is called once, when the service begins to listen. Nil means the
 	// defaults.
 	RequestLimits func() RequestLimits
-	// Connections limits the open connections. Further ones wait until one without a request has been closed. Zero means as many as
-	// the budget of the process allows.
-	Connections int
+	// Limits are the limits of the connections. Further ones wait until one has been closed.
+	Limits vwintake.Port
 	// ReadyToListen reports whether the service is ready. Until then its port stays closed, so that clients retry
 	// instead of getting an error response. Nil means ready from the start.
 	ReadyToListen func() bool
@@ -43,12 +43,14 @@
 const (
 	// readinessPollInterval is the period of calls of Service.ReadyToListen before a service listens.
 	readinessPollInterval = 5 * time.Millisecond
-	// operatorsConnections bounds the connections for health, metrics and profiles, and those of a backend server.
-	operatorsConnections = 256
 	// bindRetryInterval is the delay between attempts to bind an address.
 	bindRetryInterval = time.Second
 )
 
+// operatorsLimits are the limits of the connections for health, metrics and profiles, and of those of a backend server. Metrics take
+// some tens of KB.
+var operatorsLimits = vwintake.Port{Connections: 256, MemoryPart: 1.0 / 4, AnswerBytes: 64 * vwunit.KiB}
+
 // services runs the HTTP services of a process.
 type services struct {
 	configs []Service
@@ -67,7 +69,7 @@
 	if address == "" {
 		return listenServices(nil, intake, log)
 	}
-	return listenServices([]Service{{Address: address, Handler: handler, Connections: operatorsConnections, Optional: true}}, intake, log)
+	return listenServices([]Service{{Address: address, Handler: handler, Limits: operatorsLimits, Optional: true}}, intake, log)
 }
 
 // listenServices binds the addresses of all services without ReadyToListen. If one that is not optional cannot be
@@ -93,10 +95,11 @@
 // listen binds the address of service i, unless the services are closed.
 func (s *services) listen(i int) error {
 	config := &s.configs[i]
-	server, err := listenHTTP(config.Address, config.Handler, s.intake, config.Connections)
+	server, err := listenHTTP(config.Address, config.Handler, s.intake, config.Limits)
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	server.boundSockets(s.log)
 	if config.RequestLimits != nil {
 		server.setRequestLimits(config.RequestLimits())
 	}
