Stop in time beside slow bodies and answers that nobody reads

Cause: the drain waits for all connections that carry a request, and what was left of the bound after it went to the end of the registration, which takes up to 2 s when control has stopped as well. Change: a second after its port has closed, a server closes the connections that could lose their place to others: slow bodies and answers that are hardly read. The end of the registration leaves 100 ms of the bound; a registration that is not ended expires with its lease, as before. A body that goes on within the second is answered as before (TestRequestsOnOpenConnectionsAreAnsweredAfterThePortCloses).

--- a/internal/process/vwintake/listener.go
+++ b/internal/process/vwintake/listener.go
@@ -175,6 +175,29 @@
 	return slowest
 }
 
+// EndSlow closes the connections whose bodies arrive, or whose answers are read, so slowly that they could lose their place.
+func (l *Listener) EndSlow() {
+	for _, conn := range l.takeSlow(time.Now()) {
+		conn.abort()
+		l.budget.count(Slow)
+	}
+}
+
+// takeSlow takes these connections off the lists.
+func (l *Listener) takeSlow(now time.Time) (taken []*Conn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for next := l.transfers.oldest; next != nil; {
+		conn := next.element
+		next = next.after
+		if _, slow := conn.rate(now); slow {
+			conn.unlist()
+			taken = append(taken, conn)
+		}
+	}
+	return taken
+}
+
 // Close implements net.Listener. The connections stay open.
 func (l *Listener) Close() error {
 	l.once.Do(func() { close(l.closed) })
--- a/internal/process/vwprocess/drain.go
+++ b/internal/process/vwprocess/drain.go
@@ -12,8 +12,19 @@
 	answerMargin = 300 * time.Millisecond
 	// minAnswerShare is the smallest part of the bound in which requests can still end, whatever the margin.
 	minAnswerShare = 0.5
+	// endMargin is the part of the bound that is reserved for what follows the end of the registration.
+	endMargin = 100 * time.Millisecond
 )
 
+// endTime returns the time by which a process that stops within the bound of ctx gives up to end its registration.
+func endTime(ctx context.Context) time.Time {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return time.Now().Add(stopTimeout)
+	}
+	return deadline.Add(-endMargin)
+}
+
 // answerTime returns the time by which a process that stops within the bound of ctx must have answered all requests.
 func answerTime(ctx context.Context) time.Time {
 	deadline, bounded := ctx.Deadline()
--- a/internal/process/vwprocess/entry.go
+++ b/internal/process/vwprocess/entry.go
@@ -292,7 +292,9 @@
 	}
 	errs = append(errs, p.Entry().Drain(ctx), p.callersServer.stop(ctx))
 	d.end("given up", counters.EndedByStop.Load(), "refused", counters.RefusedByStop.Load())
-	errs = append(errs, p.Entry().Stop(ctx), p.operatorsServices.stop(ctx))
+	ending, cancel := context.WithDeadline(ctx, endTime(ctx))
+	defer cancel()
+	errs = append(errs, p.Entry().Stop(ending), p.operatorsServices.stop(ctx))
 	if p.member != nil {
 		errs = append(errs, p.member.stop())
 	}
--- a/internal/process/vwprocess/httpserver.go
+++ b/internal/process/vwprocess/httpserver.go
@@ -117,6 +117,10 @@
 	_ = s.group.Wait()
 	newUntil := time.Now().Add(newConnectionWait)
 	for s.connections.areInUse(time.Now().Before(newUntil)) {
+		if time.Now().After(newUntil) {
+			// Bodies that hardly arrive and answers that nobody reads would keep the process until its bound.
+			s.listener.EndSlow()
+		}
 		if err := vwgroup.Sleep(ctx, connectionPollInterval); err != nil {
 			return trace.Wrap(err)
 		}
