Bound the memory of jobs with many tasks

Cause: a waiting job was weighed by its payload alone, without its tasks. Tasks that need nothing fit a worker in any number, so an agent held all of them, and encoded all of their starts at once, each with a payload of 4 KB, to wait for one of 8 connections.

--- a/internal/process/vwagent/runner.go
+++ b/internal/process/vwagent/runner.go
@@ -363,6 +363,9 @@
 	if l != nil && l.draining {
 		return "the agent ends its link to the entry"
 	}
+	if maxRuns := r.agent.settings.MaxRuns; maxRuns > 0 && r.tracker.Len() >= maxRuns {
+		return "the agent has as many runs as it may hold"
+	}
 	return r.refusalReason(now)
 }
 
--- a/internal/process/vwagent/runner_test.go
+++ b/internal/process/vwagent/runner_test.go
@@ -226,6 +226,21 @@
 	}
 }
 
+// Guards against an agent that holds any number of runs of tasks that need nothing.
+func TestRunnerHoldsNoMoreRunsThanItMay(t *testing.T) {
+	withRunnerOptions(t, func(o *Options) { o.Settings.MaxRuns = 2 }, func(t *testing.T, f *runnerFixture) {
+		e := f.attach("e1", "e1-1")
+		for _, job := range []vwid.SubmissionID{"j1", "j2", "j3"} {
+			e.deliver(&vwmessage.Run{JobID: job, Tasks: []vwmessage.RunTask{{Index: 0, Attempt: 1}}, EndWithinMilliseconds: 60_000})
+		}
+		require.Equal(t, map[int]vwrun.Outcome{0: vwrun.OutcomeRefused}, e.ends("j3"))
+		require.False(t, e.load().Accepting)
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, []int{1, 1, 0}, []int{f.starts("j1", 0), f.starts("j2", 0), f.starts("j3", 0)})
+		require.True(t, e.load().Accepting, e.load().Reason)
+	})
+}
+
 // Guards against tasks that start at an incarnation of the worker which may be of another kind: it is back under its id before
 // its next announcement, and entries still choose it by that of the previous one.
 func TestNothingStartsAtAnUnannouncedIncarnation(t *testing.T) {
--- a/internal/process/vwagent/settings.go
+++ b/internal/process/vwagent/settings.go
@@ -39,6 +39,9 @@
 	// Position is the number of the agent among those of its data centre, which may be counted from anywhere and have gaps;
 	// zero if there is none. Agents with neighbouring numbers spread their links evenly over the entries.
 	Position uint64
+	// MaxRuns bounds the runs of a worker that grants leases, whatever room it has for tasks that need little or nothing. Zero
+	// means that only its room counts.
+	MaxRuns int
 	// Slots bounds the tasks that run at a time, whatever the backend server announces.
 	Slots int
 	// OverCommit is the number of credits beyond the slots. A negative value means none.
--- a/internal/process/vwintake/budget.go
+++ b/internal/process/vwintake/budget.go
@@ -135,11 +135,13 @@
 	return h.evicted
 }
 
-// Keep leaves a holding whose body has arrived the bytes that wait on.
-func (b *Budget) Keep(h *Holding, bytes int) {
+// Keep leaves a holding whose body has arrived the bytes that wait on. It returns ErrRefused if they are more than the body and there
+// is no room for them.
+func (b *Budget) Keep(h *Holding, bytes vwunit.Bytes) error {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.ledger.keep(h, Waiting, vwunit.Bytes(bytes))
+	refusal := b.ledger.keep(h, Waiting, bytes)
+	b.mu.Unlock()
+	return b.conclude(refusal, nil)
 }
 
 // Release gives back what a holding has. It does nothing for nil and when it is called again.
--- a/internal/process/vwintake/ledger.go
+++ b/internal/process/vwintake/ledger.go
@@ -170,13 +170,19 @@
 	l.arriving.append(&h.place)
 }
 
-// keep ends the arrival of a holding and leaves it so many bytes of a kind. More than it has is not refused.
-func (l *ledger) keep(h *Holding, kind Kind, bytes vwunit.Bytes) {
+// keep ends the arrival of a holding and leaves it so many bytes of a kind, or returns why it cannot have more than before.
+func (l *ledger) keep(h *Holding, kind Kind, bytes vwunit.Bytes) (refusal Reason) {
 	l.end(h)
 	l.byKind[h.kind] -= h.bytes
 	h.kind = kind
 	l.byKind[h.kind] += h.bytes
+	if bytes > h.bytes {
+		if refusal, _ = l.check(h, bytes); refusal != "" {
+			return refusal
+		}
+	}
 	l.set(h, bytes)
+	return ""
 }
 
 // release ends a holding. It may be called again.
