--- a/internal/connection/vwlink/queues_test.go
+++ b/internal/connection/vwlink/queues_test.go
@@ -35,15 +35,17 @@
 			require.NoError(t, err)
 			return conn.Send(t.Context(), envelope)
 		}
-		silent := open()
-		for send(silent) == nil {
+		fill := func(conn *streamConn) (sent int) {
+			for send(conn) == nil {
+				sent++
+			}
+			return sent
 		}
+		require.Positive(t, fill(open()))
 		synctest.Wait()
 		require.NoError(t, send(open()), "another peer gets its messages")
 		for range 8 {
-			conn := open()
-			for send(conn) == nil {
-			}
+			require.Positive(t, fill(open()))
 		}
 		require.LessOrEqual(t, limit.queued.Load(), int64(vwmessage.MaxEnvelope)+int64(vwunit.MiB), "each link may have one message beyond the limit")
 		for _, conn := range conns {
