--- a/internal/process/vwintake/listener.go
+++ b/internal/process/vwintake/listener.go
@@ -112,7 +112,11 @@
 func (l *Listener) takeSlot() error {
 	for {
 		if victim, reason := l.takeVictim(time.Now()); victim != nil {
-			victim.abort()
+			if reason == Slow {
+				victim.abort()
+			} else {
+				_ = victim.Close()
+			}
 			l.budget.count(reason)
 		}
 		select {
@@ -352,7 +356,7 @@
 	return rate, rate < fastRate || taken >= fastTime
 }
 
-// abort closes the connection at once, with what the peer has not read.
+// abort closes the connection and drops what the peer has not read, which the operating system would keep otherwise.
 func (c *Conn) abort() {
 	if conn, ok := c.Conn.(*net.TCPConn); ok {
 		_ = conn.SetLinger(0)
