Show that one link does not keep the messages of others out

TestQueuesOfAllLinksAreBounded passed with the share of one link taken out, since a link without a queue may always have a message. It now sends three to a second peer that does not read: fails without the share, passes with it and the race detector, three runs.

--- a/internal/connection/vwlink/queues_test.go
+++ b/internal/connection/vwlink/queues_test.go
@@ -43,7 +43,11 @@
 		}
 		require.Positive(t, fill(open()))
 		synctest.Wait()
-		require.NoError(t, send(open()), "another peer gets its messages")
+		other := open()
+		for range 3 {
+			require.NoError(t, send(other), "another peer gets its messages")
+			synctest.Wait()
+		}
 		for range 8 {
 			require.Positive(t, fill(open()))
 		}
