--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -6,12 +6,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -19,7 +21,7 @@
 type try struct {
 	entry          string
 	sent, answered time.Time
-	// status is zero without a response.
+	// status is zero without a response. state is then why.
 	status int
 	state  string
 }
@@ -107,6 +109,7 @@
 	response, err := (&http.Client{Transport: transport}).Do(request)
 	t.answered = time.Now()
 	if err != nil {
+		t.state = reasonOf(err)
 		return t
 	}
 	defer response.Body.Close()
@@ -123,6 +126,17 @@
 	return t
 }
 
+// reasonOf tells why there was no response.
+func reasonOf(err error) string {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return "refused"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "late"
+	}
+	return "broken"
+}
+
 // judge returns what the jobs and runs break of TWICE, LIMIT, REFUSED, MIXED and UNASKED.
 func judge(c *clients, workers []*worker) []string {
 	found := overlaps(workers)
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -16,7 +16,10 @@
 // cases are the cases by name. Trouble is false for a run without the disruption.
 var cases = map[string]func(root string, log *record, trouble bool) error{
 	"first-start": firstStart,
+	"first-ack":   firstAck,
 	"chaos":       chaos,
+	"idle":        idle,
+	"drain":       drain,
 }
 
 func main() {
