--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -68,11 +68,7 @@
 	c.mu.Lock()
 	c.jobs = append(c.jobs, j)
 	c.mu.Unlock()
-	c.group.Add(1)
-	go func() {
-		defer c.group.Done()
-		c.follow(j, j.text(milliseconds, cpu), wait)
-	}()
+	c.group.Go(func() { c.follow(j, j.text(milliseconds, cpu), wait) })
 	return j
 }
 
--- a/review/stand-3/cluster.go
+++ b/review/stand-3/cluster.go
@@ -147,7 +147,7 @@
 		text += fmt.Sprintf("control = %q\n", m.at(controlPort))
 	}
 	return text + fmt.Sprintf(`[limits]
-cpu-share = 0.4
+cpu-share = 0.192
 cores = 1
 memory-mb = %d
 max-fds = 4096
@@ -220,12 +220,14 @@
 	if err := m.command.Start(); err != nil {
 		return err
 	}
+	started.add(m.command.Process)
 	c.log.add("platform starts %s, bootstrap %t", m.name, c.bootstrap)
 	m.exited = make(chan struct{})
-	go func(command *exec.Cmd, exited chan struct{}) {
+	command, exited := m.command, m.exited
+	background.Go(func() {
 		_ = command.Wait()
 		close(exited)
-	}(m.command, m.exited)
+	})
 	return nil
 }
 
@@ -398,3 +400,28 @@
 	}
 	return found
 }
+
+// startSmall starts a small deployment with workers and a configuration in force.
+func startSmall(root string, log *record, core, edge, side, cpu int) (*cluster, []*worker, error) {
+	c, err := makeCluster(root, log, core, edge, side)
+	if err != nil {
+		return nil, nil, err
+	}
+	workers, err := c.startWorkers(cpu)
+	if err == nil {
+		err = c.startAll()
+	}
+	if err == nil {
+		err = c.configure(1, usualRoutes, 20*time.Second)
+	}
+	if err == nil {
+		err = c.awaitReady(20 * time.Second)
+	}
+	c.bootstrap = false
+	if err != nil {
+		c.end()
+		return nil, nil, err
+	}
+	log.add("all entries are ready")
+	return c, workers, nil
+}
--- a/review/stand-3/firststart.go
+++ b/review/stand-3/firststart.go
@@ -101,9 +101,7 @@
 	read := false
 	var group sync.WaitGroup
 	for _, m := range c.of("core") {
-		group.Add(1)
-		go func() {
-			defer group.Done()
+		group.Go(func() {
 			for time.Now().Before(end) {
 				status, text := call(client, http.MethodGet, "http://"+m.at(controlPort)+"/v1/Config.Get", nil)
 				log.add("operator GET /v1/Config.Get at %s: %d, %d bytes", m.name, status, len(text))
@@ -116,7 +114,7 @@
 				}
 				time.Sleep(time.Second)
 			}
-		}()
+		})
 	}
 	group.Wait()
 	if !read {
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -15,17 +17,22 @@
 
 // cases are the cases by name. Trouble is false for a run without the disruption.
 var cases = map[string]func(root string, log *record, trouble bool) error{
-	"first-start": firstStart,
-	"first-ack":   firstAck,
-	"chaos":       chaos,
-	"idle":        idle,
-	"drain":       drain,
+	"thawed-entry": thawedEntry,
+	"first-ack":    firstAck,
+	"first-start":  firstStart,
 }
 
 func main() {
 	os.Exit(run())
 }
 
+// giveUp ends all processes and the program.
+func giveUp(reason string) {
+	fmt.Fprintln(os.Stderr, "the case could not run:", reason)
+	started.killAll()
+	os.Exit(2)
+}
+
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
@@ -44,7 +51,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	time.AfterFunc(119*time.Second, func() { os.Exit(2) })
+	time.AfterFunc(118*time.Second, func() { giveUp("the time is over") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	background.Go(func() { giveUp((<-signals).String()) })
 	err = cases[os.Args[1]](root, log, os.Getenv("TROUBLE") != "0")
 	switch {
 	case errors.Is(err, errBroken):
--- a/review/stand-3/record.go
+++ b/review/stand-3/record.go
@@ -12,6 +12,33 @@
 	"time"
 )
 
+// started holds all processes that were started.
+var started processes
+
+// processes is a set of processes that were started.
+type processes struct {
+	mu  sync.Mutex
+	all []*os.Process
+}
+
+func (p *processes) add(process *os.Process) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.all = append(p.all, process)
+}
+
+// killAll ends those that have not ended. The runtime knows which of them have been waited for.
+func (p *processes) killAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, process := range p.all {
+		_ = process.Kill()
+	}
+}
+
+// background holds what runs beside a case until the program ends.
+var background sync.WaitGroup
+
 // record is the log of what was sent, answered and run.
 type record struct {
 	mu    sync.Mutex
--- a/review/stand-3/worker.go
+++ b/review/stand-3/worker.go
@@ -72,8 +72,6 @@
 	over     []string
 	server   *http.Server
 	stop     context.CancelFunc
-	// intercept may answer a call in place of the worker. It returns true then.
-	intercept func(w http.ResponseWriter, r *http.Request, body []byte) bool
 	// acks are the times at which announcements of a state were acknowledged.
 	acks map[string]time.Time
 }
@@ -97,18 +95,15 @@
 				w.answer(out, http.StatusMisdirectedRequest, nil)
 				return
 			}
-			if w.intercept != nil && w.intercept(out, r, body.Bytes()) {
-				return
-			}
 			handle(out, body.Bytes())
 		})
 	}
 	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(listener) }()
+	background.Go(func() { _ = w.server.Serve(listener) })
 	ctx, cancel := context.WithCancel(context.Background())
 	w.stop = cancel
-	go w.leases(ctx)
-	go w.announce(ctx)
+	background.Go(func() { w.leases(ctx) })
+	background.Go(func() { w.announce(ctx) })
 	return nil
 }
 
@@ -337,17 +332,6 @@
 	}
 }
 
-// crash ends the worker at once. Nothing of it is left.
-func (w *worker) crash() {
-	w.stop()
-	_ = w.server.Close()
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for key := range w.running {
-		w.end(key, "crashed")
-	}
-}
-
 // attempts returns the runs of all workers by task, in the order of their start.
 func attempts(workers []*worker) map[string][]*attempt {
 	found := map[string][]*attempt{}
@@ -372,9 +356,15 @@
 func overlaps(workers []*worker) []string {
 	var found []string
 	for task, list := range attempts(workers) {
-		for i := 1; i < len(list); i++ {
-			if list[i].begun.Before(list[i-1].ended) {
-				found = append(found, fmt.Sprintf("%s ran at %s (run %d) and at %s (run %d) for %v together", task, list[i-1].worker, list[i-1].run, list[i].worker, list[i].run, list[i-1].ended.Sub(list[i].begun)))
+		for i, later := range list {
+			for _, earlier := range list[:i] {
+				end := earlier.ended
+				if later.ended.Before(end) {
+					end = later.ended
+				}
+				if together := end.Sub(later.begun); together > 0 {
+					found = append(found, fmt.Sprintf("%s ran at %s (run %d) and at %s (run %d) for %v together", task, earlier.worker, earlier.run, later.worker, later.run, together.Round(10*time.Microsecond)))
+				}
 			}
 		}
 	}
