--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -17,9 +17,10 @@
 
 // cases are the cases by name. Trouble is false for a run without the disruption.
 var cases = map[string]func(root string, log *record, trouble bool) error{
-	"thawed-entry": thawedEntry,
-	"first-ack":    firstAck,
-	"first-start":  firstStart,
+	"thawed-entry":  thawedEntry,
+	"first-ack":     firstAck,
+	"first-start":   firstStart,
+	"encoded-route": encodedRoute,
 }
 
 func main() {
--- a/review/stand-3/thaw.go
+++ b/review/stand-3/thaw.go
@@ -14,7 +14,7 @@
 const (
 	edgeShare  = 0.192
 	edgeRate   = 70.0
-	freezeTime = 5 * time.Second
+	freezeTime = 3500 * time.Millisecond
 	// clientWait is the time budget of the clients.
 	clientWait = 1500 * time.Millisecond
 )
