--- a/review/stand-3/allowance.go
+++ b/review/stand-3/allowance.go
@@ -78,19 +78,31 @@
 	p.cluster.log.add("platform: %s is frozen: %t", p.machine.name, frozen)
 }
 
-// used returns the processor time that the process has used.
+// clockTick is the unit of the times in /proc/PID/stat.
+const clockTick = 10 * time.Millisecond
+
+// used returns the processor time that the process has used. A kernel without schedstat tells it in clock ticks.
 func (p *processor) used() time.Duration {
-	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.machine.command.Process.Pid))
+	folder := fmt.Sprintf("/proc/%d", p.machine.command.Process.Pid)
+	files, _ := filepath.Glob(folder + "/task/*/schedstat")
 	sum := int64(0)
 	for _, file := range files {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			continue
-		}
+		text, _ := os.ReadFile(file)
 		if fields := strings.Fields(string(text)); len(fields) > 0 {
 			nanoseconds, _ := strconv.ParseInt(fields[0], 10, 64)
 			sum += nanoseconds
 		}
 	}
-	return time.Duration(sum)
+	if sum > 0 {
+		return time.Duration(sum)
+	}
+	text, _ := os.ReadFile(folder + "/stat")
+	_, rest, _ := strings.Cut(string(text), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[11], 10, 64)
+	system, _ := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * clockTick
 }
