Ask whether the caller still waits before its tasks are sent

The callers had left after 1.5 s and turned to another entry; the thawed entry started their tasks beside it, for some 20 ms.

Cause: an entry learns that a caller has left when the HTTP server reads the end of the connection, which it does only after it has read the request and called the handler. The handler posts the job to the event loop, and the loop sends its tasks at once, so the tasks leave before the end is read. The pause of 100 ms after a stall was to cover that, but a backlog of connections takes longer to read, the more so with a fifth of a processor, and jobs that were in the queue before the stall are sent when the pause is over in any case.

The new test hands in jobs over connections whose other end is closed: before the fix tasks of all four kinds of callers that have left were started.

The queue now asks whether any caller of a job still waits, once for each job for which a worker has room and right before its tasks are sent; a job without one is cancelled. The answer comes from the socket (vwcaller.HasLeft), where the end is as soon as the machine has received it, so it does not matter how far the process is behind in reading. That covers jobs that were queued before a stall, those that wait for room, and calls that joined a job. A call whose caller has left is also refused before it counts as demand. It costs two system calls a job. jobs_abandoned_total counts both, and "job has ended" has the reason.

--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -1,12 +1,15 @@
 package vwentry
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"vanillawind.example/vanillawind/internal/connection/vwcaller"
 	"vanillawind.example/vanillawind/internal/connection/vwlink"
 	"vanillawind.example/vanillawind/internal/connection/vwmessage"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
@@ -18,6 +21,9 @@
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
 
+// errCallerLeft is returned for a call whose caller had left before it was handled.
+var errCallerLeft = errors.New("the caller has left")
+
 // answerRetention is how long the answer of a completed or failed best-effort job is kept for a caller that sends
 // the job again after it was answered.
 const answerRetention = 5 * time.Second
@@ -37,10 +43,17 @@
 	machineClock *vwboot.Meter
 }
 
+// call is a call that waits for the answer of a job.
+type call struct {
+	// ctx is that of the caller's request.
+	ctx    context.Context
+	answer chan vwplace.Answer
+}
+
 // pendingCalls holds the calls that wait for the answer of one job.
 type pendingCalls struct {
 	job     vwplace.Job
-	waiting map[chan vwplace.Answer]bool
+	waiting map[*call]bool
 	// packed is the compressed payload of the job; nil before triedPacking is set, or if it would not be shorter.
 	packed       []byte
 	triedPacking bool
@@ -53,32 +66,38 @@
 }
 
 func makeBestEffort(e *Entry) *bestEffortJobs {
-	return &bestEffortJobs{
-		entry: e,
-		queue: vwplace.MakeQueue(vwplace.Settings{
-			DataCentre: e.settings.DataCentre, RemoteFactor: e.settings.RemoteFactor, MaxWaiting: e.settings.MaxWaitingJobs,
-			Random: rand.NewPCG(rand.Uint64(), rand.Uint64()),
-		}),
+	b := &bestEffortJobs{
+		entry:        e,
 		sessions:     map[vwid.Incarnation]*vwlink.Session{},
 		calls:        map[vwid.SubmissionID]*pendingCalls{},
 		answers:      map[vwid.SubmissionID]vwplace.Answer{},
 		machineClock: vwboot.MakeMeter(vwboot.Suspended),
 	}
+	b.queue = vwplace.MakeQueue(vwplace.Settings{
+		DataCentre: e.settings.DataCentre, RemoteFactor: e.settings.RemoteFactor, MaxWaiting: e.settings.MaxWaitingJobs,
+		Random: rand.NewPCG(rand.Uint64(), rand.Uint64()), IsAwaited: b.isAwaited,
+	})
+	return b
 }
 
 // RunBestEffort runs a job without a record in control and returns its answer. A call with the id of a job in flight
-// joins that job. When ctx is done, the job is cancelled unless another call waits for it.
+// joins that job. When ctx is done, the job is cancelled unless another call waits for it. A job whose callers have all left,
+// by their connections in their contexts, is cancelled before further tasks of it are sent.
 func (e *Entry) RunBestEffort(ctx context.Context, job vwplace.Job) (vwplace.Answer, error) {
-	call := make(chan vwplace.Answer, 1)
-	err := runOnLoopForError(ctx, e, func() error { return e.bestEffort.submit(time.Now(), job, call) })
-	removeCall := func() { e.bestEffort.removeCall(time.Now(), job.ID, call) }
+	if vwcaller.HasLeft(ctx) {
+		e.counters.Abandoned.Add(1)
+		return vwplace.Answer{}, vwverdict.Wrap(vwverdict.NotRun, cmp.Or(ctx.Err(), errCallerLeft))
+	}
+	c := &call{ctx: ctx, answer: make(chan vwplace.Answer, 1)}
+	err := runOnLoopForError(ctx, e, func() error { return e.bestEffort.submit(time.Now(), job, c) })
+	removeCall := func() { e.bestEffort.removeCall(time.Now(), job.ID, c) }
 	if err != nil {
 		// The submission may still be in the mailbox.
 		e.post(removeCall)
 		return vwplace.Answer{}, err
 	}
 	select {
-	case answer := <-call:
+	case answer := <-c.answer:
 		return answer, nil
 	case <-e.group.Context().Done():
 		return vwplace.Answer{}, vwverdict.Errorf(vwverdict.MayHaveRun, "the entry has stopped")
@@ -115,15 +134,15 @@
 	return runOnLoop(ctx, e, func() int { return e.bestEffort.queue.WaitingJobs(team) })
 }
 
-func (b *bestEffortJobs) submit(now time.Time, job vwplace.Job, call chan vwplace.Answer) error {
+func (b *bestEffortJobs) submit(now time.Time, job vwplace.Job, c *call) error {
 	if answer, known := b.answers[job.ID]; known {
 		b.entry.log.Info("job has been answered already", "job", string(job.ID), "outcome", answer.Outcome.String())
-		call <- answer
+		c.answer <- answer
 		return nil
 	}
 	if calls := b.calls[job.ID]; calls != nil {
 		b.entry.log.Info("call joined a job in flight", "job", string(job.ID), "calls", len(calls.waiting)+1)
-		calls.waiting[call] = true
+		calls.waiting[c] = true
 		return nil
 	}
 	if _, recent := b.entry.RulesForBestEffort(); !recent {
@@ -135,17 +154,33 @@
 		}
 		return err
 	}
-	b.calls[job.ID] = &pendingCalls{job: job, waiting: map[chan vwplace.Answer]bool{call: true}}
+	b.calls[job.ID] = &pendingCalls{job: job, waiting: map[*call]bool{c: true}}
 	return nil
 }
 
+// isAwaited reports whether the caller of any call of a job still waits for it. The server of a caller reports the end of the
+// connection as well, but later: a process that stood still, or is slow to read, has handled the requests of callers that had left.
+func (b *bestEffortJobs) isAwaited(id vwid.SubmissionID) bool {
+	calls := b.calls[id]
+	if calls == nil {
+		return false
+	}
+	for c := range calls.waiting {
+		if !vwcaller.HasLeft(c.ctx) {
+			return true
+		}
+	}
+	b.entry.counters.Abandoned.Add(1)
+	return false
+}
+
 // removeCall removes a call from its job, and cancels the job if no other call waits for it.
-func (b *bestEffortJobs) removeCall(now time.Time, id vwid.SubmissionID, call chan vwplace.Answer) {
+func (b *bestEffortJobs) removeCall(now time.Time, id vwid.SubmissionID, c *call) {
 	calls := b.calls[id]
-	if calls == nil || !calls.waiting[call] {
+	if calls == nil || !calls.waiting[c] {
 		return
 	}
-	delete(calls.waiting, call)
+	delete(calls.waiting, c)
 	if len(calls.waiting) == 0 {
 		b.queue.Cancel(now, id, "the caller has left")
 	}
@@ -335,8 +370,8 @@
 	if calls == nil {
 		return
 	}
-	for call := range calls.waiting {
-		call <- answer
+	for c := range calls.waiting {
+		c.answer <- answer
 	}
 	b.log(now, &calls.job, &answer)
 	b.entry.counters.countBestEffort(&answer)
--- a/internal/process/vwentry/counter.go
+++ b/internal/process/vwentry/counter.go
@@ -36,6 +36,8 @@
 	GivenUp   atomic.Int64
 	// Requeued are tasks that were placed again without a report of the end of their runs.
 	Requeued atomic.Int64
+	// Abandoned are best-effort jobs whose callers were found to have left when they were handed in or tasks of them could be sent.
+	Abandoned atomic.Int64
 	// RulesFetches are the answers with parts of the rules, RulesBytes their compressed bytes, and RulesFetchesFailed the
 	// calls for parts that had no answer in time.
 	RulesFetches       atomic.Int64
--- a/internal/process/vwhistory/sentagain_test.go
+++ b/internal/process/vwhistory/sentagain_test.go
@@ -4,15 +4,18 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"vanillawind.example/vanillawind/internal/connection/vwcaller"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
+	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwresource"
 	"vanillawind.example/vanillawind/pkg/vwunit"
 )
@@ -88,3 +91,99 @@
 		require.Zero(t, c.workers[0].worker.Running())
 	})
 }
+
+// caller is a caller with a connection to an entry whose server has not read the end of the connection yet.
+type caller struct {
+	conn *net.TCPConn
+	// ctx is the context of the caller's request. Only its connection shows that the caller has left.
+	ctx context.Context
+}
+
+func makeCaller(t *testing.T) *caller {
+	t.Helper()
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	served, err := listener.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = conn.Close()
+		_ = served.Close()
+	})
+	return &caller{conn: conn.(*net.TCPConn), ctx: vwcaller.WithConn(t.Context(), served)}
+}
+
+// Guards against tasks that run at two entries: an entry that stood still, or is slow to read its connections, sends tasks of
+// callers that have closed their connections and turned to another entry, because its server has not told it yet.
+func TestTasksOfCallersThatHaveLeftAreNotSent(t *testing.T) {
+	const runTime = 200 * time.Millisecond
+	cases := map[string]struct {
+		// act lets the callers of the job hand it in and leave while the worker is full.
+		act  func(t *testing.T, call func(*caller))
+		runs bool
+	}{
+		"before the call is handled": {func(t *testing.T, call func(*caller)) {
+			c := makeCaller(t)
+			require.NoError(t, c.conn.Close())
+			call(c)
+		}, false},
+		"while the job waits": {func(t *testing.T, call func(*caller)) {
+			c := makeCaller(t)
+			call(c)
+			require.NoError(t, c.conn.Close())
+		}, false},
+		"by a reset": {func(t *testing.T, call func(*caller)) {
+			c := makeCaller(t)
+			call(c)
+			require.NoError(t, c.conn.SetLinger(0))
+			require.NoError(t, c.conn.Close())
+		}, false},
+		"all callers of a job": {func(t *testing.T, call func(*caller)) {
+			first, second := makeCaller(t), makeCaller(t)
+			call(first)
+			call(second)
+			require.NoError(t, first.conn.Close())
+			require.NoError(t, second.conn.Close())
+		}, false},
+		"one of two callers": {func(t *testing.T, call func(*caller)) {
+			first, second := makeCaller(t), makeCaller(t)
+			call(first)
+			call(second)
+			require.NoError(t, first.conn.Close())
+		}, true},
+		"no caller": {func(t *testing.T, call func(*caller)) { call(makeCaller(t)) }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				cluster := makeEffortCluster(slog.New(slog.DiscardHandler), 1, 1)
+				callers := vwgroup.Make(t.Context())
+				defer func() {
+					_ = callers.Stop()
+					cluster.stopAll()
+				}()
+				cluster.changeRules(t, effortRules)
+				entry, _ := cluster.entries[0].current()
+				makeJob := func(id vwid.SubmissionID, cores vwresource.MilliCPU) vwplace.Job {
+					cluster.record.expect(vwworker.Task{Job: id}, runTime)
+					return vwplace.Job{
+						ID: id, Service: service, Team: team, Level: 5, Payload: []byte(`"x"`), Count: 1,
+						Needs: vwresource.Amount{CPU: 1000 * cores, Memory: vwunit.MiB}, Estimate: runTime, Slowdown: 10, MaxFailures: 3,
+					}
+				}
+				before, job := makeJob("before0000000000", workerCores), makeJob("0123456789abcdef", 1)
+				callers.Run(func(ctx context.Context) { _, _ = entry.RunBestEffort(ctx, before) })
+				time.Sleep(runTime / 2)
+				c.act(t, func(caller *caller) {
+					callers.Run(func(context.Context) { _, _ = entry.RunBestEffort(caller.ctx, job) })
+					synctest.Wait()
+				})
+				time.Sleep(10 * runTime)
+				require.Equal(t, 1, cluster.record.startsOf(vwworker.Task{Job: before.ID}))
+				require.Equal(t, c.runs, cluster.record.startsOf(vwworker.Task{Job: job.ID}) > 0)
+			})
+		})
+	}
+}
--- a/internal/process/vwmetrics/description.go
+++ b/internal/process/vwmetrics/description.go
@@ -71,6 +71,7 @@
 	TasksSuspected     = describe("tasks_suspected_total", KindCounter, UnitCount, "Times that a task became suspect because a worker crashed under it.")
 	TasksGivenUp       = describe("tasks_given_up_total", KindCounter, UnitCount, "Tasks that were given up because workers crashed under them.")
 	TasksRequeued      = describe("tasks_requeued_total", KindCounter, UnitCount, "Tasks that were placed again without a report of the end of their runs.")
+	JobsAbandoned      = describe("jobs_abandoned_total", KindCounter, UnitCount, "Jobs whose callers were found to have left when they were handed in or tasks could be sent.")
 	RulesFetches       = describe("rules_fetches_total", KindCounter, UnitCount, "Answers of control with parts of newer rules.")
 	RulesBytesFetched  = describe("rules_bytes_fetched_total", KindCounter, UnitCount, "Compressed bytes of the fetched parts of rules.")
 	RulesFetchesFailed = describe("rules_fetches_failed_total", KindCounter, UnitCount, "Calls for parts of newer rules that control did not answer in time.")
--- a/internal/process/vwmetrics/role.go
+++ b/internal/process/vwmetrics/role.go
@@ -24,6 +24,7 @@
 	Watch(m, TasksSuspected, counters.Suspected.Load)
 	Watch(m, TasksGivenUp, counters.GivenUp.Load)
 	Watch(m, TasksRequeued, counters.Requeued.Load)
+	Watch(m, JobsAbandoned, counters.Abandoned.Load)
 	Watch(m, RulesFetches, counters.RulesFetches.Load)
 	Watch(m, RulesBytesFetched, counters.RulesBytes.Load)
 	Watch(m, RulesFetchesFailed, counters.RulesFetchesFailed.Load)
--- a/internal/process/vwplace/cause.go
+++ b/internal/process/vwplace/cause.go
@@ -1,6 +1,6 @@
 package vwplace
 
-// Reasons for which a job is refused or given up.
+// Reasons for which a job is refused, given up or cancelled.
 const (
 	reasonFitsNoWorker = "no worker has the capacity for a task"
 	reasonTooMuchWaits = "more waits than can start in time"
@@ -10,6 +10,7 @@
 	reasonEarlierRuns  = "earlier runs of the job have not ended in time"
 	reasonOver         = "the time for an answer is over"
 	reasonStops        = "the entry stops before the job can end"
+	reasonCallerLeft   = "the caller had left when tasks could be sent"
 )
 
 // Cause is the short name of why a job was refused, for metrics.
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -170,6 +170,9 @@
 	// size is the size class of the job in its team, and accounted is set once it counts as served or turned away.
 	size      sizeClass
 	accounted bool
+	// awaitedAt is when the job was last known to be awaited by a caller, and abandoned is set once it no longer is.
+	awaitedAt time.Time
+	abandoned bool
 	// admitted is set once the job may wait for capacity, and yield once it was refused in favour of another one.
 	admitted bool
 	yield    *Yield
--- a/internal/process/vwplace/place.go
+++ b/internal/process/vwplace/place.go
@@ -30,10 +30,32 @@
 		}
 	}
 	q.waiting = slices.DeleteFunc(q.waiting, func(j *job) bool { return j.waitingTasks == 0 })
+	for _, j := range q.abandoned {
+		q.endJob(now, j, OutcomeCancelled, reasonCallerLeft)
+	}
+	q.abandoned = q.abandoned[:0]
 	q.refuseWhatCannotStart(now)
 	return q.sends
 }
 
+// isAwaited reports whether a caller still waits for a job, and remembers a job that is no longer awaited. Callers that have left
+// may have sent their jobs to other entries, where the tasks run now.
+func (q *Queue) isAwaited(now time.Time, j *job) bool {
+	if q.settings.IsAwaited == nil || j.awaitedAt.Equal(now) {
+		return true
+	}
+	if j.abandoned {
+		return false
+	}
+	if q.settings.IsAwaited(j.ID) {
+		j.awaitedAt = now
+		return true
+	}
+	j.abandoned = true
+	q.abandoned = append(q.abandoned, j)
+	return false
+}
+
 // mostFree returns the maximum of each resource that is free on any usable worker. The maxima may be on different workers.
 func (q *Queue) mostFree() vwresource.Amount {
 	most := vwresource.Amount{CPU: -1, Memory: -1, GPUs: -1}
@@ -77,7 +99,7 @@
 	}
 }
 
-// candidates returns the workers that can run tasks of a job now, the best first.
+// candidates returns the workers that can run tasks of a job now, the best first. There are none for a job that no caller waits for.
 func (q *Queue) candidates(now time.Time, j *job) []candidate {
 	var found []candidate
 	for _, w := range q.workerOrder {
@@ -104,6 +126,9 @@
 		}
 		found = append(found, candidate{worker: w, maxTasks: maxTasks, cost: cost, score: q.score(w), hasSuspect: w.suspect != nil})
 	}
+	if len(found) == 0 || !q.isAwaited(now, j) {
+		return nil
+	}
 	slices.SortFunc(found, func(a, b candidate) int { return compareCandidates(&a, &b) })
 	return found
 }
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -33,6 +33,9 @@
 	MaxWaiting int
 	// Random adds jitter to the ranking of workers, so that entries do not all choose the same one.
 	Random rand.Source
+	// IsAwaited reports whether a caller still waits for a job. It is asked before tasks of the job are sent; nil means that all
+	// jobs are awaited until they are cancelled.
+	IsAwaited func(id vwid.SubmissionID) bool
 }
 
 // Queue holds the best-effort jobs of an entry and the workers that it can place their tasks on.
@@ -74,6 +77,8 @@
 	runTimesForgottenAt time.Time
 	// answerBy is the time by which all jobs must be answered; zero while there is none.
 	answerBy time.Time
+	// abandoned holds the jobs that Dispatch has found to be no longer awaited.
+	abandoned []*job
 }
 
 // Send is a message that starts tasks at an agent.
