Notice that a caller has left behind bytes that wait

A caller that pipelines a request behind its job and closes the connection was taken for one that still waits, so its tasks were started and orders of it carried out.

Cause: vwcaller.HasLeft peeks at the next byte of the socket, and the end of the connection comes after all bytes that wait there. The HTTP server does not see it either: its reader stops at the first byte behind the request.

Evidence: the new case of TestHasLeft fails on the parent of this commit.

HasLeft now asks poll for POLLRDHUP, which Linux reports as soon as the end has arrived, whatever waits before it. The peek stays for systems that do not report it. While nothing waits in the socket it is one system call, as before.

--- a/internal/connection/vwcaller/caller.go
+++ b/internal/connection/vwcaller/caller.go
@@ -62,9 +62,19 @@
 	return err != nil || ended
 }
 
-// hasEnded reports whether no more bytes can come over a socket. Bytes that wait there, such as the next request, do not
-// show whether the connection ends after them.
+// hasEnded reports whether no more bytes can come over a socket after those that wait there, such as the next request.
 func hasEnded(descriptor int) bool {
+	const ended = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	events := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLIN | unix.POLLRDHUP}}
+	if _, err := unix.Poll(events, 0); err == nil {
+		if events[0].Revents&ended != 0 {
+			return true
+		}
+		if events[0].Revents&unix.POLLIN == 0 {
+			return false
+		}
+	}
+	// A system without POLLRDHUP reports the end as something to read.
 	count, _, err := unix.Recvfrom(descriptor, make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	if err != nil {
 		return errors.Is(err, unix.ECONNRESET) || errors.Is(err, unix.EPIPE) || errors.Is(err, unix.ETIMEDOUT)
--- a/internal/connection/vwcaller/caller_test.go
+++ b/internal/connection/vwcaller/caller_test.go
@@ -26,6 +26,11 @@
 			_, err := conn.Write([]byte("next"))
 			require.NoError(t, err)
 		}, false},
+		"has sent more and closes": {func(t *testing.T, conn *net.TCPConn) {
+			_, err := conn.Write([]byte("next"))
+			require.NoError(t, err)
+			require.NoError(t, conn.Close())
+		}, true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
