Refuse single requests whose callers have left

A request without an id has no record in control that would stop the second run.

Evidence: TestRequestOfCallerThatHasLeftIsNotRun fails on the parent of this commit: the request runs and is answered with 200.

Such a request is now refused as not run. Submissions with a record are as before: they go on without their callers, and control gives each id to one entry.

--- a/internal/process/vwentry/request.go
+++ b/internal/process/vwentry/request.go
@@ -5,8 +5,10 @@
 	"slices"
 	"time"
 
+	"vanillawind.example/vanillawind/internal/connection/vwcaller"
 	"vanillawind.example/vanillawind/internal/request/vwjob"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
+	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwverdict"
 )
@@ -20,6 +22,10 @@
 // runRequest runs a single request without a record in control. It retries an idempotent one after
 // MayHaveRun, within the team's retry budget and up to maxRequestLosses, and sends any other at most once.
 func (e *Entry) runRequest(ctx context.Context, s submission, idempotent bool) (*job, error) {
+	if vwcaller.HasLeft(ctx) {
+		// Nobody would get the answer, and the caller may have sent the request to another entry.
+		return nil, refuse(vwapi.CodeUnavailable, vwverdict.NotRun, errCallerLeft.Error())
+	}
 	if err := runOnLoopForError(ctx, e, func() error { return e.validate(s) }); err != nil {
 		return nil, err
 	}
--- a/internal/process/vwhistory/sentagain_test.go
+++ b/internal/process/vwhistory/sentagain_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +16,8 @@
 	"vanillawind.example/vanillawind/internal/connection/vwcaller"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
+	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwapi"
 	"vanillawind.example/vanillawind/pkg/vwgroup"
 	"vanillawind.example/vanillawind/pkg/vwid"
 	"vanillawind.example/vanillawind/pkg/vwresource"
@@ -187,3 +191,21 @@
 		})
 	}
 }
+
+// Guards against a single request that a caller has sent to another entry since, and that runs here as well because the process was slow
+// to read it.
+func TestRequestOfCallerThatHasLeftIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := startCluster(1, 1, slog.New(slog.DiscardHandler))
+		defer c.stop()
+		change := vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "first", Text: []byte(rules), By: "Ana"}}
+		_, err := c.control.Client().Propose(t.Context(), change)
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		caller := makeCaller(t)
+		require.NoError(t, caller.conn.Close())
+		answer := c.entries[0].call(caller.ctx, false, http.MethodPost, "/Requests", vwapi.Request{Service: service, Team: team, Payload: json.RawMessage("20")})
+		require.Equal(t, http.StatusServiceUnavailable, answer.Code, answer.Body)
+		require.Empty(t, c.record.all())
+	})
+}
