Count the time that a request has waited in its socket

The tasks of a job may start after its client has given up and come back at another entry: a process that is busy or stood still reads the request late, and counts the time for which the client waits from then on. The end of the connection says that the client has left only if it has come through; a connection that is silent, or whose machine was suspended, has no end.

The operating system tells how long ago the newest bytes came (TCP_INFO), read or not. Where the operating system does not tell it, the time counts from the handler as before. Bytes of a later request behind it make it look newer, never older.

--- a/internal/connection/vwcaller/caller.go
+++ b/internal/connection/vwcaller/caller.go
@@ -45,21 +45,40 @@
 	if ctx.Err() != nil {
 		return true
 	}
+	ended := false
+	err := useDescriptor(ctx, func(descriptor int) { ended = hasEnded(descriptor) })
+	return err != nil || ended
+}
+
+// ReceivedAgo returns how long ago the newest bytes of the caller came to this machine, whether they were read or not. A request that
+// has waited in the socket of a busy process was sent before that. It is zero without WithConn and where the operating system does
+// not tell it.
+func ReceivedAgo(ctx context.Context) time.Duration {
+	ago := time.Duration(0)
+	_ = useDescriptor(ctx, func(descriptor int) {
+		if info, err := unix.GetsockoptTCPInfo(descriptor, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return ago
+}
+
+// useDescriptor calls use with the descriptor of the connection of a request, if that is known. An error means that the connection
+// is closed.
+func useDescriptor(ctx context.Context, use func(descriptor int)) error {
 	connection, known := ConnectionOf(ctx)
 	if !known {
-		return false
+		return nil
 	}
 	conn, ok := connection.conn.(syscall.Conn)
 	if !ok {
-		return false
+		return nil
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return true
+		return err
 	}
-	ended := false
-	err = raw.Control(func(descriptor uintptr) { ended = hasEnded(int(descriptor)) })
-	return err != nil || ended
+	return raw.Control(func(descriptor uintptr) { use(int(descriptor)) })
 }
 
 // hasEnded reports whether no more bytes can come over a socket after those that wait there, such as the next request.
--- a/internal/connection/vwcaller/caller_test.go
+++ b/internal/connection/vwcaller/caller_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -59,3 +60,28 @@
 	cancel()
 	require.True(t, HasLeft(ctx))
 }
+
+// Guards against a request that counts as new although it has waited in the socket of a process that stood still, and its
+// caller with it.
+func TestReceivedAgo(t *testing.T) {
+	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
+	require.NoError(t, err)
+	defer caller.Close()
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	ctx := WithConn(t.Context(), conn)
+	before := time.Now()
+	_, err = caller.Write([]byte("request"))
+	require.NoError(t, err)
+	const wait = 300 * time.Millisecond
+	time.Sleep(wait)
+	// The clock of the operating system may be coarse.
+	const resolution = 20 * time.Millisecond
+	require.GreaterOrEqual(t, ReceivedAgo(ctx), wait-resolution)
+	require.LessOrEqual(t, ReceivedAgo(ctx), time.Since(before)+resolution)
+	require.Zero(t, ReceivedAgo(t.Context()))
+}
--- a/internal/process/vwplace/job.go
+++ b/internal/process/vwplace/job.go
@@ -33,6 +33,8 @@
 	Target   time.Duration
 	// MaxFailures is the number of failures of one task at which the job fails.
 	MaxFailures int
+	// ReceivedAt is when the call came to this machine; zero means when it is submitted.
+	ReceivedAt time.Time
 	// Deadline is when the caller stops waiting; zero means that it is not known.
 	Deadline time.Time
 	// CallTime is the least time for which callers wait for the answer to a first call; zero means that it is not known.
