Count the time of a suspension as time for which callers wait

Tasks may start, or go on, after their caller has given up and come back at another entry: the machine of the entry was suspended for seconds, and neither its clock nor its kernel counts them. The ends of the callers' connections are not in the sockets when the machine resumes, since their machines send them again only seconds later; so the deadline of the job is what is left to decide, and it was later by the whole suspension.

With Queue.Suspended empty, TestSuspensionCountsAsTimeOfCallers fails in both cases: a job whose caller no longer waits stays in the queue, and its tasks may run for longer than the caller waits.

When the event loop notices a suspension it moves the times of all jobs back by it: those whose time is over end at once, their runs are stopped, and the others keep what is left. A call whose bytes came before that is treated in the same way when it is read. The log line of the stall has the suspension and the number of jobs.

--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -148,6 +148,9 @@
 	if _, recent := b.entry.RulesForBestEffort(); !recent {
 		return refuse(vwapi.CodeUnavailable, vwverdict.NotRun, "this entry has no configuration that is recent enough; use another entry or try again")
 	}
+	if !job.Deadline.IsZero() {
+		job.Deadline = job.Deadline.Add(-b.stall.suspensionSince(job.ReceivedAt))
+	}
 	if err := b.queue.Submit(now, job); err != nil {
 		if vwplace.IsStopping(err) {
 			b.entry.counters.RefusedByStop.Add(1)
@@ -269,6 +272,7 @@
 // flush sends the stops, tasks and demands that the queue has decided on, and answers the calls of jobs that have
 // ended.
 func (b *bestEffortJobs) flush(now time.Time) {
+	b.observeStall(now)
 	for _, stop := range b.queue.TakeStops() {
 		if session := b.sessions[stop.Worker]; session != nil {
 			b.send(session, &stop.Stop)
@@ -283,12 +287,6 @@
 			"agent", string(requeue.Agent), "incarnation", string(requeue.Incarnation), "reason", string(requeue.Reason))
 	}
 	b.answerEnded(now)
-	if stalled := b.stall.observe(now, b.machineClock.Suspended(now)); stalled > 0 {
-		b.entry.log.Warn("event loop stalled; no best-effort tasks are sent until the pause ends", "stall", stalled.String(), "pause", stallPause.String())
-		if b.stall.detector.Suspension() > 0 {
-			b.entry.expireLease(now)
-		}
-	}
 	if _, recent := b.entry.RulesForBestEffort(); !recent || b.stall.inPause(now) {
 		return
 	}
@@ -310,6 +308,21 @@
 	}
 }
 
+// observeStall handles the end of a stall of the event loop.
+func (b *bestEffortJobs) observeStall(now time.Time) {
+	stalled := b.stall.observe(now, b.machineClock.Suspended(now))
+	if stalled == 0 {
+		return
+	}
+	suspension := b.stall.detector.Suspension()
+	b.entry.log.Warn("event loop stalled; no best-effort tasks are sent until the pause ends", "stall", stalled.String(), "suspension", suspension.String(),
+		"pause", stallPause.String(), "jobs", b.queue.Len())
+	if suspension > 0 {
+		b.entry.expireLease(now)
+		b.queue.Suspended(now, suspension)
+	}
+}
+
 // runMessage returns the message that carries a Run to a peer of the given revision. The payload is compressed once for all
 // tasks of its job.
 func (b *bestEffortJobs) runMessage(revision int, run *vwmessage.Run) vwmessage.Body {
--- a/internal/process/vwentry/stall_test.go
+++ b/internal/process/vwentry/stall_test.go
@@ -39,6 +39,8 @@
 	now = now.Add(tickInterval)
 	require.Equal(t, 3*time.Second+tickInterval, g.observe(now, before+3*time.Second))
 	require.True(t, g.inPause(now))
+	require.Equal(t, 3*time.Second, g.suspensionSince(now.Add(-1)), "a call that came before it")
+	require.Zero(t, g.suspensionSince(now), "a call that came after it")
 	require.Zero(t, g.observe(now.Add(stallPause), before+3*time.Second))
 	require.False(t, g.inPause(now.Add(stallPause)))
 }
--- a/internal/process/vwplace/queue.go
+++ b/internal/process/vwplace/queue.go
@@ -171,6 +171,18 @@
 	}
 }
 
+// Suspended counts the time for which the machine was suspended, which now does not, as time for which the callers of all jobs have
+// waited. Jobs whose time is over end.
+func (q *Queue) Suspended(now time.Time, suspension time.Duration) {
+	for _, j := range q.jobs {
+		j.arrivedAt = j.arrivedAt.Add(-suspension)
+		if !j.Deadline.IsZero() {
+			j.Deadline = j.Deadline.Add(-suspension)
+		}
+		q.checkTime(now, j)
+	}
+}
+
 // Len returns the number of jobs.
 func (q *Queue) Len() int {
 	return len(q.jobs)
--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -507,3 +507,44 @@
 	f.submit(at(2*time.Millisecond), "j1", 1, once)
 	require.Len(t, f.dispatch(at(2*time.Millisecond)), 1)
 }
+
+// Guards against tasks that start after their caller has gone to another entry: the clock of a machine that was suspended does not
+// count that time, but the caller does.
+func TestSuspensionCountsAsTimeOfCallers(t *testing.T) {
+	const timeout, suspension = time.Second, 800 * time.Millisecond
+	cases := map[string]struct {
+		// submittedAt is before the suspension, which is noticed at 300 ms.
+		submittedAt time.Duration
+		waits       bool
+	}{
+		"caller still waits":     {200 * time.Millisecond, true},
+		"caller no longer waits": {0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := makeFixture(t)
+			patient := func(j *Job) { j.Deadline, j.Slowdown = at(c.submittedAt+timeout), 100 }
+			f.open(at(0), "w1", 1)
+			f.submit(at(c.submittedAt), "running", 1, patient)
+			require.Len(t, f.dispatch(at(c.submittedAt)), 1)
+			f.submit(at(c.submittedAt), "waiting", 1, patient)
+			require.Empty(t, f.dispatch(at(c.submittedAt)))
+			now := at(300 * time.Millisecond)
+			f.queue.Suspended(now, suspension)
+			if c.waits {
+				require.Empty(t, f.queue.TakeAnswers())
+				require.True(t, f.finish(now, "w1", "running", 0, 1, vwrun.OutcomeDone))
+				sends := f.queue.Dispatch(now)
+				require.Len(t, sends, 1)
+				require.Equal(t, (timeout - suspension - 100*time.Millisecond).Milliseconds(), sends[0].Run.EndWithinMilliseconds)
+				return
+			}
+			outcomes := map[vwid.SubmissionID]Outcome{}
+			for _, answer := range f.queue.TakeAnswers() {
+				outcomes[answer.JobID] = answer.Outcome
+			}
+			require.Equal(t, map[vwid.SubmissionID]Outcome{"running": OutcomeGivenUp, "waiting": OutcomeRefused}, outcomes)
+			require.Equal(t, []string{"w1:running"}, f.stops())
+		})
+	}
+}
