Test that jobs without callers are cancelled in the queue

A test without a network for the decision of "Ask whether the caller still waits before its tasks are sent": a job whose caller has left while one of its tasks waits again gets no further start, and the room goes to the next job of the same pass. With the look taken out of Queue.candidates the test fails.

--- a/internal/process/vwplace/queue_test.go
+++ b/internal/process/vwplace/queue_test.go
@@ -548,3 +548,22 @@
 		})
 	}
 }
+
+// Guards against tasks that are sent for a caller that has left while earlier ones of its job run, and against room that its job
+// keeps from others.
+func TestJobThatNobodyAwaitsIsCancelled(t *testing.T) {
+	f := makeFixture(t)
+	awaited := map[vwid.SubmissionID]bool{"left": true, "stays": true}
+	f.queue.settings.IsAwaited = func(id vwid.SubmissionID) bool { return awaited[id] }
+	patient := func(j *Job) { j.Slowdown = 100 }
+	f.open(at(0), "w1", 1)
+	f.submit(at(0), "left", 2, patient)
+	f.submit(at(0), "stays", 1, patient)
+	require.Equal(t, []string{"w1:left/0#1"}, f.dispatch(at(0)))
+	require.True(t, f.finish(at(100*time.Millisecond), "w1", "left", 0, 1, vwrun.OutcomeRefused))
+	awaited["left"] = false
+	require.Equal(t, []string{"w1:stays/0#1"}, f.dispatch(at(100*time.Millisecond)))
+	require.Equal(t, OutcomeCancelled, f.answer().Outcome)
+	f.open(at(200*time.Millisecond), "w2", 4)
+	require.Empty(t, f.dispatch(at(200*time.Millisecond)))
+}
