Let the first change wait for the voters that tolerated losses need

Cause: the control log begins with the three seeds as voters; the other members become voters one after the other until 1 to 2 s after the start. Meanwhile the leader acknowledged changes that two of three voters had stored. If both lose their disks, the third has the data and no majority.

The operator sends it again. It waits for 5 s at most, so that a deployment with too few members accepts changes too. Later changes are as before.

--- a/internal/process/vwcontrol/core.go
+++ b/internal/process/vwcontrol/core.go
@@ -48,6 +48,8 @@
 	peers          peers
 	disk           fullDisk
 	voters         voterCounts
+	// leaderSince is when this member became the leader.
+	leaderSince time.Time
 	// stopping is set while this member is about to end.
 	stopping              bool
 	outage                outage
@@ -267,7 +269,7 @@
 	if c.isLeader != c.node.IsLeader() {
 		c.settings.Logger.Info("leadership changed", "leading", c.node.IsLeader(), "term", uint64(status.Term))
 	}
-	c.isLeader, c.term = c.node.IsLeader(), status.Term
+	c.isLeader, c.term, c.leaderSince = c.node.IsLeader(), status.Term, c.now
 	c.reads.failNotLeader(status.Leader)
 	c.forwards.failStale(status.Leader)
 	c.renewals.reset(c.now)
--- a/internal/process/vwcontrol/fulldisk_test.go
+++ b/internal/process/vwcontrol/fulldisk_test.go
@@ -67,15 +67,19 @@
 // requireChange requires that a change, which a client sends to the members from at on until one acknowledges it, is
 // acknowledged in time.
 func (c *cluster) requireChange(at int, id vwid.ChangeID) {
+	c.requireChangeWithin(acknowledgeWithin, at, id)
+}
+
+func (c *cluster) requireChangeWithin(within time.Duration, at int, id vwid.ChangeID) {
 	begin := time.Now()
-	for time.Since(begin) < acknowledgeWithin {
+	for time.Since(begin) < within {
 		if m := c.member(at % len(c.disks)); m != nil && c.tryChange(m, id) == nil {
 			return
 		}
 		at++
 		time.Sleep(10 * time.Millisecond)
 	}
-	require.Fail(c.t, "change not acknowledged", "%s within %v", id, acknowledgeWithin)
+	require.Fail(c.t, "change not acknowledged", "%s within %v", id, within)
 }
 
 // tryChange sends a change to one member for at most a second. Other changes may come first.
--- a/internal/process/vwcontrol/leader.go
+++ b/internal/process/vwcontrol/leader.go
@@ -6,6 +6,10 @@
 	"vanillawind.example/vanillawind/internal/process/vwraft"
 )
 
+// firstChangeWait bounds how long a leader accepts no first change of the rules for want of voters. All members of a deployment start
+// within a second of each other, and become voters one after the other.
+const firstChangeWait = 5 * time.Second
+
 // runLeaderTasks expires registrations and adjusts the membership, once a tick and only on the leader.
 func (c *core) runLeaderTasks() {
 	status := c.node.Status()
@@ -90,6 +94,14 @@
 	return v.voters > 0
 }
 
+// awaitsVoters reports whether the first change of the rules has to wait: the log begins with the initial members as voters, and until
+// others have joined them the tolerated losses could take all copies of what is acknowledged, or leave no majority to read it.
+func (c *core) awaitsVoters() bool {
+	status := c.node.Status()
+	enough := status.MembershipCommitted && len(status.Membership.Voters) >= c.settings.neededVoters()
+	return c.isLeader && c.state.Version() == 0 && !enough && c.now.Sub(c.leaderSince) < firstChangeWait
+}
+
 // promoteLearner proposes to make a learner that has caught up a voter. A voter at the same address has lost its disk:
 // its id is removed first. With three members, this leaves two voters that are both needed for a short time. Promoting
 // first would need three of four, one of which has lost its disk.
--- a/internal/process/vwcontrol/serve.go
+++ b/internal/process/vwcontrol/serve.go
@@ -76,6 +76,10 @@
 		answer(nil, vwverdict.Wrap(vwverdict.NotRun, vwraft.ErrBusy))
 		return
 	}
+	if command.ChangeRules != nil && c.awaitsVoters() {
+		answer(nil, vwverdict.Errorf(vwverdict.NotRun, "control has too few voters for its first change; send it again"))
+		return
+	}
 	index, term, err := c.node.Propose(data)
 	if err != nil {
 		answer(nil, vwverdict.Wrap(vwverdict.NotRun, err))
--- a/internal/process/vwcontrol/tolerance_test.go
+++ b/internal/process/vwcontrol/tolerance_test.go
@@ -164,6 +164,42 @@
 	}
 }
 
+// Guards against a first change that is acknowledged while control has fewer voters than the tolerated losses need: after these it could
+// be neither read nor changed.
+func TestFirstChangeOutlastsTheToleratedLosses(t *testing.T) {
+	for seed := range uint64(seedCount) {
+		synctest.Test(t, func(t *testing.T) {
+			c := makeCluster(t, 5, seed)
+			defer c.stop()
+			c.configure = func(s *Settings) {
+				setThreeInitial(s)
+				s.Tolerance = toleratedLosses
+			}
+			c.startAll()
+			c.requireChangeWithin(2*firstChangeWait, 0, "acknowledged at the first start")
+			c.loseTwoDisks()
+			view, err := readWithin(c.member(c.waitForLeader()), vwstate.Query{Config: true})
+			require.NoError(t, err, "seed %d", seed)
+			require.Equal(t, "acknowledged at the first start", string(view.Config.Text), "seed %d", seed)
+			c.changeRules("after the loss")
+		})
+	}
+}
+
+// Guards against a deployment with fewer members than its settings ask for, which would never accept a change.
+func TestFirstChangeWithTooFewMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := makeCluster(t, 4, 1)
+		defer c.stop()
+		c.configure = func(s *Settings) {
+			setThreeInitial(s)
+			s.Tolerance = toleratedLosses
+		}
+		c.startAll()
+		c.requireChangeWithin(2*firstChangeWait, 0, "with four members")
+	})
+}
+
 // Guards against a replaced member that still counts as a voter while the leader waits for it to fall silent: two disks that
 // are lost right after its stop would end control. A successor has had its time to catch up by then.
 func TestStoppedMemberCountsNoLongerAtOnce(t *testing.T) {
