Share the connections of callers among the tests

Four tests opened a connection over loopback in their own words; vwcallertest.Connect does so now. The tests of control have one function for their tolerated losses. No check changes.

--- a/internal/connection/vwcaller/caller_test.go
+++ b/internal/connection/vwcaller/caller_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"vanillawind.example/vanillawind/internal/connection/vwcallertest"
 )
 
 // Guards against orders that are carried out although their caller has left: the end of a connection must show at once,
@@ -35,18 +37,10 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
-			require.NoError(t, err)
-			defer caller.Close()
-			conn, err := listener.Accept()
-			require.NoError(t, err)
-			defer conn.Close()
+			caller, conn := vwcallertest.Connect(t)
 			ctx := WithConn(t.Context(), conn)
 			require.False(t, HasLeft(ctx))
-			c.act(t, caller.(*net.TCPConn))
+			c.act(t, caller)
 			require.Equal(t, c.left, HasLeft(ctx))
 			require.Equal(t, c.left, HasLeft(ctx), "the check must not consume what it finds")
 		})
@@ -64,18 +58,10 @@
 // Guards against a request that counts as new although it has waited in the socket of a process that stood still, and its
 // caller with it.
 func TestReceivedAgo(t *testing.T) {
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
-	require.NoError(t, err)
-	defer caller.Close()
-	conn, err := listener.Accept()
-	require.NoError(t, err)
-	defer conn.Close()
+	caller, conn := vwcallertest.Connect(t)
 	ctx := WithConn(t.Context(), conn)
 	before := time.Now()
-	_, err = caller.Write([]byte("request"))
+	_, err := caller.Write([]byte("request"))
 	require.NoError(t, err)
 	const wait = 300 * time.Millisecond
 	time.Sleep(wait)
--- a/internal/process/vwcontrol/tolerance_test.go
+++ b/internal/process/vwcontrol/tolerance_test.go
@@ -20,12 +20,15 @@
 	toleratedLosses = 2
 )
 
+// setTolerance makes three members the initial ones of a cluster that has to bear toleratedLosses.
+func setTolerance(s *Settings) {
+	setThreeInitial(s)
+	s.Tolerance = toleratedLosses
+}
+
 // startFiveVoters starts five of the members, three of which are initial ones.
 func startFiveVoters(t *testing.T, c *cluster) {
-	c.configure = func(s *Settings) {
-		setThreeInitial(s)
-		s.Tolerance = toleratedLosses
-	}
+	c.configure = setTolerance
 	for at := range 5 {
 		c.start(at)
 	}
@@ -171,10 +174,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			c := makeCluster(t, 5, seed)
 			defer c.stop()
-			c.configure = func(s *Settings) {
-				setThreeInitial(s)
-				s.Tolerance = toleratedLosses
-			}
+			c.configure = setTolerance
 			c.startAll()
 			c.requireChangeWithin(2*firstChangeWait, 0, "acknowledged at the first start")
 			c.loseTwoDisks()
@@ -191,10 +191,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := makeCluster(t, 4, 1)
 		defer c.stop()
-		c.configure = func(s *Settings) {
-			setThreeInitial(s)
-			s.Tolerance = toleratedLosses
-		}
+		c.configure = setTolerance
 		c.startAll()
 		c.requireChangeWithin(2*firstChangeWait, 0, "with four members")
 	})
--- a/internal/process/vwentry/besteffort.go
+++ b/internal/process/vwentry/besteffort.go
@@ -161,8 +161,8 @@
 	return nil
 }
 
-// isAwaited reports whether the caller of any call of a job still waits for it. The server of a caller reports the end of the
-// connection as well, but later: a process that stood still, or is slow to read, has handled the requests of callers that had left.
+// isAwaited reports whether the caller of any call of a job still waits for it. The server ends the contexts of callers that have left as
+// well, but only after it has handed over their requests, which is late if the process stood still or is slow to read.
 func (b *bestEffortJobs) isAwaited(id vwid.SubmissionID) bool {
 	calls := b.calls[id]
 	if calls == nil {
--- a/internal/process/vwentry/operator_test.go
+++ b/internal/process/vwentry/operator_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"net"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/connection/vwcaller"
+	"vanillawind.example/vanillawind/internal/connection/vwcallertest"
 	"vanillawind.example/vanillawind/internal/process/vwcontrol"
 	"vanillawind.example/vanillawind/internal/process/vwcontroltest"
 	"vanillawind.example/vanillawind/internal/version/vwrule"
@@ -36,15 +36,7 @@
 func TestDataCentreOrderOfACallerThatHasLeftChangesNothing(t *testing.T) {
 	for name, leaves := range map[string]bool{"leaves": true, "waits": false} {
 		t.Run(name, func(t *testing.T) {
-			listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			defer listener.Close()
-			caller, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
-			require.NoError(t, err)
-			defer caller.Close()
-			conn, err := listener.Accept()
-			require.NoError(t, err)
-			defer conn.Close()
+			caller, conn := vwcallertest.Connect(t)
 			control := vwcontroltest.Make(0).Client()
 			other := &Entry{control: control}
 			paused := &Entry{control: &pausingControl{Client: control, pause: func() {
@@ -53,7 +45,7 @@
 				}
 				order(t, other, "out-1", vwrule.TakeOut)
 			}}}
-			_, err = control.Propose(t.Context(), vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "1", Text: []byte("DataCentre.north = {} # test\n")}})
+			_, err := control.Propose(t.Context(), vwstate.Command{ChangeRules: &vwstate.ChangeRules{ChangeID: "1", Text: []byte("DataCentre.north = {} # test\n")}})
 			require.NoError(t, err)
 			_, err = paused.editRules(vwcaller.WithConn(t.Context(), conn), vwapi.DataCentreOrder{ChangeID: "in-1", By: "Ana"}, func(text []byte) ([]byte, error) {
 				return vwrule.BringIn(text, "north")
--- a/internal/process/vwhistory/sentagain_test.go
+++ b/internal/process/vwhistory/sentagain_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/connection/vwcaller"
+	"vanillawind.example/vanillawind/internal/connection/vwcallertest"
 	"vanillawind.example/vanillawind/internal/connection/vwworker"
 	"vanillawind.example/vanillawind/internal/process/vwplace"
 	"vanillawind.example/vanillawind/internal/version/vwstate"
@@ -105,18 +106,8 @@
 
 func makeCaller(t *testing.T) *caller {
 	t.Helper()
-	listener, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	conn, err := new(net.Dialer).DialContext(t.Context(), "tcp", listener.Addr().String())
-	require.NoError(t, err)
-	served, err := listener.Accept()
-	require.NoError(t, err)
-	t.Cleanup(func() {
-		_ = conn.Close()
-		_ = served.Close()
-	})
-	return &caller{conn: conn.(*net.TCPConn), ctx: vwcaller.WithConn(t.Context(), served)}
+	conn, served := vwcallertest.Connect(t)
+	return &caller{conn: conn, ctx: vwcaller.WithConn(t.Context(), served)}
 }
 
 // Guards against tasks that run at two entries: an entry that stood still, or is slow to read its connections, sends tasks of
