Let another member create the control log if the first one has lost its disk

Cause: only the initial member with the lowest address may create the log, and one that is back after the loss of its disk only joins. The others wait for it, and if it had created its log before the loss, its reply of that time kept them from creating one.

Evidence: TestFirstMemberLosesItsDiskAtTheFirstStart takes the disk at 41 times within 2 s of the start.

A member that only joins now says so, and the next initial address takes its place. It creates a log only if one of the first member cannot have had a leader: in a round of replies that begins after that member is known to be back, all initial members have empty logs and have voted in no election, and a majority of them does not only join. A leader would have needed the votes of a majority, so nothing can have been acknowledged.

--- a/internal/process/vwcontrol/packet.go
+++ b/internal/process/vwcontrol/packet.go
@@ -28,6 +28,12 @@
 	Reply bool
 	// Leader is the address of the leader that the replying member knows.
 	Leader string `msg:",omitempty"`
+	// Round is the prober's, which the reply repeats.
+	Round uint64 `msg:",omitempty"`
+	// JoinOnly is set by a replying member that creates no log, because its disk may have held one.
+	JoinOnly bool `msg:",omitempty"`
+	// Term is that of a replying member with an empty log. It is zero if the member has taken part in no election.
+	Term vwraft.Term `msg:",omitempty"`
 }
 
 // Encode returns the encoded packet.
--- a/internal/process/vwcontrol/packet_gen.go
+++ b/internal/process/vwcontrol/packet_gen.go
@@ -61,30 +61,10 @@
 			if z.Probe == nil {
 				o = msgp.AppendNil(o)
 			} else {
-				// check for omitted fields
-				zb0002Len := uint32(3)
-				var zb0002Mask uint8 /* 3 bits */
-				_ = zb0002Mask
-				if z.Probe.Leader == "" {
-					zb0002Len--
-					zb0002Mask |= 0x4
-				}
-				// variable map header, size zb0002Len
-				o = append(o, 0x80|uint8(zb0002Len))
-
-				// skip if no fields are to be emitted
-				if zb0002Len != 0 {
-					// string "Empty"
-					o = append(o, 0xa5, 0x45, 0x6d, 0x70, 0x74, 0x79)
-					o = msgp.AppendBool(o, z.Probe.Empty)
-					// string "Reply"
-					o = append(o, 0xa5, 0x52, 0x65, 0x70, 0x6c, 0x79)
-					o = msgp.AppendBool(o, z.Probe.Reply)
-					if (zb0002Mask & 0x4) == 0 { // if not omitted
-						// string "Leader"
-						o = append(o, 0xa6, 0x4c, 0x65, 0x61, 0x64, 0x65, 0x72)
-						o = msgp.AppendString(o, z.Probe.Leader)
-					}
+				o, err = z.Probe.MarshalMsg(o)
+				if err != nil {
+					err = msgp.WrapError(err, "Probe")
+					return
 				}
 			}
 		}
@@ -168,46 +148,11 @@
 				if z.Probe == nil {
 					z.Probe = new(Probe)
 				}
-				var zb0003 uint32
-				zb0003, bts, err = msgp.ReadMapHeaderBytes(bts)
+				bts, err = z.Probe.UnmarshalMsg(bts)
 				if err != nil {
 					err = msgp.WrapError(err, "Probe")
 					return
 				}
-				for zb0003 > 0 {
-					zb0003--
-					field, bts, err = msgp.ReadMapKeyZC(bts)
-					if err != nil {
-						err = msgp.WrapError(err, "Probe")
-						return
-					}
-					switch msgp.UnsafeString(field) {
-					case "Empty":
-						z.Probe.Empty, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Probe", "Empty")
-							return
-						}
-					case "Reply":
-						z.Probe.Reply, bts, err = msgp.ReadBoolBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Probe", "Reply")
-							return
-						}
-					case "Leader":
-						z.Probe.Leader, bts, err = msgp.ReadStringBytes(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Probe", "Leader")
-							return
-						}
-					default:
-						bts, err = msgp.Skip(bts)
-						if err != nil {
-							err = msgp.WrapError(err, "Probe")
-							return
-						}
-					}
-				}
 			}
 		case "Envelope":
 			if msgp.IsNil(bts) {
@@ -254,7 +199,7 @@
 	if z.Probe == nil {
 		s += msgp.NilSize
 	} else {
-		s += 1 + 6 + msgp.BoolSize + 6 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Probe.Leader)
+		s += z.Probe.Msgsize()
 	}
 	s += 9
 	if z.Envelope == nil {
@@ -267,16 +212,24 @@
 }
 
 // MarshalMsg implements msgp.Marshaler
-func (z Probe) MarshalMsg(b []byte) (o []byte, err error) {
+func (z *Probe) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
 	// check for omitted fields
-	zb0001Len := uint32(3)
-	var zb0001Mask uint8 /* 3 bits */
+	zb0001Len := uint32(6)
+	var zb0001Mask uint8 /* 6 bits */
 	_ = zb0001Mask
 	if z.Leader == "" {
 		zb0001Len--
 		zb0001Mask |= 0x4
 	}
+	if z.Round == 0 {
+		zb0001Len--
+		zb0001Mask |= 0x8
+	}
+	if z.JoinOnly == false {
+		zb0001Len--
+		zb0001Mask |= 0x10
+	}
 	// variable map header, size zb0001Len
 	o = append(o, 0x80|uint8(zb0001Len))
 
@@ -293,6 +246,23 @@
 			o = append(o, 0xa6, 0x4c, 0x65, 0x61, 0x64, 0x65, 0x72)
 			o = msgp.AppendString(o, z.Leader)
 		}
+		if (zb0001Mask & 0x8) == 0 { // if not omitted
+			// string "Round"
+			o = append(o, 0xa5, 0x52, 0x6f, 0x75, 0x6e, 0x64)
+			o = msgp.AppendUint64(o, z.Round)
+		}
+		if (zb0001Mask & 0x10) == 0 { // if not omitted
+			// string "JoinOnly"
+			o = append(o, 0xa8, 0x4a, 0x6f, 0x69, 0x6e, 0x4f, 0x6e, 0x6c, 0x79)
+			o = msgp.AppendBool(o, z.JoinOnly)
+		}
+		// string "Term"
+		o = append(o, 0xa4, 0x54, 0x65, 0x72, 0x6d)
+		o, err = z.Term.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Term")
+			return
+		}
 	}
 	return
 }
@@ -333,6 +303,24 @@
 				err = msgp.WrapError(err, "Leader")
 				return
 			}
+		case "Round":
+			z.Round, bts, err = msgp.ReadUint64Bytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Round")
+				return
+			}
+		case "JoinOnly":
+			z.JoinOnly, bts, err = msgp.ReadBoolBytes(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "JoinOnly")
+				return
+			}
+		case "Term":
+			bts, err = z.Term.UnmarshalMsg(bts)
+			if err != nil {
+				err = msgp.WrapError(err, "Term")
+				return
+			}
 		default:
 			bts, err = msgp.Skip(bts)
 			if err != nil {
@@ -346,7 +334,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z Probe) Msgsize() (s int) {
-	s = 1 + 6 + msgp.BoolSize + 6 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Leader)
+func (z *Probe) Msgsize() (s int) {
+	s = 1 + 6 + msgp.BoolSize + 6 + msgp.BoolSize + 7 + msgp.StringPrefixSize + len(z.Leader) + 6 + msgp.Uint64Size + 9 + msgp.BoolSize + 5 + z.Term.Msgsize()
 	return
 }
--- a/internal/process/vwcontrol/tolerance_test.go
+++ b/internal/process/vwcontrol/tolerance_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"vanillawind.example/vanillawind/internal/version/vwstate"
+	"vanillawind.example/vanillawind/pkg/vwid"
 )
 
 const (
@@ -186,6 +187,41 @@
 	}
 }
 
+// Guards against a log that is never created, because the first member has lost its disk before it could, and against a second one
+// that loses what was acknowledged in the first.
+func TestFirstMemberLosesItsDiskAtTheFirstStart(t *testing.T) {
+	const lastLoss, step = 2 * time.Second, 50 * time.Millisecond
+	for lostAfter := time.Duration(0); lostAfter <= lastLoss; lostAfter += step {
+		t.Run(lostAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := makeCluster(t, 5, uint64(lostAfter))
+				defer c.stop()
+				lost := false
+				c.configure = func(s *Settings) {
+					setTolerance(s)
+					s.JoinOnly = lost && s.Address == address(0)
+				}
+				c.startAll()
+				time.Sleep(lostAfter)
+				acknowledged := c.tryChange(c.member(1), "before the loss") == nil
+				c.crash(0)
+				c.disks[0].Wipe()
+				lost = true
+				time.Sleep(time.Second)
+				c.start(0)
+				c.requireChangeWithin(2*firstChangeWait, 0, "after the loss")
+				if acknowledged {
+					view, err := readWithin(c.member(c.waitForLeader()), vwstate.Query{Config: true})
+					require.NoError(t, err)
+					require.Greater(t, view.Config.Version, vwid.ConfigVersion(1), "lost after %v", lostAfter)
+				}
+				time.Sleep(replaceTime)
+				require.Len(t, c.membership().Voters, 5)
+			})
+		})
+	}
+}
+
 // Guards against a deployment with fewer members than its settings ask for, which would never accept a change.
 func TestFirstChangeWithTooFewMembers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
