--- a/internal/process/vwcontrol/leader.go
+++ b/internal/process/vwcontrol/leader.go
@@ -94,12 +94,18 @@
 	return v.voters > 0
 }
 
-// awaitsVoters reports whether the first change of the rules has to wait: the log begins with the initial members as voters, and until
-// others have joined them the tolerated losses could take all copies of what is acknowledged, or leave no majority to read it.
+// awaitsVoters reports whether the first change of the rules has to wait at the leader: the log begins with the initial members as
+// voters, and until others have joined them the tolerated losses could take all copies of what is acknowledged, or leave no majority
+// to read it.
 func (c *core) awaitsVoters() bool {
 	status := c.node.Status()
 	enough := status.MembershipCommitted && len(status.Membership.Voters) >= c.settings.neededVoters()
-	return c.isLeader && c.state.Version() == 0 && !enough && c.now.Sub(c.leaderSince) < firstChangeWait
+	if enough || c.state.Version() != 0 {
+		return false
+	}
+	// A leadership that was not observed yet has just begun.
+	observed := c.isLeader && c.term == status.Term
+	return !observed || c.now.Sub(c.leaderSince) < firstChangeWait
 }
 
 // promoteLearner proposes to make a learner that has caught up a voter. A voter at the same address has lost its disk:
